--- a/internal/state/text/document.go
+++ b/internal/state/text/document.go
@@ -103,6 +103,9 @@
 	Accelerators int
 }
 
+// Key names the endpoint within the document, as "vm-7/engine-0".
+func (e *Endpoint) Key() string { return e.VM + "/" + e.Name }
+
 // Model is a model with its adapters and versions.
 type Model struct {
 	Name     string
@@ -116,12 +119,15 @@
 }
 
 // Rehearsal is a failure brought about on purpose between two instants.
-// Exactly one of FailureDomain, Router and Endpoint is set.
+// Exactly one of FailureDomain, Router and Endpoint is set; it is cut off from
+// everything outside itself.
 type Rehearsal struct {
 	Name          string
 	FailureDomain string
-	Router        string
-	Endpoint      string
+	// Router is the name of a router's VM.
+	Router string
+	// Endpoint is an endpoint's key: its VM and name, as "vm-7/engine-0".
+	Endpoint string
 	// From and Until are both mandatory, so that a rehearsal ends even where
 	// the cut prevents a later text from being read.
 	From  time.Time
