--- /dev/null
+++ b/internal/state/problem/name.go
@@ -0,0 +1,14 @@
+package problem
+
+import "regexp"
+
+// Names appear in paths, log lines and metrics, so they hold no space and no
+// separator of those.
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+
+// AllowedName tells people what a name may be.
+const AllowedName = `a name of 1 to 100 letters, digits, ".", "_" or "-"`
+
+// IsName reports whether the name of an organisation, service, VM or failure
+// domain is well formed.
+func IsName(name string) bool { return namePattern.MatchString(name) }
--- a/internal/state/text/services.go
+++ b/internal/state/text/services.go
@@ -12,7 +12,7 @@
 func stamp(t time.Time) string { return strconv.Quote(t.Format(time.RFC3339Nano)) }
 
 func (v *validator) serviceList() {
-	names := v.unique("service", namePattern, allowedName)
+	names := v.unique("service", problem.IsName, problem.AllowedName)
 	for i := range v.doc.Services {
 		s := &v.doc.Services[i]
 		at := problem.Index("Services", i)
@@ -54,7 +54,7 @@
 	if len(s.Classes) == 0 {
 		v.add(path, "no class", "at least one; a class without Methods and PathPrefix matches every request")
 	}
-	names := v.unique("class of the service", namePattern, allowedName)
+	names := v.unique("class of the service", problem.IsName, problem.AllowedName)
 	for i := range s.Classes {
 		c := &s.Classes[i]
 		at := problem.Index(path, i)
@@ -83,7 +83,7 @@
 	seen := make(map[string]string)
 	for i, method := range c.Methods {
 		path := problem.Index(problem.Field(at, "Methods"), i)
-		if v.matches(path, method, methodPattern, `a method in capitals such as "POST"`) {
+		if v.matches(path, method, methodPattern.MatchString, `a method in capitals such as "POST"`) {
 			v.once(path, strconv.Quote(method), method, "each method once", seen)
 		}
 	}
--- a/internal/state/text/validator.go
+++ b/internal/state/text/validator.go
@@ -9,19 +9,13 @@
 	"hyssopreach/internal/state/problem"
 )
 
-// Names appear in paths, log lines and metrics, so they hold no space and no
-// separator of those.
 var (
-	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
 	modelPattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._/:-]{0,99}$`)
 	keyHashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	methodPattern  = regexp.MustCompile(`^[A-Z]{1,20}$`)
 )
 
-const (
-	allowedName  = `a name of 1 to 100 letters, digits, ".", "_" or "-"`
-	allowedModel = `a name of 1 to 100 letters, digits, ".", "_", "-", "/" or ":"`
-)
+const allowedModel = `a name of 1 to 100 letters, digits, ".", "_", "-", "/" or ":"`
 
 // The bounds of the numbers in the text.
 const (
@@ -89,7 +83,7 @@
 }
 
 func (v *validator) organisations() {
-	names := v.unique("organisation", namePattern, allowedName)
+	names := v.unique("organisation", problem.IsName, problem.AllowedName)
 	keys := make(map[string]string)
 	for i := range v.doc.Organisations {
 		o := &v.doc.Organisations[i]
@@ -124,7 +118,7 @@
 }
 
 func (v *validator) endpoints() {
-	names := v.unique("pool", namePattern, allowedName)
+	names := v.unique("pool", problem.IsName, problem.AllowedName)
 	keys := make(map[string]string)
 	addresses := make(map[string]string)
 	domains := make(map[string]string)
@@ -154,9 +148,9 @@
 }
 
 func (v *validator) endpoint(at string, e *Endpoint) {
-	v.matches(problem.Field(at, "Name"), e.Name, namePattern, allowedName)
-	v.matches(problem.Field(at, "VM"), e.VM, namePattern, allowedName)
-	v.matches(problem.Field(at, "FailureDomain"), e.FailureDomain, namePattern, allowedName)
+	v.matches(problem.Field(at, "Name"), e.Name, problem.IsName, problem.AllowedName)
+	v.matches(problem.Field(at, "VM"), e.VM, problem.IsName, problem.AllowedName)
+	v.matches(problem.Field(at, "FailureDomain"), e.FailureDomain, problem.IsName, problem.AllowedName)
 	if !e.Address.IsValid() || e.Address.Port() == 0 || e.Address.Addr().IsUnspecified() {
 		v.add(problem.Field(at, "Address"), strconv.Quote(e.Address.String()),
 			`an address and port such as "10.0.0.1:8080"`)
@@ -169,12 +163,12 @@
 	for i := range v.doc.Models {
 		m := &v.doc.Models[i]
 		at := problem.Index("Models", i)
-		v.matches(problem.Field(at, "Name"), m.Name, modelPattern, allowedModel)
-		v.matches(problem.Field(at, "Version"), m.Version, modelPattern, allowedModel)
+		v.matches(problem.Field(at, "Name"), m.Name, modelPattern.MatchString, allowedModel)
+		v.matches(problem.Field(at, "Version"), m.Version, modelPattern.MatchString, allowedModel)
 		v.once(at, m.Name+" version "+m.Version, m.Name+"@"+m.Version, "each model and version once", seen)
 		v.poolExists(problem.Field(at, "Pool"), m.Pool)
 		v.atLeastZero(problem.Field(at, "SizeBytes"), m.SizeBytes)
-		adapters := v.unique("adapter", modelPattern, allowedModel)
+		adapters := v.unique("adapter", modelPattern.MatchString, allowedModel)
 		for j, adapter := range m.Adapters {
 			adapters(problem.Index(problem.Field(at, "Adapters"), j), adapter)
 		}
@@ -186,7 +180,7 @@
 }
 
 func (v *validator) rehearsals() {
-	names := v.unique("rehearsal", namePattern, allowedName)
+	names := v.unique("rehearsal", problem.IsName, problem.AllowedName)
 	endpoints := make(map[string]bool)
 	for i := range v.doc.Pools {
 		for j := range v.doc.Pools[i].Endpoints {
@@ -231,17 +225,17 @@
 }
 
 // unique returns a check that a name is well formed and was not seen before.
-func (v *validator) unique(what string, pattern *regexp.Regexp, allowed string) func(path, name string) {
+func (v *validator) unique(what string, wellFormed func(string) bool, allowed string) func(path, name string) {
 	seen := make(map[string]string)
 	return func(path, name string) {
-		if v.matches(path, name, pattern, allowed) {
+		if v.matches(path, name, wellFormed, allowed) {
 			v.once(path, strconv.Quote(name), name, "a name that no other "+what+" has", seen)
 		}
 	}
 }
 
-func (v *validator) matches(path, name string, pattern *regexp.Regexp, allowed string) bool {
-	if pattern.MatchString(name) {
+func (v *validator) matches(path, name string, wellFormed func(string) bool, allowed string) bool {
+	if wellFormed(name) {
 		return true
 	}
 	v.add(path, strconv.Quote(name), allowed)
