--- /dev/null
+++ b/internal/coordination/configuration/fleet_test.go
@@ -0,0 +1,205 @@
+package configuration_test
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"hyssopreach/internal/coordination/configuration"
+	"hyssopreach/internal/state/revision"
+	"hyssopreach/internal/state/view"
+)
+
+var errDown = errors.New("down")
+
+// fleet is a few Spreaders, a log and an agenda of inputs in virtual time.
+type fleet struct {
+	now      time.Time
+	random   *rand.Rand
+	nodes    []*node
+	byID     map[view.RouterID]*node
+	agenda   agenda
+	log      []configuration.Record
+	kept     time.Duration // how long the log keeps records; 0 means for ever
+	logDown  bool
+	loss     float64
+	messages int
+}
+
+type node struct {
+	id       view.RouterID
+	spreader *configuration.Spreader
+	wake     time.Time
+	started  int // inputs for an earlier start are dropped
+	highest  uint64
+	inForce  time.Time
+	served   int
+	reads    int
+	broken   int
+	reverted bool
+}
+
+type entry struct {
+	at      time.Time
+	order   int
+	to      *node
+	started int
+	in      configuration.Input
+}
+
+type agenda []entry
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at.Equal(a[j].at) {
+		return a[i].order < a[j].order
+	}
+	return a[i].at.Before(a[j].at)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(entry)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+func newFleet(routers, domains int, seed uint64) *fleet {
+	f := &fleet{
+		now: time.Unix(1e9, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		byID: make(map[view.RouterID]*node),
+	}
+	for i := range routers {
+		n := &node{id: view.RouterID(fmt.Sprintf("vm-%03d", i))}
+		f.nodes = append(f.nodes, n)
+		f.byID[n.id] = n
+	}
+	for _, n := range f.nodes {
+		f.restart(n, domains)
+	}
+	return f
+}
+
+func (f *fleet) restart(n *node, domains int) {
+	n.started++
+	n.highest = 0
+	n.wake = time.Time{}
+	n.spreader = configuration.New(configuration.Options{Self: n.id, Random: f.random, SnapshotInterval: 20 * time.Second})
+	v := &view.Snapshot{Self: n.id}
+	for i, other := range f.nodes {
+		v.Routers = append(v.Routers, view.Router{ID: other.id, FailureDomain: fmt.Sprint("domain-", i%domains)})
+	}
+	f.schedule(n, 0, configuration.Change{View: v})
+}
+
+func (f *fleet) schedule(n *node, delay time.Duration, in configuration.Input) {
+	heap.Push(&f.agenda, entry{f.now.Add(delay), len(f.agenda) + f.random.IntN(1<<20), n, n.started, in})
+}
+
+func (f *fleet) run(length time.Duration) {
+	end := f.now.Add(length)
+	for len(f.agenda) > 0 && !f.agenda[0].at.After(end) {
+		e := heap.Pop(&f.agenda).(entry)
+		f.now = e.at
+		if _, alarm := e.in.(configuration.Alarm); e.started != e.to.started || alarm && !e.to.wake.Equal(e.at) {
+			continue
+		}
+		for _, out := range e.to.spreader.Step(f.now, e.in) {
+			f.do(e.to, out)
+		}
+	}
+	f.now = end
+}
+
+const hop = 2 * time.Millisecond
+
+func (f *fleet) do(n *node, out configuration.Output) {
+	switch out := out.(type) {
+	case configuration.Read:
+		n.reads++
+		f.read(n, out.From, f.now.Add(configuration.ReadWait))
+	case configuration.Append:
+		if f.logDown {
+			f.schedule(n, hop, configuration.AppendResult{Err: errDown})
+			return
+		}
+		f.append(out.Payload)
+		f.schedule(n, hop, configuration.AppendResult{})
+	case configuration.Offer:
+		f.messages++
+		if f.random.Float64() >= f.loss {
+			f.schedule(f.byID[out.To], hop, configuration.Offered{From: n.id, Version: out.Version})
+		}
+	case configuration.Fetch:
+		peer := f.byID[out.From]
+		peer.served++
+		c := peer.spreader.InForce()
+		f.schedule(n, 2*hop, configuration.FetchResult{From: out.From, Version: c.Version, Text: c.Text})
+	case configuration.InForce:
+		n.reverted = n.reverted || out.Configuration.Revision <= n.highest
+		n.highest, n.inForce = out.Configuration.Revision, f.now
+	case configuration.Wake:
+		n.wake = out.At
+		f.schedule(n, out.At.Sub(f.now), configuration.Alarm{})
+	case configuration.Decision:
+		if out.Event == configuration.EventBroken {
+			n.broken++
+		}
+	}
+}
+
+func (f *fleet) append(payload []byte) uint64 {
+	offset := uint64(len(f.log))
+	f.log = append(f.log, configuration.Record{Offset: offset, Appended: f.now, Payload: payload})
+	return offset
+}
+
+// read answers at once when there are records and else looks again until the
+// read has been open for its whole time.
+func (f *fleet) read(n *node, from uint64, until time.Time) {
+	if f.logDown {
+		f.schedule(n, hop, configuration.ReadFailure{Err: errDown})
+		return
+	}
+	oldest := f.oldest()
+	result := configuration.ReadResult{Oldest: oldest}
+	if start := max(from, oldest); start < uint64(len(f.log)) {
+		result.Records = f.log[start:]
+	}
+	delay := hop
+	if len(result.Records) == 0 {
+		delay = 100 * time.Millisecond // stands for the open read
+	}
+	f.schedule(n, delay, result)
+}
+
+func (f *fleet) oldest() uint64 {
+	oldest := uint64(0)
+	for f.kept > 0 && oldest < uint64(len(f.log)) && f.now.Sub(f.log[oldest].Appended) > f.kept {
+		oldest++
+	}
+	return oldest
+}
+
+func (f *fleet) publish(id string, basedOn uint64) {
+	data := fmt.Sprintf(`{"FormatVersion":1,"BasedOn":%d,"Organisations":[{"Name":"o-%s","Weight":1}]}`, basedOn, id)
+	r := revision.NewPublish(id, basedOn, []byte(data))
+	payload, err := r.Encode()
+	if err != nil {
+		panic(err)
+	}
+	f.append(payload)
+}
+
+// lagging counts the routers that do not have the revision in force.
+func (f *fleet) lagging(r uint64) int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.spreader.InForce().Revision != r {
+			count++
+		}
+	}
+	return count
+}
