Decide membership by heartbeats whose cost does not grow with the fleet

Cause: a full mesh costs each router as many heartbeats as there are routers. Heartbeats get Digest and Full on the wire.

--- /dev/null
+++ b/internal/protocol/peer/heartbeat.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+
+	"hyssopreach/internal/coordination/membership"
+	"hyssopreach/internal/state/view"
+)
+
+// FromHeartbeat returns the wire form of a heartbeat.
+func FromHeartbeat(h *membership.Heartbeat) *Heartbeat {
+	wire := &Heartbeat{Digest: h.Digest, Full: h.Full, Members: make([]*Member, len(h.Members))}
+	for i := range h.Members {
+		m := &h.Members[i]
+		wire.Members[i] = &Member{
+			Router:        string(m.Router.ID),
+			Incarnation:   m.Router.Incarnation,
+			FailureDomain: m.Router.FailureDomain,
+			PeerAddress:   m.Router.PeerAddress.String(),
+			CallerAddress: m.Router.CallerAddress.String(),
+			Draining:      m.Router.Draining,
+			Suspected:     m.Suspected,
+			Counter:       m.Counter,
+		}
+	}
+	return wire
+}
+
+// ToHeartbeat reads the wire form of a heartbeat.
+func ToHeartbeat(wire *Heartbeat) (membership.Heartbeat, error) {
+	h := membership.Heartbeat{Digest: wire.Digest, Full: wire.Full, Members: make([]membership.Member, len(wire.Members))}
+	for i, w := range wire.Members {
+		m, err := toMember(w)
+		if err != nil {
+			return membership.Heartbeat{}, err
+		}
+		h.Members[i] = m
+	}
+	return h, nil
+}
+
+func toMember(w *Member) (membership.Member, error) {
+	if w.GetRouter() == "" {
+		return membership.Member{}, fmt.Errorf("member without a name")
+	}
+	peerAddress, err := netip.ParseAddrPort(w.PeerAddress)
+	if err != nil {
+		return membership.Member{}, fmt.Errorf("peer address of member %s: %w", w.Router, err)
+	}
+	callerAddress, err := netip.ParseAddrPort(w.CallerAddress)
+	if err != nil {
+		return membership.Member{}, fmt.Errorf("caller address of member %s: %w", w.Router, err)
+	}
+	return membership.Member{
+		Router: view.Router{
+			ID:            view.RouterID(w.Router),
+			FailureDomain: w.FailureDomain,
+			PeerAddress:   peerAddress,
+			CallerAddress: callerAddress,
+			Incarnation:   w.Incarnation,
+			Draining:      w.Draining,
+		},
+		Suspected: w.Suspected,
+		Counter:   w.Counter,
+	}, nil
+}
--- /dev/null
+++ b/internal/tool/agenda/agenda.go
@@ -0,0 +1,60 @@
+// Package agenda orders items by the instant at which they are due, so that
+// state machines can be run against each other in virtual time. Items due at
+// one instant keep the order in which they were added.
+package agenda
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Agenda is a queue of items by due time. Its zero value is empty.
+type Agenda[T any] struct {
+	entries entries[T]
+	added   int
+}
+
+type entry[T any] struct {
+	at    time.Time
+	order int
+	item  T
+}
+
+// Add adds an item that is due at the given instant.
+func (a *Agenda[T]) Add(at time.Time, item T) {
+	a.added++
+	heap.Push(&a.entries, entry[T]{at, a.added, item})
+}
+
+// Next takes out the next item if it is due no later than until.
+func (a *Agenda[T]) Next(until time.Time) (at time.Time, item T, ok bool) {
+	if len(a.entries) == 0 || a.entries[0].at.After(until) {
+		return at, item, false
+	}
+	e := heap.Pop(&a.entries).(entry[T])
+	return e.at, e.item, true
+}
+
+// entries implements heap.Interface.
+type entries[T any] []entry[T]
+
+func (e entries[T]) Len() int { return len(e) }
+
+func (e entries[T]) Less(i, j int) bool {
+	if e[i].at.Equal(e[j].at) {
+		return e[i].order < e[j].order
+	}
+	return e[i].at.Before(e[j].at)
+}
+
+func (e entries[T]) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push is called by package heap.
+func (e *entries[T]) Push(x any) { *e = append(*e, x.(entry[T])) }
+
+// Pop is called by package heap.
+func (e *entries[T]) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
