--- /dev/null
+++ b/internal/protocol/caller/path.go
@@ -0,0 +1,26 @@
+package caller
+
+// The paths under which the system is called.
+const (
+	PathRouters         = "/v1/routers"
+	PathChatCompletions = "/v1/chat/completions"
+	PathCompletions     = "/v1/completions"
+	PathServices        = "/services/"
+)
+
+// The headers that the system reads or sets.
+const (
+	// HeaderIdempotencyKey names a request, so that sending it again does not
+	// run it again. It is required for requests that are not idempotent.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderDeadline is the instant, in RFC 3339 form, after which the caller
+	// has no use for the answer.
+	HeaderDeadline = "X-Deadline"
+	// HeaderRequestID names one request in the logs.
+	HeaderRequestID = "X-Request-ID"
+	// HeaderParent is the request id of the call that a nested call serves.
+	HeaderParent = "X-Parent-Request-ID"
+	// HeaderService names the service of a model call when several services
+	// offer the model.
+	HeaderService = "X-Service"
+)
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,126 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	wire "hyssopreach/internal/protocol/peer"
+	"hyssopreach/internal/state/view"
+)
+
+// Handler is what a router does with what its peers say.
+type Handler interface {
+	// Receive takes one message; it must not block.
+	Receive(from view.RouterID, incarnation uint64, m *wire.Message)
+	// Fetch returns the configuration in force.
+	Fetch(ctx context.Context, query *wire.ConfigurationQuery) (*wire.ConfigurationText, error)
+	// Answer sends the parts of a kept or running answer.
+	Answer(ctx context.Context, query *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
+}
+
+// Server accepts the links of peers.
+type Server struct {
+	handler Handler
+	logger  log.Interface
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu          sync.Mutex
+	incarnation map[view.RouterID]uint64 // guarded by mu
+}
+
+// Serve begins to accept links on the listener, which it owns from now on.
+func Serve(listener net.Listener, handler Handler, registry metrics.Registry, logger log.Interface) (*Server, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{handler: handler, logger: logger, cancel: cancel, incarnation: make(map[view.RouterID]uint64)}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterPeer(mux, s); err != nil {
+		cancel()
+		return nil, fmt.Errorf("register peer service at %s: %w", listener.Addr(), err)
+	}
+	server := drpcserver.New(mux)
+	counted := &countingListener{Listener: listener, bytes: metrics.GetOrRegisterCounter(MetricControlBytesTotal, registry)}
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		if err := server.Serve(ctx, counted); err != nil && ctx.Err() == nil {
+			s.logger.WithField("Address", listener.Addr()).WithField("Error", err).Error("PeerServerFailed")
+		}
+	}()
+	return s, nil
+}
+
+// Close ends every link and waits for their handlers.
+func (s *Server) Close() {
+	s.cancel()
+	s.running.Wait()
+}
+
+// Deliver receives the control messages of one peer.
+func (s *Server) Deliver(stream wire.DRPCPeer_DeliverStream) error {
+	for {
+		e, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&wire.Empty{})
+		}
+		if err != nil {
+			return err
+		}
+		from := view.RouterID(e.From)
+		if !s.admit(from, e.Incarnation) {
+			s.logger.WithField("Peer", from).WithField("Incarnation", e.Incarnation).Info("OldIncarnationDropped")
+			continue
+		}
+		for _, m := range e.Messages {
+			s.handler.Receive(from, e.Incarnation, m)
+		}
+	}
+}
+
+// admit drops what an earlier start of a router said once a later start has
+// been heard, since connections of both may overlap.
+func (s *Server) admit(from view.RouterID, incarnation uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if incarnation < s.incarnation[from] {
+		return false
+	}
+	s.incarnation[from] = incarnation
+	return true
+}
+
+// Fetch answers with the configuration in force.
+func (s *Server) Fetch(ctx context.Context, query *wire.ConfigurationQuery) (*wire.ConfigurationText, error) {
+	return s.handler.Fetch(ctx, query)
+}
+
+// Answer sends a kept or running answer.
+func (s *Server) Answer(query *wire.AnswerQuery, stream wire.DRPCPeer_AnswerStream) error {
+	if err := s.handler.Answer(stream.Context(), query, stream.Send); err != nil {
+		return err
+	}
+	return stream.Close()
+}
+
+type countingListener struct {
+	net.Listener
+	bytes metrics.Counter
+}
+
+// Accept returns the next connection, wrapped so that its bytes are counted.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: l.bytes}, nil
+}
