Add the execution of admitted calls: waiting, sending, copying, safe retries

Cause: the whole path needs its middle. Change: a runner that asks the scheduler, sends once, copies the answer and retries only what was not sent or is idempotent, within a budget; a meter of service; refusals that say NotRun true only when nothing was sent.

--- /dev/null
+++ b/internal/transport/execution/runner.go
@@ -0,0 +1,276 @@
+package execution
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/google/uuid"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+)
+
+const (
+	// maxAttempts bounds the tries of one call, whatever the budget allows.
+	maxAttempts = 4
+	// copyBytes is the size of the buffer between endpoint and caller.
+	copyBytes = 16 << 10
+	// retryPause is what a refused caller is told to wait when the scheduler
+	// names no instant.
+	retryPause = time.Second
+)
+
+// BrokenError says that an answer broke off after it had begun.
+type BrokenError struct{ Err error }
+
+// Error describes what broke the answer.
+func (e *BrokenError) Error() string { return fmt.Sprintf("the answer broke off: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *BrokenError) Unwrap() error { return e.Err }
+
+// Watcher is told of every attempt, before it is sent and after it has ended.
+type Watcher interface {
+	AttemptStarted(a *Attempt)
+	AttemptEnded(a *Attempt, result schedule.Result, err error)
+}
+
+// Views returns the fleet as it is known now.
+type Views interface {
+	View() *view.Snapshot
+}
+
+// Runner runs admitted calls.
+type Runner struct {
+	Scheduling *Scheduling
+	Backend    Backend
+	Views      Views
+	Watchers   []Watcher
+	Logger     log.Interface
+
+	budget *budget
+}
+
+// NewRunner returns a runner over the given parts.
+func NewRunner(scheduling *Scheduling, backend Backend, views Views, logger log.Interface, watchers ...Watcher) *Runner {
+	return &Runner{
+		Scheduling: scheduling, Backend: backend, Views: views, Watchers: watchers,
+		Logger: logger, budget: newBudget(),
+	}
+}
+
+// Run runs the call and writes its answer to the sink. It returns nil after a
+// whole answer, a *caller.Problem if no answer has begun, and a *BrokenError if
+// one had begun and broke off.
+func (r *Runner) Run(ctx context.Context, c *Call, sink Sink) error {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	r.budget.earn(c.Organisation.Name, c.Organisation.RetryRatio)
+	out := &begun{Sink: sink}
+	sent := false
+	for tries := 1; ; tries++ {
+		start, err := r.Scheduling.Wait(ctx, request(c))
+		if err != nil {
+			return refusal(c, err, sent)
+		}
+		result, err := r.attempt(ctx, c, start, out)
+		if err == nil {
+			return nil
+		}
+		sent = sent || result != schedule.ResultNotSent
+		if out.started {
+			return &BrokenError{Err: err}
+		}
+		if ctx.Err() != nil || !r.mayRetry(c, result, tries) {
+			return failure(c, err, sent)
+		}
+		r.Logger.WithFields(log.Fields{
+			"RequestID": c.RequestID, "Organisation": c.Organisation.Name, "Tries": tries, "Error": err,
+		}).Info("AttemptRetried")
+	}
+}
+
+// mayRetry allows a further attempt only where it is surely safe: nothing was
+// sent, or the request is idempotent.
+func (r *Runner) mayRetry(c *Call, result schedule.Result, tries int) bool {
+	if tries >= maxAttempts {
+		return false
+	}
+	if result != schedule.ResultNotSent && !c.Class.Idempotent {
+		return false
+	}
+	return r.budget.spend(c.Organisation.Name)
+}
+
+func request(c *Call) schedule.Request {
+	return schedule.Request{
+		Organisation: c.Organisation.Name,
+		Service:      c.Service.Name,
+		Pool:         c.Service.Pool,
+		Model:        c.Model,
+		Urgency:      c.Class.Urgency,
+		MayWait:      c.Class.MayWait,
+		Estimate:     c.Class.EstimatedCost,
+		Deadline:     c.Deadline,
+		Prefix:       c.Prefix,
+		BodyBytes:    int64(len(c.Body)),
+		Exclusive:    c.Exclusive,
+		Nested:       c.Parent != "",
+	}
+}
+
+// attempt sends the call to the endpoint that the scheduler chose and copies
+// the answer. It always ends the start with a Completion.
+func (r *Runner) attempt(ctx context.Context, c *Call, start schedule.Start, out *begun) (schedule.Result, error) {
+	meter := newMeter(c.Service.Kind == text.KindModel, c.Stream, time.Now())
+	a := &Attempt{ID: uuid.NewString(), Call: c}
+	result, err := schedule.ResultNotSent, error(nil)
+	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok {
+		a.Endpoint = e
+		r.logStart(a, start)
+		for _, w := range r.Watchers {
+			w.AttemptStarted(a)
+		}
+		result, err = r.exchange(ctx, a, start.ID, meter, out)
+		for _, w := range r.Watchers {
+			w.AttemptEnded(a, result, err)
+		}
+	} else {
+		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
+	}
+	now := time.Now()
+	r.Scheduling.Input(schedule.Completion{
+		ID: start.ID, Result: result, Service: meter.rest(now), Elapsed: now.Sub(meter.begin),
+	})
+	return result, err
+}
+
+func (r *Runner) logStart(a *Attempt, start schedule.Start) {
+	r.Logger.WithFields(log.Fields{
+		"RequestID": a.Call.RequestID, "Attempt": a.ID, "Organisation": a.Call.Organisation.Name,
+		"Service": a.Call.Service.Name, "Endpoint": start.Endpoint, "Reason": start.Reason,
+	}).Info("RequestRouted")
+}
+
+func findEndpoint(v *view.Snapshot, id view.EndpointID) (view.Endpoint, bool) {
+	for i := range v.Endpoints {
+		if v.Endpoints[i].ID == id {
+			return v.Endpoints[i], true
+		}
+	}
+	return view.Endpoint{}, false
+}
+
+// exchange sends the attempt and copies the answer to the sink.
+func (r *Runner) exchange(ctx context.Context, a *Attempt, id schedule.RequestID, m *meter, out *begun) (schedule.Result, error) {
+	answer, err := r.Backend.Send(ctx, a)
+	if err != nil {
+		return sendResult(ctx, err), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
+	}
+	defer func() { _ = answer.Close() }()
+	if answer.Status() == http.StatusServiceUnavailable && a.Call.Class.Idempotent {
+		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered that it is unavailable", a.Endpoint.ID)
+	}
+	if err := r.copyAnswer(ctx, answer, id, m, out); err != nil {
+		if ctx.Err() != nil {
+			return schedule.ResultCancelled, fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
+		}
+		return schedule.ResultBroken, fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
+	}
+	return schedule.ResultFinished, nil
+}
+
+func sendResult(ctx context.Context, err error) schedule.Result {
+	switch {
+	case notSent(err):
+		return schedule.ResultNotSent
+	case ctx.Err() != nil:
+		return schedule.ResultCancelled
+	default:
+		return schedule.ResultBroken
+	}
+}
+
+// copyAnswer holds back the head until the first bytes have come, so that an
+// answer that breaks before them can still be retried.
+func (r *Runner) copyAnswer(ctx context.Context, answer Answer, id schedule.RequestID, m *meter, out *begun) error {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := answer.Read(buffer)
+		whole := errors.Is(err, io.EOF)
+		if err != nil && !whole {
+			return err
+		}
+		if !out.started {
+			if err := out.Begin(answer.Status(), answer.Header()); err != nil {
+				return fmt.Errorf("begin the answer to the caller: %w", err)
+			}
+		}
+		if n > 0 {
+			if p, due := m.count(buffer[:n], time.Now()); due {
+				p.ID = id
+				r.Scheduling.Input(p)
+			}
+			if _, err := out.Write(buffer[:n]); err != nil {
+				return fmt.Errorf("write the answer to the caller: %w", err)
+			}
+		}
+		if whole {
+			return out.End()
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// refusal describes a call that ended while it waited.
+func refusal(c *Call, err error, sent bool) *caller.Problem {
+	now := time.Now()
+	p := &caller.Problem{
+		Title: "The request was refused", Status: http.StatusServiceUnavailable, Detail: err.Error(),
+		NotRun: notRun(sent), Step: "Schedule", RequestID: c.RequestID, RetryAt: now.Add(retryPause),
+	}
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		if !refused.RetryAt.IsZero() {
+			p.RetryAt = refused.RetryAt
+		}
+		switch refused.Reason {
+		case schedule.RefusalOverload:
+			p.Status = http.StatusTooManyRequests
+		case schedule.RefusalDeadline:
+			p.Status = http.StatusGatewayTimeout
+		}
+	case errors.Is(err, context.DeadlineExceeded):
+		p.Status = http.StatusGatewayTimeout
+	}
+	return p
+}
+
+// failure describes a call whose last attempt failed before an answer began.
+func failure(c *Call, err error, sent bool) *caller.Problem {
+	status := http.StatusBadGateway
+	if errors.Is(err, context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	return &caller.Problem{
+		Title: "The endpoint did not answer", Status: status, Detail: err.Error(),
+		NotRun: notRun(sent), Step: "Execute", RequestID: c.RequestID, RetryAt: time.Now().Add(retryPause),
+	}
+}
+
+func notRun(sent bool) caller.NotRun {
+	if sent {
+		return caller.NotRunUnknown
+	}
+	return caller.NotRunTrue
+}
--- /dev/null
+++ b/internal/transport/execution/scheduling.go
@@ -0,0 +1,156 @@
+package execution
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/driver"
+)
+
+// Sender delivers scheduler messages to other routers; it must not block.
+type Sender interface {
+	SendScheduler(to view.RouterID, m schedule.Message)
+}
+
+// RefusedError says that the scheduler refused a request that was not sent.
+type RefusedError struct {
+	Reason  schedule.RefusalReason
+	RetryAt time.Time
+}
+
+// Error describes the refusal.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("refused while waiting for capacity: %s", e.Reason)
+}
+
+// Scheduling connects a scheduler with the goroutines whose requests wait.
+type Scheduling struct {
+	driver *driver.Driver[schedule.Input, schedule.Output]
+	sender Sender
+	logger log.Interface
+	lastID atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[schedule.RequestID]chan schedule.Output // guarded by mu
+}
+
+// NewScheduling runs the given scheduler.
+func NewScheduling(s schedule.Scheduler, sender Sender, logger log.Interface) *Scheduling {
+	d := &Scheduling{sender: sender, logger: logger, waiting: make(map[schedule.RequestID]chan schedule.Output)}
+	d.driver = driver.New(s.Step, schedule.Input(schedule.Alarm{}), d.apply)
+	return d
+}
+
+// Input feeds the scheduler.
+func (d *Scheduling) Input(in schedule.Input) { d.driver.Input(in) }
+
+// Close stops the scheduler; requests that still wait end with their contexts.
+func (d *Scheduling) Close() { d.driver.Close() }
+
+// Waiting returns the number of requests that wait for a decision.
+func (d *Scheduling) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.waiting)
+}
+
+// RefuseWaiting refuses everything that waits; the router is about to stop.
+func (d *Scheduling) RefuseWaiting(retryAt time.Time) {
+	d.mu.Lock()
+	ids := make([]schedule.RequestID, 0, len(d.waiting))
+	for id := range d.waiting {
+		ids = append(ids, id)
+	}
+	d.mu.Unlock()
+	for _, id := range ids {
+		// The departure comes first, so that no start can follow it.
+		d.driver.Input(schedule.Departure{ID: id})
+		d.decide(id, schedule.Refusal{ID: id, Reason: schedule.RefusalDraining, RetryAt: retryAt})
+	}
+}
+
+// Wait returns once the request may be sent. A request that has got a Start
+// must be ended with Complete. The error is a *RefusedError or the context's.
+func (d *Scheduling) Wait(ctx context.Context, r schedule.Request) (schedule.Start, error) {
+	r.ID = schedule.RequestID(d.lastID.Add(1))
+	decided := make(chan schedule.Output, 1)
+	d.mu.Lock()
+	d.waiting[r.ID] = decided
+	d.mu.Unlock()
+	d.driver.Input(schedule.Arrival{Request: r})
+	select {
+	case out := <-decided:
+		return verdict(out)
+	case <-ctx.Done():
+	}
+	d.driver.Input(schedule.Departure{ID: r.ID})
+	d.mu.Lock()
+	delete(d.waiting, r.ID)
+	d.mu.Unlock()
+	select {
+	case out := <-decided:
+		// The start came just before the departure; its slot goes back.
+		if s, ok := out.(schedule.Start); ok {
+			d.driver.Input(schedule.Completion{ID: s.ID, Result: schedule.ResultNotSent})
+		}
+	default:
+	}
+	return schedule.Start{}, fmt.Errorf("wait for capacity: %w", ctx.Err())
+}
+
+func verdict(out schedule.Output) (schedule.Start, error) {
+	switch o := out.(type) {
+	case schedule.Start:
+		return o, nil
+	case schedule.Refusal:
+		return schedule.Start{}, &RefusedError{Reason: o.Reason, RetryAt: o.RetryAt}
+	default:
+		return schedule.Start{}, fmt.Errorf("wait for capacity: unexpected decision %T", out)
+	}
+}
+
+func (d *Scheduling) apply(out schedule.Output) {
+	switch o := out.(type) {
+	case schedule.Start:
+		if !d.decide(o.ID, o) {
+			d.logger.WithField("Request", o.ID).Error("StartForUnknownRequest")
+		}
+	case schedule.Refusal:
+		d.decide(o.ID, o)
+	case schedule.Send:
+		d.sender.SendScheduler(o.To, o.Message)
+	case schedule.Wake:
+		d.driver.WakeAt(o.At)
+	case schedule.Decision:
+		logDecision(d.logger, o)
+	}
+}
+
+// decide hands a decision to the goroutine that waits for it. The channel has
+// room for one, and each request gets one decision.
+func (d *Scheduling) decide(id schedule.RequestID, out schedule.Output) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	decided, ok := d.waiting[id]
+	if !ok {
+		return false
+	}
+	delete(d.waiting, id)
+	decided <- out
+	return true
+}
+
+func logDecision(logger log.Interface, d schedule.Decision) {
+	fields := log.Fields{}
+	for i := 0; i+1 < len(d.Fields); i += 2 {
+		fields[d.Fields[i]] = d.Fields[i+1]
+	}
+	logger.WithFields(fields).Info(d.Event)
+}
