--- /dev/null
+++ b/internal/transport/entry/admission.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/execution"
+)
+
+const (
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 256
+	// clockSkew is the allowance for a caller's clock, in a deadline that
+	// crosses from its process into ours.
+	clockSkew = 500 * time.Millisecond
+	// maxDeadline bounds how far ahead a caller's deadline may lie.
+	maxDeadline = time.Hour
+)
+
+func reject(status int, step, detail string) *caller.Problem {
+	return &caller.Problem{
+		Title: http.StatusText(status), Status: status, Detail: detail, NotRun: caller.NotRunTrue, Step: step,
+	}
+}
+
+// model admits a call to a model.
+func (h *Handler) model(w http.ResponseWriter, hr *http.Request) {
+	r := h.newRequest(w, hr)
+	index, organisation, problem := h.identify(r)
+	if problem != nil {
+		h.refuse(r, problem)
+		return
+	}
+	body, release, problem := h.readBody(r)
+	if problem != nil {
+		h.refuse(r, problem)
+		return
+	}
+	defer release()
+	completion, err := caller.ParseCompletion(body)
+	if err != nil {
+		h.refuse(r, reject(http.StatusBadRequest, "Parse", err.Error()))
+		return
+	}
+	service, problem := modelService(index, completion.Model, r.Header.Get(caller.HeaderService))
+	if problem != nil {
+		h.refuse(r, problem)
+		return
+	}
+	c := &execution.Call{
+		Organisation: organisation, Service: service, Model: completion.Model, Prefix: completion.Prefix(),
+		Stream: completion.Stream, Path: r.URL.Path, Body: body,
+	}
+	h.admit(r, index, c)
+}
+
+// plain admits a call to a plain service.
+func (h *Handler) plain(w http.ResponseWriter, hr *http.Request) {
+	r := h.newRequest(w, hr)
+	index, organisation, problem := h.identify(r)
+	if problem != nil {
+		h.refuse(r, problem)
+		return
+	}
+	name := r.PathValue("Service")
+	service := index.Service(name)
+	if service == nil || service.Kind != text.KindPlain {
+		h.refuse(r, reject(http.StatusNotFound, "Admit", fmt.Sprintf("there is no plain service %q in force", name)))
+		return
+	}
+	body, release, problem := h.readBody(r)
+	if problem != nil {
+		h.refuse(r, problem)
+		return
+	}
+	defer release()
+	path := "/" + strings.TrimPrefix(r.URL.EscapedPath(), caller.PathServices+name+"/")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	h.admit(r, index, &execution.Call{Organisation: organisation, Service: service, Path: path, Body: body})
+}
+
+// identify finds the configuration in force and the caller's organisation.
+func (h *Handler) identify(r *request) (*text.Index, *text.Organisation, *caller.Problem) {
+	index := h.configurations.Index()
+	if index == nil {
+		return nil, nil, reject(http.StatusServiceUnavailable, "Configure", "no configuration is in force on this router yet")
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return nil, nil, reject(http.StatusUnauthorized, "Identify", "send your organisation's key as \"Authorization: Bearer KEY\"")
+	}
+	organisation := index.Organisation(key)
+	if organisation == nil {
+		return nil, nil, reject(http.StatusUnauthorized, "Identify", "the key belongs to no organisation in force")
+	}
+	return index, organisation, nil
+}
+
+// readBody reads the whole body within the bounds on size, memory and time.
+func (h *Handler) readBody(r *request) ([]byte, func(), *caller.Problem) {
+	limit := h.limits.BodyBytes
+	if r.ContentLength > limit {
+		return nil, nil, reject(http.StatusRequestEntityTooLarge, "Read", fmt.Sprintf("the body has %d bytes; at most %d are allowed", r.ContentLength, limit))
+	}
+	reserved := r.ContentLength
+	if reserved < 0 {
+		reserved = limit
+	}
+	if !h.bodies.TryAcquire(reserved) {
+		p := reject(http.StatusServiceUnavailable, "Read", "the router holds as many bodies as it may")
+		p.RetryAt = time.Now().Add(time.Second)
+		return nil, nil, p
+	}
+	release := func() { h.bodies.Release(reserved) }
+	// A writer that knows no deadlines is a test's recorder.
+	controller := http.NewResponseController(r.writer)
+	_ = controller.SetReadDeadline(r.now.Add(h.limits.BodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(r.writer, r.Body, limit))
+	_ = controller.SetReadDeadline(time.Time{})
+	if err != nil {
+		release()
+		status := http.StatusBadRequest
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			status = http.StatusRequestEntityTooLarge
+		}
+		return nil, nil, reject(status, "Read", fmt.Sprintf("read the body: %v", err))
+	}
+	return body, release, nil
+}
+
+// modelService finds the service through which a model is called.
+func modelService(index *text.Index, model, wanted string) (*text.Service, *caller.Problem) {
+	doc := index.Document()
+	pools := make(map[string]bool)
+	for i := range doc.Models {
+		if servesModel(&doc.Models[i], model) {
+			pools[doc.Models[i].Pool] = true
+		}
+	}
+	for i := range doc.Services {
+		s := &doc.Services[i]
+		if s.Kind == text.KindModel && pools[s.Pool] && (wanted == "" || wanted == s.Name) {
+			return s, nil
+		}
+	}
+	return nil, reject(http.StatusNotFound, "Admit", fmt.Sprintf("no service in force offers model %q", model))
+}
+
+// servesModel tells whether a caller's model name means this model: its name,
+// or its name and an adapter as "Name:Adapter".
+func servesModel(m *text.Model, name string) bool {
+	base, adapter, has := strings.Cut(name, ":")
+	if base != m.Name {
+		return false
+	}
+	if !has {
+		return true
+	}
+	for _, a := range m.Adapters {
+		if a == adapter {
+			return true
+		}
+	}
+	return false
+}
+
+// admit completes the call from the request's headers and runs it.
+func (h *Handler) admit(r *request, index *text.Index, c *execution.Call) {
+	c.RequestID, c.Method = r.id, r.Method
+	c.Parent = r.Header.Get(caller.HeaderParent)
+	c.Key = r.Header.Get(caller.HeaderIdempotencyKey)
+	c.Header = passedHeaders(r.Header)
+	path, _, _ := strings.Cut(c.Path, "?")
+	c.Class = index.Class(c.Service.Name, r.Method, path)
+	if problem := h.check(r, index, c); problem != nil {
+		h.refuse(r, problem)
+		return
+	}
+	h.run(r, c)
+}
+
+func (h *Handler) check(r *request, index *text.Index, c *execution.Call) *caller.Problem {
+	if c.Class == nil {
+		return reject(http.StatusNotFound, "Admit", fmt.Sprintf("no request class of service %q matches %s %s", c.Service.Name, c.Method, c.Path))
+	}
+	if len(c.Key) > maxKeyBytes {
+		return reject(http.StatusBadRequest, "Admit", fmt.Sprintf("the idempotency key has %d bytes; at most %d are allowed", len(c.Key), maxKeyBytes))
+	}
+	if !c.Class.Idempotent && c.Key == "" {
+		return reject(http.StatusBadRequest, "Admit", fmt.Sprintf("class %q is not idempotent; send an %s header, and the same one when you send the request again", c.Class.Name, caller.HeaderIdempotencyKey))
+	}
+	deadline, problem := h.deadline(r)
+	if problem != nil {
+		return problem
+	}
+	c.Deadline = deadline
+	return h.checkDependencies(index, c, r.now)
+}
+
+func (h *Handler) deadline(r *request) (time.Time, *caller.Problem) {
+	stated := r.Header.Get(caller.HeaderDeadline)
+	if stated == "" {
+		return r.now.Add(h.limits.RequestTimeout), nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, stated)
+	if err != nil {
+		return time.Time{}, reject(http.StatusBadRequest, "Admit", fmt.Sprintf("%s is %q; give an instant such as 2026-01-02T15:04:05Z", caller.HeaderDeadline, stated))
+	}
+	if at.Add(clockSkew).Before(r.now) {
+		return time.Time{}, reject(http.StatusGatewayTimeout, "Admit", "the deadline has passed")
+	}
+	if latest := r.now.Add(maxDeadline); at.After(latest) {
+		at = latest
+	}
+	return at.Add(clockSkew), nil
+}
+
+// checkDependencies refuses a call early when its own service or one that it
+// depends on has no endpoint that takes work.
+func (h *Handler) checkDependencies(index *text.Index, c *execution.Call, now time.Time) *caller.Problem {
+	v := h.views.View()
+	for _, name := range append([]string{c.Service.Name}, index.Dependencies(c.Service.Name)...) {
+		service := index.Service(name)
+		if service != nil && poolLives(v, service.Pool, now) {
+			continue
+		}
+		p := reject(http.StatusServiceUnavailable, "Depend", fmt.Sprintf("service %q has no endpoint that takes work", name))
+		p.RetryAt = now.Add(time.Second)
+		return p
+	}
+	return nil
+}
+
+func poolLives(v *view.Snapshot, pool string, now time.Time) bool {
+	for i := range v.Endpoints {
+		if v.Endpoints[i].Pool == pool && v.Endpoints[i].Takes("", now) {
+			return true
+		}
+	}
+	return false
+}
+
+// passedHeaders returns the headers that the endpoint is to see.
+func passedHeaders(in http.Header) http.Header {
+	out := in.Clone()
+	removeHopHeaders(out)
+	out.Del("Content-Length")
+	return out
+}
--- /dev/null
+++ b/internal/transport/entry/sink.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"hyssopreach/internal/protocol/caller"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// responseSink writes an answer to a caller.
+type responseSink struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	stream     bool
+	timeout    time.Duration
+	began      bool
+}
+
+func newSink(w http.ResponseWriter, stream bool, timeout time.Duration) *responseSink {
+	return &responseSink{writer: w, controller: http.NewResponseController(w), stream: stream, timeout: timeout}
+}
+
+// Begin sends the head of the answer.
+func (s *responseSink) Begin(status int, header http.Header) error {
+	s.began = true
+	h := s.writer.Header()
+	for name, values := range header {
+		if name != caller.HeaderRequestID {
+			h[name] = values
+		}
+	}
+	removeHopHeaders(h)
+	s.writer.WriteHeader(status)
+	return nil
+}
+
+// Write sends a part of the answer; a caller that does not take it in time is
+// given up.
+func (s *responseSink) Write(p []byte) (int, error) {
+	// A writer that knows no deadlines is a test's recorder.
+	_ = s.controller.SetWriteDeadline(time.Now().Add(s.timeout))
+	n, err := s.writer.Write(p)
+	if err != nil {
+		return n, fmt.Errorf("write to the caller: %w", err)
+	}
+	if s.stream {
+		if err := s.controller.Flush(); err != nil {
+			return n, fmt.Errorf("flush to the caller: %w", err)
+		}
+	}
+	return n, nil
+}
+
+// End finishes a whole answer.
+func (s *responseSink) End() error { return nil }
+
+// streamError is the last event of a stream that broke off.
+type streamError struct {
+	Error *caller.Problem `json:"error"`
+}
+
+// abort ends an answer that broke off so that no caller can take it for a
+// whole one: the connection is closed before the answer's end.
+func (s *responseSink) abort(id string, err error) {
+	if s.began && s.stream {
+		event, marshalErr := json.Marshal(streamError{&caller.Problem{
+			Type: "about:blank", Title: "The answer broke off", Status: http.StatusBadGateway,
+			Detail: err.Error(), NotRun: caller.NotRunUnknown, Step: "Execute", RequestID: id,
+		}})
+		if marshalErr == nil {
+			_, _ = s.Write([]byte("data: " + string(event) + "\n\n"))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func removeHopHeaders(h http.Header) {
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
