--- /dev/null
+++ b/internal/transport/command/router.go
@@ -0,0 +1,68 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/integrii/flaggy"
+	"github.com/rcrowley/go-metrics"
+
+	"hyssopreach/internal/coordination/baseline"
+	"hyssopreach/internal/state/settings"
+	"hyssopreach/internal/transport/router"
+)
+
+// drainTimeout bounds a planned stop; the platform takes the VM away after it.
+const drainTimeout = 10 * time.Minute
+
+// routerCommand runs the daemon.
+type routerCommand struct {
+	settingsFile string
+}
+
+// Subcommand declares the command's flags.
+func (c *routerCommand) Subcommand() *flaggy.Subcommand {
+	s := flaggy.NewSubcommand("router")
+	s.Description = "Run a router until SIGTERM asks for a planned stop; a second signal ends it at once."
+	s.AddPositionalValue(&c.settingsFile, "SETTINGS", 1, true, "The router's settings, a JSON file.")
+	return s
+}
+
+// Run runs the router until it is asked to stop.
+func (c *routerCommand) Run(ctx context.Context, e *Environment) error {
+	data, err := os.ReadFile(c.settingsFile)
+	if err != nil {
+		return &ExitError{ExitUsage, fmt.Errorf("read settings: %w", err)}
+	}
+	parsed, err := settings.Parse(data)
+	if err != nil {
+		return &ExitError{ExitUsage, fmt.Errorf("settings %s: %w", c.settingsFile, err)}
+	}
+	logger := &log.Logger{Handler: logfmt.New(e.Err), Level: log.InfoLevel}
+	now := time.Now()
+	r, err := router.Start(ctx, router.Options{
+		Settings: parsed, Incarnation: uint64(now.UnixNano()),
+		Network:   router.NewNetwork(parsed.PeerAddress.Addr()),
+		Scheduler: baseline.New(baseline.Options{Order: baseline.OrderFair, Source: rand.NewPCG(uint64(now.UnixNano()), 0)}),
+		Logger:    logger, Registry: metrics.NewRegistry(),
+	})
+	if err != nil {
+		return err
+	}
+	<-e.Signals
+	draining, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-e.Signals:
+			cancel()
+		case <-draining.Done():
+		}
+	}()
+	return r.Drain(draining)
+}
--- /dev/null
+++ b/internal/transport/router/components.go
@@ -0,0 +1,25 @@
+package router
+
+import (
+	"slices"
+
+	"hyssopreach/internal/transport/platform"
+)
+
+// startComponents starts the parts that work in the background. They are
+// closed in the opposite order.
+func (r *Router) startComponents() {
+	s, o := r.options.Settings, r.options
+	r.components = append(r.components, startFollower(platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, o.Logger))
+}
+
+// announceDrain tells the fleet that this router takes no new callers.
+func (r *Router) announceDrain() {
+	routers := slices.Clone(r.fleet.View().Routers)
+	for i := range routers {
+		if routers[i].ID == r.self.ID {
+			routers[i].Draining = true
+		}
+	}
+	r.fleet.setRouters(routers)
+}
--- /dev/null
+++ b/internal/transport/router/fleet.go
@@ -0,0 +1,108 @@
+package router
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"hyssopreach/internal/state/revision"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+)
+
+// fleet owns the router's picture of the fleet and publishes snapshots of it.
+type fleet struct {
+	self view.RouterID
+
+	mu        sync.Mutex
+	routers   []view.Router            // guarded by mu
+	endpoints []view.Endpoint          // guarded by mu
+	inForce   revision.Configuration   // guarded by mu
+	watchers  []func(s *view.Snapshot) // guarded by mu
+
+	snapshot atomic.Pointer[view.Snapshot]
+	index    atomic.Pointer[text.Index]
+}
+
+func newFleet(self view.Router) *fleet {
+	f := &fleet{self: self.ID, routers: []view.Router{self}}
+	f.snapshot.Store(&view.Snapshot{Self: self.ID, Routers: f.routers})
+	return f
+}
+
+// View returns the newest snapshot.
+func (f *fleet) View() *view.Snapshot { return f.snapshot.Load() }
+
+// Index returns the text in force; nil before the first.
+func (f *fleet) Index() *text.Index { return f.index.Load() }
+
+// watch calls back with each snapshot, in order, and with the present one now.
+// The callback must not change the fleet.
+func (f *fleet) watch(callback func(s *view.Snapshot)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watchers = append(f.watchers, callback)
+	callback(f.snapshot.Load())
+}
+
+func (f *fleet) setRouters(routers []view.Router) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers = sortedRouters(routers)
+	f.publish()
+}
+
+func (f *fleet) setEndpoints(endpoints []view.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endpoints = slices.Clone(endpoints)
+	slices.SortFunc(f.endpoints, func(a, b view.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	f.publish()
+}
+
+func (f *fleet) setConfiguration(c revision.Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inForce = c
+	f.index.Store(text.NewIndex(c.Document))
+	f.publish()
+}
+
+func (f *fleet) configuration() revision.Configuration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inForce
+}
+
+// publish requires that mu is held.
+func (f *fleet) publish() {
+	s := &view.Snapshot{
+		Self: f.self, Routers: f.routers, Endpoints: f.endpoints,
+		Organisations: organisations(f.inForce.Document), Revision: f.inForce.Revision,
+	}
+	f.snapshot.Store(s)
+	for _, callback := range f.watchers {
+		callback(s)
+	}
+}
+
+func sortedRouters(routers []view.Router) []view.Router {
+	sorted := slices.Clone(routers)
+	slices.SortFunc(sorted, func(a, b view.Router) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return sorted
+}
+
+func organisations(doc *text.Document) map[string]view.Organisation {
+	if doc == nil {
+		return nil
+	}
+	byName := make(map[string]view.Organisation, len(doc.Organisations))
+	for i := range doc.Organisations {
+		o := &doc.Organisations[i]
+		byName[o.Name] = view.Organisation{
+			Name: o.Name, Weight: o.Weight, MaxWaiting: o.MaxWaiting, MaxWaitingBytes: o.MaxWaitingBytes,
+		}
+	}
+	return byName
+}
--- /dev/null
+++ b/internal/transport/router/operators.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"hyssopreach/internal/state/view"
+)
+
+// The paths that operators use.
+const (
+	PathAlive   = "/alive"
+	PathReady   = "/ready"
+	PathMetrics = "/metrics"
+	PathStatus  = "/status"
+)
+
+// Status is what a router says of itself to operators.
+type Status struct {
+	Router      view.RouterID
+	Incarnation uint64
+	Draining    bool
+	Now         time.Time
+	// Revision, Offset and Hash are of the text in force here.
+	Revision uint64
+	Offset   uint64
+	Hash     uint64
+	// Waiting is the number of requests without a decision.
+	Waiting   int
+	Routers   []view.Router
+	Endpoints []view.Endpoint
+}
+
+// operatorHandler serves health, metrics and status.
+func (r *Router) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathAlive, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if r.fleet.Index() == nil || r.draining() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(r.options.Registry, w)
+	})
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		// An operator that has gone cannot be told anything more.
+		_ = json.NewEncoder(w).Encode(r.status())
+	})
+	return mux
+}
+
+func (r *Router) draining() bool {
+	v := r.fleet.View()
+	for i := range v.Routers {
+		if v.Routers[i].ID == v.Self {
+			return v.Routers[i].Draining
+		}
+	}
+	return false
+}
+
+func (r *Router) status() Status {
+	v, c := r.fleet.View(), r.fleet.configuration()
+	return Status{
+		Router: r.self.ID, Incarnation: r.self.Incarnation, Draining: r.draining(), Now: time.Now().UTC(),
+		Revision: c.Revision, Offset: c.Offset, Hash: c.Hash, Waiting: r.scheduling.Waiting(),
+		Routers: v.Routers, Endpoints: v.Endpoints,
+	}
+}
