Run the thin whole path: text in force, routers, streamed answers

Cause: everything else is measured and thickened on a path that runs. Requests that are not idempotent are refused until claims stand.

--- /dev/null
+++ b/internal/standin/loopback/address.go
@@ -0,0 +1,32 @@
+package loopback
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+)
+
+// The second octet of the addresses handed out, so that they stay clear of
+// 127.0.0.1, where other programs listen.
+const (
+	firstOctet = 64
+	lastOctet  = 191
+)
+
+// Address returns a loopback address with a port that was free a moment ago.
+// The IP number is drawn at random, so that nobody else is likely to take the
+// port before its owner listens there.
+func Address() (netip.AddrPort, error) {
+	ip := netip.AddrFrom4([4]byte{
+		127, byte(firstOctet + rand.IntN(lastOctet-firstOctet)), byte(rand.IntN(256)), byte(1 + rand.IntN(254)),
+	})
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("find a free port at %s: %w", ip, err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.ParseAddrPort(l.Addr().String())
+}
--- /dev/null
+++ b/internal/standin/loopback/doc.go
@@ -0,0 +1,3 @@
+// Package loopback finds addresses for servers that must be named before they
+// start.
+package loopback
--- a/internal/transport/command/command.go
+++ b/internal/transport/command/command.go
@@ -87,7 +87,8 @@
 	if err == nil {
 		return ExitDone
 	}
-	fmt.Fprintln(e.Err, err)
+	// There is nowhere left to report a failure to write to standard error.
+	_, _ = fmt.Fprintln(e.Err, err)
 	var exit *ExitError
 	if errors.As(err, &exit) {
 		return exit.Code
--- a/internal/transport/command/router.go
+++ b/internal/transport/command/router.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/integrii/flaggy"
 	"github.com/rcrowley/go-metrics"
 
-	"hyssopreach/internal/coordination/baseline"
 	"hyssopreach/internal/state/settings"
 	"hyssopreach/internal/transport/router"
 )
@@ -44,12 +42,9 @@
 		return &ExitError{ExitUsage, fmt.Errorf("settings %s: %w", c.settingsFile, err)}
 	}
 	logger := &log.Logger{Handler: logfmt.New(e.Err), Level: log.InfoLevel}
-	now := time.Now()
 	r, err := router.Start(ctx, router.Options{
-		Settings: parsed, Incarnation: uint64(now.UnixNano()),
-		Network:   router.NewNetwork(parsed.PeerAddress.Addr()),
-		Scheduler: baseline.New(baseline.Options{Order: baseline.OrderFair, Source: rand.NewPCG(uint64(now.UnixNano()), 0)}),
-		Logger:    logger, Registry: metrics.NewRegistry(),
+		Settings: parsed, Incarnation: uint64(time.Now().UnixNano()),
+		Network: router.NewNetwork(parsed.PeerAddress.Addr()), Logger: logger, Registry: metrics.NewRegistry(),
 	})
 	if err != nil {
 		return err
--- a/internal/transport/entry/handler.go
+++ b/internal/transport/entry/handler.go
@@ -25,7 +25,15 @@
 	MetricAnswers  = "Answers"
 	MetricRefusals = "Refusals"
 	MetricBroken   = "BrokenAnswers"
-	MetricDuration = "RequestDuration"
+	// MetricDuration is in microseconds.
+	MetricDuration = "RequestDurationMicros"
+)
+
+const (
+	// sampleSize is the number of durations that the histogram keeps.
+	sampleSize = 1028
+	// sampleDecay weighs the last five minutes most.
+	sampleDecay = 0.015
 )
 
 // Executor runs admitted calls; execution.Runner tells what it returns.
@@ -64,6 +72,7 @@
 	registry       metrics.Registry
 	logger         log.Interface
 	bodies         *semaphore.Weighted
+	durations      metrics.Histogram
 	draining       atomic.Bool
 	mux            *http.ServeMux
 }
@@ -73,7 +82,8 @@
 	h := &Handler{
 		router: router, limits: limits, configurations: configurations, views: views,
 		executor: executor, registry: registry, logger: logger,
-		bodies: semaphore.NewWeighted(limits.TotalBodyBytes), mux: http.NewServeMux(),
+		durations: metrics.GetOrRegisterHistogram(MetricDuration, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
+		bodies:    semaphore.NewWeighted(limits.TotalBodyBytes), mux: http.NewServeMux(),
 	}
 	h.mux.HandleFunc("GET "+caller.PathRouters, h.routers)
 	h.mux.HandleFunc("POST "+caller.PathChatCompletions, h.model)
@@ -105,7 +115,7 @@
 func (h *Handler) newRequest(w http.ResponseWriter, r *http.Request) *request {
 	id := string(h.router) + "-" + uuid.NewString()
 	w.Header().Set(caller.HeaderRequestID, id)
-	metrics.GetOrRegisterMeter(MetricRequests, h.registry).Mark(1)
+	metrics.GetOrRegisterCounter(MetricRequests, h.registry).Inc(1)
 	return &request{id: id, now: time.Now(), writer: w, Request: r}
 }
 
@@ -114,7 +124,7 @@
 func (h *Handler) refuse(r *request, p *caller.Problem) {
 	p.RequestID = r.id
 	p.Routers = h.others()
-	metrics.GetOrRegisterMeter(MetricRefusals, h.registry).Mark(1)
+	metrics.GetOrRegisterCounter(MetricRefusals, h.registry).Inc(1)
 	h.logger.WithFields(log.Fields{
 		"RequestID": r.id, "Status": p.Status, "NotRun": p.NotRun, "Step": p.Step, "Detail": p.Detail,
 	}).Info("RequestRefused")
@@ -136,15 +146,15 @@
 func (h *Handler) run(r *request, c *execution.Call) {
 	sink := newSink(r.writer, c.Stream, h.limits.WriteTimeout)
 	err := h.executor.Run(r.Context(), c, sink)
-	metrics.GetOrRegisterTimer(MetricDuration, h.registry).UpdateSince(r.now)
+	h.durations.Update(time.Since(r.now).Microseconds())
 	var problem *caller.Problem
 	switch {
 	case err == nil:
-		metrics.GetOrRegisterMeter(MetricAnswers, h.registry).Mark(1)
+		metrics.GetOrRegisterCounter(MetricAnswers, h.registry).Inc(1)
 	case errors.As(err, &problem):
 		h.refuse(r, problem)
 	default:
-		metrics.GetOrRegisterMeter(MetricBroken, h.registry).Mark(1)
+		metrics.GetOrRegisterCounter(MetricBroken, h.registry).Inc(1)
 		h.logger.WithFields(log.Fields{"RequestID": r.id, "Error": err}).Warn("AnswerBroken")
 		sink.abort(r.id, err)
 	}
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"math/rand/v2"
 	"slices"
 
+	"hyssopreach/internal/coordination/baseline"
+	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/transport/platform"
 )
 
@@ -23,3 +26,9 @@
 	}
 	r.fleet.setRouters(routers)
 }
+
+// defaultScheduler returns the policy that a router follows unless it is given
+// another.
+func defaultScheduler(seed uint64) schedule.Scheduler {
+	return baseline.New(baseline.Options{Order: baseline.OrderFair, Source: rand.NewPCG(seed, 0)})
+}
--- a/internal/transport/router/peers.go
+++ b/internal/transport/router/peers.go
@@ -26,9 +26,9 @@
 	answers   func(ctx context.Context, q *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
 }
 
-// on registers the receiver of a kind of message. All registrations happen
+// On registers the receiver of a kind of message. All registrations happen
 // before the peer server starts.
-func (p *peers) on(kind string, r receiver) { p.receivers[kind] = r }
+func (p *peers) On(kind string, r receiver) { p.receivers[kind] = r }
 
 // Receive hands a message to the component that registered for its kind.
 func (p *peers) Receive(from view.RouterID, incarnation uint64, m *wire.Message) {
@@ -40,8 +40,8 @@
 	p.logger.WithField("Peer", from).WithField("Kind", kind).Warn("MessageOfUnknownKind")
 }
 
-// address returns where a router listens for peers.
-func (p *peers) address(id view.RouterID) (netip.AddrPort, bool) {
+// Address returns where a router listens for peers.
+func (p *peers) Address(id view.RouterID) (netip.AddrPort, bool) {
 	v := p.fleet.View()
 	for i := range v.Routers {
 		if v.Routers[i].ID == id {
@@ -51,15 +51,14 @@
 	return netip.AddrPort{}, false
 }
 
-// send queues a message for a router. A router that has left the view gets
+// Send queues a message for a router. A router that has left the view gets
 // nothing, as if the message had been lost.
-func (p *peers) send(to view.RouterID, m *wire.Message) {
-	if address, ok := p.address(to); ok {
+func (p *peers) Send(to view.RouterID, m *wire.Message) {
+	if address, ok := p.Address(to); ok {
 		p.links.Send(address, m)
 	}
 }
 
-
 // Fetch answers a peer with the configuration in force.
 func (p *peers) Fetch(_ context.Context, q *wire.ConfigurationQuery) (*wire.ConfigurationText, error) {
 	c := p.fleet.configuration()
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -45,9 +45,10 @@
 	// nanoseconds serves.
 	Incarnation uint64
 	Network     Network
-	Scheduler   schedule.Scheduler
-	Logger      log.Interface
-	Registry    metrics.Registry
+	// Scheduler is the policy; nil means the default one.
+	Scheduler schedule.Scheduler
+	Logger    log.Interface
+	Registry  metrics.Registry
 }
 
 // Router is one running router.
@@ -78,6 +79,9 @@
 
 // Start opens the listeners and begins to serve. The router stops with Close.
 func Start(ctx context.Context, o Options) (*Router, error) {
+	if o.Scheduler == nil {
+		o.Scheduler = defaultScheduler(o.Incarnation)
+	}
 	r := &Router{options: o}
 	listeners, err := r.listen(ctx)
 	if err != nil {
@@ -91,7 +95,7 @@
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger)
-	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, runner, o.Registry, o.Logger)
+	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, idempotentOnly{runner}, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
 		return nil, errors.Join(fmt.Errorf("start router %s: %w", r.self.ID, err), listeners.close())
 	}
