Let stand-ins share one host for serving

Cause: each stand-in carried its own Start, Address and Close. Change: server.Host holds them once, and the repeating of request ids. Conclusion: tests unchanged and green.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -15,7 +15,7 @@
 // Engine is a model engine.
 type Engine struct {
 	settings   Settings
-	mux        *http.ServeMux
+	handler    http.Handler
 	runs       runs.Counter
 	background sync.WaitGroup
 	arrived    chan struct{}
@@ -48,11 +48,10 @@
 func New(settings Settings) *Engine {
 	e := &Engine{
 		settings: settings,
-		mux:      http.NewServeMux(),
 		arrived:  make(chan struct{}, 1),
 	}
 	e.closed, e.end = context.WithCancel(context.Background())
-	e.routes()
+	e.handler = e.routes()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.begin()
--- a/internal/standin/engine/handler.go
+++ b/internal/standin/engine/handler.go
@@ -25,39 +25,41 @@
 	PathRuns    = "/runs"
 )
 
-func (e *Engine) routes() {
-	e.mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) {
 		e.serveCompletion(w, r, true)
 	})
-	e.mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) {
 		e.serveCompletion(w, r, false)
 	})
-	e.mux.HandleFunc("DELETE "+platform.PathCancel, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("DELETE "+platform.PathCancel, func(w http.ResponseWriter, r *http.Request) {
 		if !e.cancel(r.PathValue("RequestID")) {
 			http.Error(w, "no such request is waiting or running", http.StatusNotFound)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	e.mux.HandleFunc("GET "+platform.PathInstance, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+platform.PathInstance, func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
 		instance := e.instance()
 		e.mu.Unlock()
 		server.WriteJSON(w, http.StatusOK, instance)
 	})
-	e.mux.HandleFunc("GET "+platform.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+platform.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, e.report(time.Now()))
 	})
-	e.mux.HandleFunc("GET "+platform.PathEvents, e.serveEvents)
-	e.mux.HandleFunc("POST "+platform.PathOrders, e.serveOrder)
-	e.mux.HandleFunc("POST "+PathCrash, func(http.ResponseWriter, *http.Request) { e.Crash() })
-	e.mux.HandleFunc("PUT "+PathLeaving, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+platform.PathEvents, e.serveEvents)
+	mux.HandleFunc("POST "+platform.PathOrders, e.serveOrder)
+	mux.HandleFunc("POST "+PathCrash, func(http.ResponseWriter, *http.Request) { e.Crash() })
+	mux.HandleFunc("PUT "+PathLeaving, func(w http.ResponseWriter, _ *http.Request) {
 		e.SetLeaving(true)
 		w.WriteHeader(http.StatusNoContent)
 	})
-	e.mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, e.Runs())
 	})
+	return server.RepeatRequestID(mux)
 }
 
 // ServeHTTP serves the engine; while it is crashed every connection breaks.
@@ -65,10 +67,7 @@
 	if e.currentLife().Err() != nil {
 		server.Abort()
 	}
-	if id := r.Header.Get(platform.HeaderRequest); id != "" {
-		w.Header().Set(platform.HeaderRequest, id)
-	}
-	e.mux.ServeHTTP(w, r)
+	e.handler.ServeHTTP(w, r)
 }
 
 func (e *Engine) currentLife() context.Context {
--- a/internal/standin/journal/handler.go
+++ b/internal/standin/journal/handler.go
@@ -23,27 +23,26 @@
 	PathCounts = "/counts"
 )
 
-func (j *Journal) routes() {
-	j.mux.HandleFunc("POST "+platform.PathAppend, j.serveAppend)
-	j.mux.HandleFunc("GET "+platform.PathAppend, j.serveRead)
-	j.mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
+func (j *Journal) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathAppend, j.serveAppend)
+	mux.HandleFunc("GET "+platform.PathAppend, j.serveRead)
+	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, j.Faults())
 	})
-	j.mux.HandleFunc("PUT "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("PUT "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if server.ReadJSON(w, r, &f) {
 			j.SetFaults(f)
 			w.WriteHeader(http.StatusNoContent)
 		}
 	})
-	j.mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, j.Counts())
 	})
+	return mux
 }
 
-// ServeHTTP serves the log.
-func (j *Journal) ServeHTTP(w http.ResponseWriter, r *http.Request) { j.mux.ServeHTTP(w, r) }
-
 // admit applies the faults that strike before an effect; it returns false if
 // the request has been answered.
 func (j *Journal) admit(w http.ResponseWriter, r *http.Request) bool {
--- a/internal/standin/journal/journal.go
+++ b/internal/standin/journal/journal.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -33,11 +31,10 @@
 
 // Journal is the log.
 type Journal struct {
+	server.Host
 	settings Settings
-	mux      *http.ServeMux
 	closed   chan struct{}
 	late     sync.WaitGroup
-	server   *server.Server
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -59,25 +56,14 @@
 func New(settings Settings) *Journal {
 	j := &Journal{
 		settings: settings,
-		mux:      http.NewServeMux(),
 		closed:   make(chan struct{}),
 		streams:  make(map[string]*stream),
 		random:   rand.New(rand.NewPCG(settings.Seed, 1)),
 	}
-	j.routes()
+	j.Handler = j.routes()
 	return j
 }
 
-// Start serves the log on the address.
-func (j *Journal) Start(address netip.AddrPort) error {
-	s, err := server.Start(address, j)
-	j.server = s
-	return err
-}
-
-// Address is where the log listens after Start.
-func (j *Journal) Address() netip.AddrPort { return j.server.Address() }
-
 // Close ends all requests, drops appends that have not landed yet, and waits.
 func (j *Journal) Close() error {
 	j.mu.Lock()
@@ -88,10 +74,7 @@
 	}
 	j.mu.Unlock()
 	j.late.Wait()
-	if j.server == nil {
-		return nil
-	}
-	return j.server.Close()
+	return j.Host.Close()
 }
 
 // Counts returns what the log has been asked so far.
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -31,12 +30,11 @@
 
 // Service is a plain HTTP service.
 type Service struct {
+	server.Host
 	settings Settings
 	started  time.Time
-	mux      *http.ServeMux
 	slots    chan struct{}
 	runs     runs.Counter
-	server   *server.Server
 
 	mu sync.Mutex
 	// leaving is guarded by mu.
@@ -56,54 +54,34 @@
 
 // New returns a service, which serves HTTP through ServeHTTP or Start.
 func New(settings Settings) *Service {
+	mux := http.NewServeMux()
 	s := &Service{
+		Host:     server.Host{Handler: server.RepeatRequestID(mux)},
 		settings: settings,
 		started:  time.Now(),
-		mux:      http.NewServeMux(),
 		slots:    make(chan struct{}, settings.Concurrency),
 	}
-	s.mux.HandleFunc("POST /bookings", s.serveCall)
-	s.mux.HandleFunc("GET /assets/{Name...}", s.serveCall)
-	s.mux.HandleFunc("GET /share/{Name...}", s.serveCall)
-	s.mux.HandleFunc("GET "+platform.PathInstance, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST /bookings", s.serveCall)
+	mux.HandleFunc("GET /assets/{Name...}", s.serveCall)
+	mux.HandleFunc("GET /share/{Name...}", s.serveCall)
+	mux.HandleFunc("GET "+platform.PathInstance, func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, s.instance())
 	})
-	s.mux.HandleFunc("GET "+platform.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+platform.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, platform.Load{
 			Instance: s.instance(), MeasuredAt: time.Now(), Running: len(s.slots),
 		})
 	})
-	s.mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) {
 		server.WriteJSON(w, http.StatusOK, s.Runs())
 	})
-	s.mux.HandleFunc("PUT /leaving", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("PUT /leaving", func(w http.ResponseWriter, _ *http.Request) {
 		s.SetLeaving(true)
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return s
 }
 
-// Start serves the service on the address.
-func (s *Service) Start(address netip.AddrPort) error {
-	running, err := server.Start(address, s)
-	s.server = running
-	return err
-}
-
-// Address is where the service listens after Start.
-func (s *Service) Address() netip.AddrPort { return s.server.Address() }
-
-// Close ends all requests and waits.
-func (s *Service) Close() error {
-	if s.server == nil {
-		return nil
-	}
-	return s.server.Close()
-}
-
-// Crash breaks every connection and stops listening.
-func (s *Service) Crash() { s.server.Crash() }
-
 // SetLeaving tells the service that it will stop; it only says so to those
 // who ask and goes on serving.
 func (s *Service) SetLeaving(leaving bool) {
@@ -115,14 +93,6 @@
 // Runs tells what the service has run.
 func (s *Service) Runs() runs.Summary { return s.runs.Summary() }
 
-// ServeHTTP serves the service.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get(platform.HeaderRequest); id != "" {
-		w.Header().Set(platform.HeaderRequest, id)
-	}
-	s.mux.ServeHTTP(w, r)
-}
-
 func (s *Service) instance() platform.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/vmlist/vmlist.go
+++ b/internal/standin/vmlist/vmlist.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -21,9 +20,8 @@
 
 // List is the VM list.
 type List struct {
-	lag    time.Duration
-	mux    *http.ServeMux
-	server *server.Server
+	server.Host
+	lag time.Duration
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -43,39 +41,22 @@
 
 // New returns a VM list, which serves HTTP through ServeHTTP or Start.
 func New(settings Settings) *List {
-	l := &List{lag: settings.Lag, mux: http.NewServeMux()}
+	mux := http.NewServeMux()
+	l := &List{Host: server.Host{Handler: mux}, lag: settings.Lag}
 	l.history = []entry{{1, time.Now(), slices.Clone(settings.VMs)}}
-	l.mux.HandleFunc("GET "+platform.PathVMs, l.serveList)
-	l.mux.HandleFunc("PUT "+platform.PathVMs, l.serveReplace)
-	l.mux.HandleFunc("PUT "+PathVM+"/leaving", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+platform.PathVMs, l.serveList)
+	mux.HandleFunc("PUT "+platform.PathVMs, l.serveReplace)
+	mux.HandleFunc("PUT "+PathVM+"/leaving", func(w http.ResponseWriter, r *http.Request) {
 		l.SetLeaving(r.PathValue("Name"))
 		w.WriteHeader(http.StatusNoContent)
 	})
-	l.mux.HandleFunc("DELETE "+PathVM, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("DELETE "+PathVM, func(w http.ResponseWriter, r *http.Request) {
 		l.Remove(r.PathValue("Name"))
 		w.WriteHeader(http.StatusNoContent)
 	})
 	return l
 }
 
-// Start serves the list on the address.
-func (l *List) Start(address netip.AddrPort) error {
-	s, err := server.Start(address, l)
-	l.server = s
-	return err
-}
-
-// Address is where the list is served after Start.
-func (l *List) Address() netip.AddrPort { return l.server.Address() }
-
-// Close ends all requests and waits.
-func (l *List) Close() error {
-	if l.server == nil {
-		return nil
-	}
-	return l.server.Close()
-}
-
 // SetDown breaks every read while down is true.
 func (l *List) SetDown(down bool) {
 	l.mu.Lock()
@@ -137,9 +118,6 @@
 	return platform.VMList{Version: shown.version, AsOf: asOf, VMs: shown.vms}
 }
 
-// ServeHTTP serves the list.
-func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
-
 func (l *List) serveList(w http.ResponseWriter, _ *http.Request) {
 	l.mu.Lock()
 	down := l.down
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -18,9 +17,8 @@
 
 // Store is the weight store.
 type Store struct {
+	server.Host
 	settings Settings
-	mux      *http.ServeMux
-	server   *server.Server
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -30,29 +28,12 @@
 
 // New returns a store, which serves HTTP through ServeHTTP or Start.
 func New(settings Settings) *Store {
-	s := &Store{settings: settings, mux: http.NewServeMux()}
-	s.mux.HandleFunc("POST "+platform.PathReserve, s.serveReserve)
+	mux := http.NewServeMux()
+	s := &Store{Host: server.Host{Handler: mux}, settings: settings}
+	mux.HandleFunc("POST "+platform.PathReserve, s.serveReserve)
 	return s
 }
 
-// Start serves the store on the address.
-func (s *Store) Start(address netip.AddrPort) error {
-	running, err := server.Start(address, s)
-	s.server = running
-	return err
-}
-
-// Address is where the store is served after Start.
-func (s *Store) Address() netip.AddrPort { return s.server.Address() }
-
-// Close ends all requests and waits.
-func (s *Store) Close() error {
-	if s.server == nil {
-		return nil
-	}
-	return s.server.Close()
-}
-
 // Reserve returns the instant at which a transfer of that many bytes may
 // begin.
 func (s *Store) Reserve(now time.Time, bytes int64) time.Time {
@@ -75,9 +56,6 @@
 	return s.reserved
 }
 
-// ServeHTTP serves the store.
-func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
-
 func (s *Store) serveReserve(w http.ResponseWriter, r *http.Request) {
 	var request platform.ReserveRequest
 	if !server.ReadJSON(w, r, &request) {
