Fuzz header handling, test plain service and whole platform, name adapters

Cause: headers from callers reach endpoints, and the engine did not know the caller's way to name an adapter (Name:Adapter). Change: a fuzz target with seeds for headers, tests for the plain service and for a platform started from a text, adapters as Name:Adapter.

--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -7,21 +7,24 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"hyssopreach/internal/protocol/platform"
 	"hyssopreach/internal/standin/server"
 )
 
-// holds reports whether the engine serves the model.
+// holds reports whether the engine serves the model, which is named as
+// "Name" or "Name:Adapter".
 func (e *Engine) holds(model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if len(e.models) == 0 && len(e.settings.Models) == 0 && e.orders == 0 {
 		return true
 	}
+	name, adapter, adapted := strings.Cut(model, ":")
 	for _, m := range e.models {
-		if m.Name == model || slices.Contains(m.Adapters, model) {
+		if m.Name == name && (!adapted || slices.Contains(m.Adapters, adapter)) {
 			return true
 		}
 	}
@@ -52,7 +55,8 @@
 // obey unloads what the order doesn't name and begins to load the rest; mu
 // is held.
 func (e *Engine) obey(order platform.Order) {
-	var kept, missing []platform.LoadedModel
+	kept := []platform.LoadedModel{}
+	var missing []platform.LoadedModel
 	for _, wanted := range order.Models {
 		if slices.ContainsFunc(e.models, func(m platform.LoadedModel) bool { return sameModel(m, wanted) }) {
 			kept = append(kept, wanted)
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/state/text"
+)
+
+func document() *text.Document {
+	free := netip.MustParseAddrPort("127.0.0.1:0")
+	return &text.Document{
+		Services: []text.Service{{Name: "chat", Kind: text.KindModel, Pool: "m"}, {Name: "app", Kind: text.KindPlain, Pool: "p"}},
+		Pools: []text.Pool{
+			{Name: "m", Endpoints: []text.Endpoint{{Name: "e1", VM: "v1", Address: free}, {Name: "e2", VM: "v1", Address: free}}},
+			{Name: "p", Endpoints: []text.Endpoint{{Name: "a1", VM: "v2", Address: free}}},
+		},
+		Models: []text.Model{{Name: "model", Pool: "m"}},
+	}
+}
+
+func TestPlatformOfAText(t *testing.T) {
+	is := is.New(t)
+	f, err := Start(Default(), document())
+	is.NoErr(err)
+	is.Equal(len(f.Engines), 2)
+	is.Equal(len(f.Services), 1)
+	is.Equal(len(f.VMList.Now().VMs), 2) // two endpoints share a VM
+	is.True(f.Engines["e1"].Address().Port() != 0)
+	is.NoErr(f.Close())
+}
+
+func TestFailedStartLeavesNothingRunning(t *testing.T) {
+	is := is.New(t)
+	first, err := Start(Default(), document())
+	is.NoErr(err)
+	defer first.Close()
+	taken := document()
+	taken.Pools[1].Endpoints[0].Address = first.Engines["e1"].Address()
+	_, err = Start(Default(), taken)
+	is.True(err != nil)
+}
--- /dev/null
+++ b/internal/transport/endpoint/header_test.go
@@ -0,0 +1,39 @@
+package endpoint
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"hyssopreach/internal/protocol/platform"
+)
+
+// FuzzEndpointHeader checks that whatever a caller sends, an endpoint sees
+// exactly one request id, nothing that concerns one connection only, and no
+// key by which net/http would send a request again.
+func FuzzEndpointHeader(f *testing.F) {
+	f.Add("Connection: close, X-Request-ID\r\nX-Request-ID: mine\r\n")
+	f.Add("Idempotency-Key: a\r\nidempotency-key: b\r\nX-Idempotency-Key: c\r\n")
+	f.Add("Transfer-Encoding: chunked\r\nTrailer: X\r\nTE: trailers\r\nUpgrade: h2c\r\n")
+	f.Add("Connection: Authorization\r\nAuthorization: Bearer k\r\nExpect: 100-continue\r\n")
+	f.Fuzz(func(t *testing.T, fields string) {
+		raw := "GET / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n"
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+		if err != nil {
+			return
+		}
+		header := endpointHeader(r.Header, "id")
+		if ids := header.Values(platform.HeaderRequest); len(ids) != 1 || ids[0] != "id" {
+			t.Fatalf("request ids %q", ids)
+		}
+		for name := range header {
+			if singleHopHeaders[http.CanonicalHeaderKey(name)] {
+				t.Fatalf("%s is passed on", name)
+			}
+		}
+		if header.Get("Idempotency-Key") != "" || header.Get("X-Idempotency-Key") != "" {
+			t.Fatal("net/http may send this twice")
+		}
+	})
+}
