--- /dev/null
+++ b/internal/coordination/bidding/line.go
@@ -0,0 +1,157 @@
+package bidding
+
+import (
+	"time"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/view"
+)
+
+const (
+	// firstBids is the number of endpoints at which a line begins to bid.
+	firstBids = 2
+	// bidsPerRequest is the number of bids for each waiting request.
+	bidsPerRequest = 2
+	// mostBids is the number of endpoints beyond which a line widens its bids
+	// only while it is behind.
+	mostBids = 32
+	// mostTold is the largest number of waiting requests told in one bid.
+	mostTold = 64
+	// lowTold is the remaining number below which a bid is topped up.
+	lowTold = 8
+	// widenEvery is the time between two doublings of a line that is behind.
+	widenEvery = 20 * time.Millisecond
+	// strayEvery is the time without a grant after which a line that is not
+	// behind tries one more endpoint.
+	strayEvery = 250 * time.Millisecond
+	// resyncAfter is the silence after which a bid is stated afresh.
+	resyncAfter = 2 * time.Second
+	// tagEvery is the least time between two bids that only bring a new tag.
+	tagEvery = time.Second
+	// tagQuanta is the number of estimates by which a tag must have risen to
+	// be told by itself.
+	tagQuanta = 4
+	// noEndpointGrace is how long a request waits for an endpoint to appear.
+	noEndpointGrace = 10 * time.Second
+)
+
+// lineKey names a line within a router.
+type lineKey struct {
+	pool string
+	line schedule.Line
+}
+
+// line is the requests of one organisation that any of the same endpoints can
+// serve.
+type line struct {
+	key   lineKey
+	queue items
+	bids  []*standing
+	meter *meter
+	// width is the number of endpoints to bid at.
+	width int
+	// widenAt is the instant at which the line may widen next.
+	widenAt time.Time
+	// grantedAt is the instant of the last grant, or of the line's first
+	// waiting request.
+	grantedAt time.Time
+	// strandedAt is the instant from which no endpoint was known.
+	strandedAt time.Time
+	// pace is the smoothed time between two grants.
+	pace    time.Duration
+	emptyAt time.Time
+}
+
+// standing is a bid at one endpoint.
+type standing struct {
+	endpoint view.EndpointID
+	owner    view.RouterID
+	received uint64
+	told     int // waiting requests told
+	toldAt   time.Time
+	toldTag  float64
+	urgency  int
+	toldWith uint64 // value of received when last told
+	heardAt  time.Time
+}
+
+// remaining is the number of grants that the dispatcher may still give.
+func (s *standing) remaining() int {
+	return max(0, s.told-int(s.received-s.toldWith))
+}
+
+func (l *line) standing(id view.EndpointID) *standing {
+	for _, s := range l.bids {
+		if s.endpoint == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// placed is the number of endpoints at which the line has a live bid.
+func (l *line) placed() int {
+	count := 0
+	for _, s := range l.bids {
+		if s.remaining() > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// wanted is the number of endpoints at which the line ought to bid.
+func (l *line) wanted() int {
+	return max(l.width, min(bidsPerRequest*l.queue.Len(), mostBids))
+}
+
+// due reports whether the dispatcher must be told anew.
+func (l *line) due(now time.Time, s *standing) bool {
+	n, remaining := l.queue.Len(), s.remaining()
+	if s.told == 0 {
+		return false
+	}
+	if remaining == 0 || remaining < lowTold && n >= 2*remaining && n > 1 {
+		return true
+	}
+	if l.queue.first().urgency() > s.urgency {
+		return true
+	}
+	if now.Sub(s.heardAt) >= resyncAfter && now.Sub(s.toldAt) >= resyncAfter {
+		return true
+	}
+	rise := l.meter.Tag() - s.toldTag
+	return rise > tagQuanta*l.meter.estimate() && now.Sub(s.toldAt) >= tagEvery
+}
+
+// urgency is the request's urgency for a dispatcher; nested calls go before
+// all others of their organisation.
+func (i *item) urgency() int {
+	if i.request.Nested {
+		return i.request.Urgency + nestedUrgency
+	}
+	return i.request.Urgency
+}
+
+// nestedUrgency is more than any urgency of the operators' text.
+const nestedUrgency = 1 << 20
+
+// tell builds the bid that states the line's present want.
+func (l *line) tell(now time.Time, s *standing) *schedule.Bid {
+	resync := s.told > 0 && now.Sub(s.heardAt) >= resyncAfter
+	s.told = min(l.queue.Len(), mostTold)
+	s.toldWith = s.received
+	s.toldAt = now
+	s.toldTag = l.meter.Tag()
+	s.urgency = 0
+	if first := l.queue.first(); first != nil {
+		s.urgency = first.urgency()
+	}
+	if resync || s.heardAt.IsZero() {
+		s.heardAt = now
+	}
+	return &schedule.Bid{
+		Endpoint: s.endpoint, Line: l.key.line, Waiting: s.told, Received: s.received,
+		Resync: resync, Urgency: s.urgency, Tag: s.toldTag, Estimate: l.meter.estimate(),
+	}
+}
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -171,9 +171,8 @@
 func (Wake) schedulerOutput()     {}
 func (Decision) schedulerOutput() {}
 
-// Message is a message between the schedulers of two routers. The concrete
-// types are declared by the policy that sends them and are converted to their
-// wire form by package peer.
+// Message is a message between the schedulers of two routers. Package peer
+// converts the concrete types to their wire form and back.
 type Message interface{ SchedulerMessage() }
 
 // Scheduler decides when and where waiting requests run.
--- /dev/null
+++ b/internal/coordination/share/holder.go
@@ -0,0 +1,43 @@
+package share
+
+import (
+	"time"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/account"
+	"hyssopreach/internal/state/view"
+)
+
+// holder keeps the accounts that this router is responsible for, and whatever
+// else is reported to it by routers with another view.
+type holder struct {
+	ledgers map[string]*account.Ledger
+}
+
+func newHolder() holder { return holder{ledgers: map[string]*account.Ledger{}} }
+
+// report takes a router's report and answers it.
+func (h *holder) report(now time.Time, from view.RouterID, m *schedule.Report) *schedule.Tags {
+	ledger := h.ledgers[m.Pool]
+	if ledger == nil {
+		ledger = account.NewLedger()
+		h.ledgers[m.Pool] = ledger
+	}
+	if m.Virtual > 0 {
+		ledger.Served(now, from, m.Virtual)
+	}
+	answer := &schedule.Tags{Pool: m.Pool, Charges: make([]schedule.Charge, len(m.Charges))}
+	for i := range m.Charges {
+		c := &m.Charges[i]
+		counter := ledger.Take(now, account.Claim{
+			From: from, Incarnation: m.Incarnation, Organisation: c.Organisation,
+			Total: c.Total, Acknowledged: c.Acknowledged, Tag: c.Tag, Waiting: c.Waiting,
+		})
+		total := ledger.Total(c.Organisation, from)
+		answer.Charges[i] = schedule.Charge{
+			Organisation: c.Organisation, Total: total, Acknowledged: total, Tag: counter, Waiting: c.Waiting,
+		}
+	}
+	answer.Virtual = ledger.Virtual()
+	return answer
+}
