Add the fair-share scheduler, its wire form and a harness that measures it

Change: state/account (meters, ledgers, counters), coordination/dispatch, coordination/bidding and coordination/share behind schedule.Scheduler; the messages are schedule.Bid, Grant, Return, Renewal, Report, Tags and Shortage, with conversions in protocol/peer and new fields in peer.proto. A bid stands for a line (organisation and model) and counts grants, so a backlogged organisation costs a grant and a return a request. internal/tool/scene plays a load on a clock of its own; hyssopreach-measure fairness prints the figures. An infinite virtual time (no grant yet) had poisoned every account; Lowest now returns zero and has a test.

--- /dev/null
+++ b/cmd/hyssopreach-measure/bounds.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+)
+
+//go:embed bounds.json
+var boundsText []byte
+
+// bounds are the targets, as bounds.json states them.
+type bounds struct {
+	Fairness fairnessBounds
+}
+
+// fairnessBounds hold in scene A.
+type fairnessBounds struct {
+	// GapInLargestCosts bounds the steady gap, in largest costs.
+	GapInLargestCosts float64
+	// GapToRouterQueues bounds the gap against fair queues per router.
+	GapToRouterQueues float64
+	// Utilisation is the least busy share of slot-time while work waits.
+	Utilisation float64
+}
+
+func readBounds() (bounds, error) {
+	var b bounds
+	if err := json.Unmarshal(boundsText, &b); err != nil {
+		return b, fmt.Errorf("read bounds.json: %w", err)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/cmd/hyssopreach-measure/policies.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	"hyssopreach/internal/coordination/baseline"
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/share"
+	"hyssopreach/internal/protocol/peer"
+	"hyssopreach/internal/tool/scene"
+)
+
+// policy is a scheduler under measurement.
+type policy struct {
+	name string
+	make scene.Policy
+}
+
+// policies are the fair share and its baselines; each baseline router assumes
+// an equal part of every endpoint's slots, rounded up.
+func policies(slotsPerRouter int) []policy {
+	based := func(order baseline.Order, choice baseline.Choice) scene.Policy {
+		return func(source rand.Source) schedule.Scheduler {
+			return baseline.New(baseline.Options{
+				Order: order, Choice: choice, Slots: slotsPerRouter, Source: source,
+			})
+		}
+	}
+	return []policy{
+		{"share", shared},
+		{"fifo", based(baseline.OrderArrival, baseline.ChoiceLeast)},
+		{"random", based(baseline.OrderArrival, baseline.ChoiceRandom)},
+		{"router-queues", based(baseline.OrderFair, baseline.ChoiceLeast)},
+	}
+}
+
+func shared(source rand.Source) schedule.Scheduler {
+	return share.New(share.Options{Source: source})
+}
+
+// size is the bytes of a scheduler's message on the wire.
+func size(m schedule.Message) int { return proto.Size(peer.FromScheduler(m)) }
--- /dev/null
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -0,0 +1,144 @@
+package peer
+
+import (
+	"time"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/view"
+)
+
+// FromScheduler converts a scheduler's message to its wire form; nil for a
+// type that has none.
+func FromScheduler(m schedule.Message) *Message {
+	switch m := m.(type) {
+	case *schedule.Bid:
+		return &Message{Kind: &Message_Bid{&Bid{
+			Endpoint: string(m.Endpoint), Line: fromLine(m.Line), Waiting: uint32(m.Waiting),
+			Received: m.Received, Resync: m.Resync, Urgency: int32(m.Urgency),
+			Tag: m.Tag, Estimate: float32(m.Estimate),
+		}}}
+	case *schedule.Grant:
+		return &Message{Kind: &Message_Grant{&Grant{
+			Grant: uint64(m.Grant), Endpoint: string(m.Endpoint), Line: fromLine(m.Line),
+			DeadlineUnixMillis: m.Deadline.UnixMilli(), Virtual: m.Virtual,
+		}}}
+	case *schedule.Return:
+		return &Message{Kind: &Message_Return{&Return{
+			Grant: uint64(m.Grant), Endpoint: string(m.Endpoint), Line: fromLine(m.Line),
+			Result: uint32(m.Result), Service: m.Service, ElapsedMicros: m.Elapsed.Microseconds(),
+			FirstTokenMicros: m.FirstToken.Microseconds(), Tag: m.Tag,
+		}}}
+	case *schedule.Renewal:
+		return &Message{Kind: &Message_Renewal{fromRenewal(m)}}
+	case *schedule.Report:
+		return &Message{Kind: &Message_Report{&Report{
+			Pool: m.Pool, Charges: fromCharges(m.Charges), Virtual: m.Virtual, Incarnation: m.Incarnation,
+		}}}
+	case *schedule.Tags:
+		return &Message{Kind: &Message_Tags{&Tags{
+			Pool: m.Pool, Charges: fromCharges(m.Charges), Virtual: m.Virtual,
+		}}}
+	case *schedule.Shortage:
+		return &Message{Kind: &Message_Shortage{&Shortage{Endpoint: string(m.Endpoint), Room: uint32(m.Room)}}}
+	}
+	return nil
+}
+
+// ToScheduler converts a message from the wire; false if it is not for the
+// scheduler.
+func ToScheduler(m *Message) (schedule.Message, bool) {
+	switch kind := m.GetKind().(type) {
+	case *Message_Bid:
+		w := kind.Bid
+		return &schedule.Bid{
+			Endpoint: view.EndpointID(w.GetEndpoint()), Line: toLine(w.GetLine()),
+			Waiting: int(w.GetWaiting()), Received: w.GetReceived(), Resync: w.GetResync(),
+			Urgency: int(w.GetUrgency()), Tag: w.GetTag(), Estimate: float64(w.GetEstimate()),
+		}, true
+	case *Message_Grant:
+		w := kind.Grant
+		return &schedule.Grant{
+			Grant: schedule.GrantID(w.GetGrant()), Endpoint: view.EndpointID(w.GetEndpoint()),
+			Line: toLine(w.GetLine()), Deadline: time.UnixMilli(w.GetDeadlineUnixMillis()),
+			Virtual: w.GetVirtual(),
+		}, true
+	case *Message_Return:
+		w := kind.Return
+		return &schedule.Return{
+			Grant: schedule.GrantID(w.GetGrant()), Endpoint: view.EndpointID(w.GetEndpoint()),
+			Line: toLine(w.GetLine()), Result: schedule.Result(w.GetResult()), Service: w.GetService(),
+			Elapsed: micros(w.GetElapsedMicros()), FirstToken: micros(w.GetFirstTokenMicros()), Tag: w.GetTag(),
+		}, true
+	case *Message_Renewal:
+		return toRenewal(kind.Renewal), true
+	case *Message_Report:
+		w := kind.Report
+		return &schedule.Report{
+			Pool: w.GetPool(), Incarnation: w.GetIncarnation(), Charges: toCharges(w.GetCharges()),
+			Virtual: w.GetVirtual(),
+		}, true
+	case *Message_Tags:
+		w := kind.Tags
+		return &schedule.Tags{
+			Pool: w.GetPool(), Charges: toCharges(w.GetCharges()), Virtual: w.GetVirtual(),
+		}, true
+	case *Message_Shortage:
+		w := kind.Shortage
+		return &schedule.Shortage{Endpoint: view.EndpointID(w.GetEndpoint()), Room: int(w.GetRoom())}, true
+	}
+	return nil, false
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func fromLine(l schedule.Line) *Line {
+	return &Line{Organisation: l.Organisation, Model: l.Model, Exclusive: l.Exclusive}
+}
+
+func toLine(w *Line) schedule.Line {
+	return schedule.Line{Organisation: w.GetOrganisation(), Model: w.GetModel(), Exclusive: w.GetExclusive()}
+}
+
+func fromRenewal(m *schedule.Renewal) *Renewal {
+	w := &Renewal{Endpoint: string(m.Endpoint), Running: make([]*RunningGrant, len(m.Running))}
+	for i, r := range m.Running {
+		w.Running[i] = &RunningGrant{
+			Grant: uint64(r.Grant), Line: fromLine(r.Line), Estimate: float32(r.Estimate),
+			FirstTokenMicros: r.FirstToken.Microseconds(),
+		}
+	}
+	return w
+}
+
+func toRenewal(w *Renewal) *schedule.Renewal {
+	m := &schedule.Renewal{Endpoint: view.EndpointID(w.GetEndpoint())}
+	for _, r := range w.GetRunning() {
+		m.Running = append(m.Running, schedule.Running{
+			Grant: schedule.GrantID(r.GetGrant()), Line: toLine(r.GetLine()),
+			Estimate: float64(r.GetEstimate()), FirstToken: micros(r.GetFirstTokenMicros()),
+		})
+	}
+	return m
+}
+
+func fromCharges(charges []schedule.Charge) []*Charge {
+	w := make([]*Charge, len(charges))
+	for i, c := range charges {
+		w[i] = &Charge{
+			Organisation: c.Organisation, Total: c.Total, Tag: c.Tag, Waiting: c.Waiting,
+			Acknowledged: c.Acknowledged,
+		}
+	}
+	return w
+}
+
+func toCharges(w []*Charge) []schedule.Charge {
+	charges := make([]schedule.Charge, len(w))
+	for i, c := range w {
+		charges[i] = schedule.Charge{
+			Organisation: c.GetOrganisation(), Total: c.GetTotal(), Tag: c.GetTag(),
+			Waiting: c.GetWaiting(), Acknowledged: c.GetAcknowledged(),
+		}
+	}
+	return charges
+}
--- /dev/null
+++ b/internal/protocol/peer/conversion_schedule_test.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"hyssopreach/internal/coordination/schedule"
+)
+
+func TestSchedulerMessagesSurviveTheWire(t *testing.T) {
+	line := schedule.Line{Organisation: "o", Model: "m", Exclusive: true}
+	charges := []schedule.Charge{{Organisation: "o", Total: 3, Acknowledged: 2, Tag: 9, Waiting: true}}
+	messages := []schedule.Message{
+		&schedule.Bid{Endpoint: "e", Line: line, Waiting: 4, Received: 5, Resync: true, Urgency: -2, Tag: 1.5, Estimate: 2.5},
+		&schedule.Grant{Grant: 1 << 63, Endpoint: "e", Line: line, Deadline: time.UnixMilli(123_456), Virtual: 7},
+		&schedule.Return{
+			Grant: 9, Endpoint: "e", Line: line, Result: schedule.ResultBroken, Service: 11,
+			Elapsed: time.Second, FirstToken: time.Millisecond, Tag: 12,
+		},
+		&schedule.Renewal{Endpoint: "e", Running: []schedule.Running{{Grant: 3, Line: line, Estimate: 4, FirstToken: time.Second}}},
+		&schedule.Report{Pool: "p", Incarnation: 8, Charges: charges, Virtual: 6},
+		&schedule.Tags{Pool: "p", Charges: charges, Virtual: 6},
+		&schedule.Shortage{Endpoint: "e", Room: 3},
+	}
+	for _, m := range messages {
+		is := is.New(t)
+		data, err := proto.Marshal(FromScheduler(m))
+		is.NoErr(err)
+		var w Message
+		is.NoErr(proto.Unmarshal(data, &w))
+		back, ok := ToScheduler(&w)
+		is.True(ok)
+		is.Equal(back, m)
+	}
+	_, ok := ToScheduler(&Message{Kind: &Message_Heartbeat{&Heartbeat{}}})
+	if ok {
+		t.Error("a heartbeat is not for the scheduler")
+	}
+}
--- a/internal/state/account/counters.go
+++ b/internal/state/account/counters.go
@@ -75,5 +75,8 @@
 func (l *lowest) value(now time.Time) (float64, bool) {
 	l.turn(now)
 	value := min(l.current, l.previous)
-	return value, !math.IsInf(value, 1)
+	if math.IsInf(value, 1) {
+		return 0, false
+	}
+	return value, true
 }
