Let the fair-share scheduler decide on every router

Cause: the thin path ran on a baseline policy. Change: share is the default policy, its messages travel over the peer links; engines no longer see callers' keys; headers of one hop are dropped by one function for both directions. Conclusion: routers decide together once membership tells them of each other.

--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -11,6 +11,7 @@
 	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/endpoint"
 	"hyssopreach/internal/transport/execution"
 )
 
@@ -179,7 +180,7 @@
 	c.RequestID, c.Method = r.id, r.Method
 	c.Parent = r.Header.Get(caller.HeaderParent)
 	c.Key = r.Header.Get(caller.HeaderIdempotencyKey)
-	c.Header = passedHeaders(r.Header)
+	c.Header = passedHeaders(r.Header, c.Service.Kind)
 	path, _, _ := strings.Cut(c.Path, "?")
 	c.Class = index.Class(c.Service.Name, r.Method, path)
 	if problem := h.check(r, index, c); problem != nil {
@@ -250,10 +251,14 @@
 	return false
 }
 
-// passedHeaders returns the headers that the endpoint is to see.
-func passedHeaders(in http.Header) http.Header {
-	out := in.Clone()
-	removeHopHeaders(out)
-	out.Del("Content-Length")
+// passedHeaders returns the headers that the endpoint is to see. A plain
+// service gets the organisation's key, because it calls other services on its
+// behalf; an engine calls nobody and does not.
+func passedHeaders(in http.Header, kind text.Kind) http.Header {
+	out := make(http.Header, len(in))
+	endpoint.CopyHeader(out, in)
+	if kind == text.KindModel {
+		out.Del("Authorization")
+	}
 	return out
 }
--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -7,14 +7,9 @@
 	"time"
 
 	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/transport/endpoint"
 )
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // responseSink writes an answer to a caller.
 type responseSink struct {
 	writer     http.ResponseWriter
@@ -32,12 +27,10 @@
 func (s *responseSink) Begin(status int, header http.Header) error {
 	s.began = true
 	h := s.writer.Header()
-	for name, values := range header {
-		if name != caller.HeaderRequestID {
-			h[name] = values
-		}
-	}
-	removeHopHeaders(h)
+	id := h.Get(caller.HeaderRequestID)
+	endpoint.CopyHeader(h, header)
+	// The endpoint repeats the attempt's id; the caller knows the request's.
+	h.Set(caller.HeaderRequestID, id)
 	s.writer.WriteHeader(status)
 	return nil
 }
@@ -81,9 +74,3 @@
 	}
 	panic(http.ErrAbortHandler)
 }
-
-func removeHopHeaders(h http.Header) {
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-}
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"slices"
 
-	"hyssopreach/internal/coordination/baseline"
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/share"
 	"hyssopreach/internal/transport/platform"
 )
 
@@ -30,5 +30,5 @@
 // defaultScheduler returns the policy that a router follows unless it is given
 // another.
 func defaultScheduler(seed uint64) schedule.Scheduler {
-	return baseline.New(baseline.Options{Order: baseline.OrderFair, Source: rand.NewPCG(seed, 0)})
+	return share.New(share.Options{Source: rand.NewPCG(seed, 0)})
 }
--- a/internal/transport/router/peers.go
+++ b/internal/transport/router/peers.go
@@ -78,7 +78,26 @@
 
 // SendScheduler delivers a message between schedulers.
 func (p *peers) SendScheduler(to view.RouterID, m schedule.Message) {
-	p.logger.WithField("Peer", to).WithField("Type", fmt.Sprintf("%T", m)).Error("MessageWithoutWireForm")
+	w := wire.FromScheduler(m)
+	if w == nil {
+		p.logger.WithField("Peer", to).WithField("Type", fmt.Sprintf("%T", m)).Error("MessageWithoutWireForm")
+		return
+	}
+	p.Send(to, w)
+}
+
+// schedulerKinds are the messages between schedulers.
+var schedulerKinds = []string{"Bid", "Grant", "Return", "Renewal", "Report", "Tags", "Shortage"}
+
+// onScheduler hands the messages between schedulers to the given function.
+func (p *peers) onScheduler(deliver func(schedule.Delivery)) {
+	for _, kind := range schedulerKinds {
+		p.On(kind, func(from view.RouterID, _ uint64, w *wire.Message) {
+			if m, ok := wire.ToScheduler(w); ok {
+				deliver(schedule.Delivery{From: from, Message: m})
+			}
+		})
+	}
 }
 
 func configurationText(c revision.Configuration) *wire.ConfigurationText {
