Let nested calls inherit urgency and deadline; test admission

Cause: a service that calls another on a caller's behalf must not lose the caller's place. Change: plain services are given parent, urgency and deadline to pass on; a nested call takes the higher urgency; fuzz target for the headers. Conclusion: inheritance, early refusal, bounds and spread have tests.

--- a/internal/protocol/caller/path.go
+++ b/internal/protocol/caller/path.go
@@ -18,8 +18,13 @@
 	HeaderDeadline = "X-Deadline"
 	// HeaderRequestID names one request in the logs.
 	HeaderRequestID = "X-Request-ID"
-	// HeaderParent is the request id of the call that a nested call serves.
+	// HeaderParent is the request id of the call that a nested call serves. A
+	// plain service finds it in what it is sent, with the deadline and the
+	// urgency, and passes the three on when it calls another service.
 	HeaderParent = "X-Parent-Request-ID"
+	// HeaderUrgency is the urgency that a nested call inherits. It orders
+	// requests within one organisation only, so nobody gains by a false one.
+	HeaderUrgency = "X-Urgency"
 	// HeaderService names the service of a model call when several services
 	// offer the model.
 	HeaderService = "X-Service"
--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -205,9 +206,37 @@
 		return problem
 	}
 	c.Deadline = deadline
+	if c.Urgency, problem = urgency(r, c); problem != nil {
+		return problem
+	}
+	if c.Service.Kind == text.KindPlain {
+		passContext(c)
+	}
 	return h.checkDependencies(index, c, r.now)
 }
 
+// urgency is that of the class, or a higher one inherited from the parent of a
+// nested call.
+func urgency(r *request, c *execution.Call) (int, *caller.Problem) {
+	stated := r.Header.Get(caller.HeaderUrgency)
+	if c.Parent == "" || stated == "" {
+		return c.Class.Urgency, nil
+	}
+	inherited, err := strconv.Atoi(stated)
+	if err != nil {
+		return 0, reject(http.StatusBadRequest, "Admit", fmt.Sprintf("%s is %q; pass on the number that the parent call brought", caller.HeaderUrgency, stated))
+	}
+	return max(c.Class.Urgency, inherited), nil
+}
+
+// passContext gives a plain service what its own calls to other services are
+// to inherit.
+func passContext(c *execution.Call) {
+	c.Header.Set(caller.HeaderParent, c.RequestID)
+	c.Header.Set(caller.HeaderUrgency, strconv.Itoa(c.Urgency))
+	c.Header.Set(caller.HeaderDeadline, c.Deadline.UTC().Format(time.RFC3339Nano))
+}
+
 func (h *Handler) deadline(r *request) (time.Time, *caller.Problem) {
 	stated := r.Header.Get(caller.HeaderDeadline)
 	if stated == "" {
--- /dev/null
+++ b/internal/transport/entry/admission_test.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/execution"
+)
+
+// installation is what a handler sees of its router: a text, a view and an
+// executor that keeps the calls.
+type installation struct {
+	document text.Document
+	snapshot view.Snapshot
+	calls    []*execution.Call
+}
+
+func (i *installation) Index() *text.Index   { return text.NewIndex(&i.document) }
+func (i *installation) View() *view.Snapshot { return &i.snapshot }
+func (i *installation) Run(_ context.Context, c *execution.Call, sink execution.Sink) error {
+	i.calls = append(i.calls, c)
+	if err := sink.Begin(http.StatusOK, http.Header{"X-Request-Id": {"attempt"}, "Connection": {"close"}}); err != nil {
+		return err
+	}
+	return sink.End()
+}
+
+func newInstallation() *installation {
+	return &installation{
+		document: text.Document{
+			Organisations: []text.Organisation{{Name: "studio", Weight: 1, KeyHashes: []string{text.KeyHash("key")}}},
+			Services: []text.Service{
+				{Name: "board", Kind: text.KindPlain, Pool: "boards", DependsOn: []string{"chat"}, Classes: []text.Class{{Name: "any", Urgency: 3, Idempotent: true}}},
+				{Name: "chat", Kind: text.KindModel, Pool: "engines", Classes: []text.Class{{Name: "any", Urgency: 1, Idempotent: true}}},
+			},
+			Models: []text.Model{{Name: "small", Pool: "engines", Adapters: []string{"tiles"}}},
+		},
+		snapshot: view.Snapshot{
+			Self:    "r1",
+			Routers: []view.Router{{ID: "r1", FailureDomain: "a"}, {ID: "r2", FailureDomain: "a"}, {ID: "r3", FailureDomain: "b"}},
+			Endpoints: []view.Endpoint{
+				{ID: "b", Pool: "boards"},
+				{ID: "e", Pool: "engines", Models: []string{"small"}},
+			},
+		},
+	}
+}
+
+func (i *installation) serve(method, path, body string, header ...string) *httptest.ResponseRecorder {
+	limits := Limits{BodyBytes: 1 << 10, TotalBodyBytes: 1 << 20, BodyTimeout: time.Second, WriteTimeout: time.Second, RequestTimeout: time.Minute, EntryHold: time.Second}
+	h := New("r1", limits, i, i, i, metrics.NewRegistry(), &log.Logger{Handler: discard.New()})
+	request := httptest.NewRequestWithContext(context.Background(), method, path, bytes.NewBufferString(body))
+	request.Header.Set("Authorization", "Bearer key")
+	for n := 0; n+1 < len(header); n += 2 {
+		request.Header.Set(header[n], header[n+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, request)
+	return w
+}
+
+func TestNestedCallInheritsUrgencyAndDeadline(t *testing.T) {
+	is := is.New(t)
+	i := newInstallation()
+	is.Equal(i.serve("GET", "/services/board/tiles?x=1", "").Code, http.StatusOK)
+	parent := i.calls[0]
+	is.Equal(parent.Path, "/tiles?x=1")
+	is.Equal(parent.Header.Get("Authorization"), "Bearer key")
+
+	is.Equal(i.serve("POST", caller.PathChatCompletions, `{"model":"small:tiles","prompt":"p"}`,
+		caller.HeaderParent, parent.Header.Get(caller.HeaderParent),
+		caller.HeaderUrgency, parent.Header.Get(caller.HeaderUrgency),
+		caller.HeaderDeadline, parent.Header.Get(caller.HeaderDeadline)).Code, http.StatusOK)
+	nested := i.calls[1]
+	is.Equal(nested.Parent, parent.RequestID)
+	is.Equal(nested.Urgency, 3)                                      // above its own class
+	is.True(nested.Deadline.Sub(parent.Deadline).Abs() <= clockSkew) // only the allowance is added
+	is.Equal(nested.Header.Get("Authorization"), "")                 // engines see no keys
+}
+
+func TestDependencyThatIsDownRefusesEarly(t *testing.T) {
+	is := is.New(t)
+	i := newInstallation()
+	i.snapshot.Endpoints[1].Leaving = true
+	w := i.serve("GET", "/services/board/tiles", "")
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(bytes.Contains(w.Body.Bytes(), []byte(`service \"chat\" has no endpoint`)))
+	is.True(bytes.Contains(w.Body.Bytes(), []byte(`"NotRun":"true"`)))
+	is.True(w.Header().Get("Retry-After") != "")
+	is.Equal(len(i.calls), 0)
+}
+
+func TestLargeBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	i := newInstallation()
+	is.Equal(i.serve("POST", "/services/board/tiles", string(make([]byte, 2<<10))).Code, http.StatusRequestEntityTooLarge)
+}
+
+func TestAnswerCarriesTheRequestID(t *testing.T) {
+	is := is.New(t)
+	i := newInstallation()
+	w := i.serve("GET", "/services/board/tiles", "")
+	is.Equal(w.Header().Get(caller.HeaderRequestID), i.calls[0].RequestID)
+	is.Equal(w.Header().Get("Connection"), "")
+}
+
+func TestChosenRoutersSpreadOverFailureDomains(t *testing.T) {
+	is := is.New(t)
+	i := newInstallation()
+	i.snapshot.Routers[1].Draining = true
+	addresses := chooseRouters(&i.snapshot, "studio", "10.0.0.1:99", 1)
+	is.Equal(len(addresses), 2) // the draining router is not named
+	i.snapshot.Routers[1].Draining = false
+	first := chooseRouters(&i.snapshot, "studio", "10.0.0.1:99", 0)
+	is.Equal(first, chooseRouters(&i.snapshot, "studio", "10.0.0.1:7", 0)) // stable over connections
+	is.Equal(len(first), 3)
+}
+
+func FuzzHeaders(f *testing.F) {
+	f.Add("Bearer key", "2026-01-02T15:04:05Z", "parent", "5", `{"model":"small","prompt":"x"}`)
+	f.Add("Bearer ", "soon", "", "-1", `{"model":1}`)
+	f.Add("key", "9999-12-31T23:59:59+99:00", "p\x00", "999999999999999999999", "\xff")
+	f.Fuzz(func(t *testing.T, authorization, deadline, parent, urgency, body string) {
+		i := newInstallation()
+		w := i.serve("POST", caller.PathChatCompletions, body, "Authorization", authorization,
+			caller.HeaderDeadline, deadline, caller.HeaderParent, parent, caller.HeaderUrgency, urgency)
+		if w.Code == http.StatusOK && len(i.calls) != 1 {
+			t.Errorf("status %d with %d calls", w.Code, len(i.calls))
+		}
+		if w.Code != http.StatusOK && !bytes.Contains(w.Body.Bytes(), []byte(`"NotRun":"true"`)) {
+			t.Errorf("status %d without a statement that nothing ran: %s", w.Code, w.Body)
+		}
+	})
+}
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -24,6 +24,8 @@
 	Key string
 	// Parent is the call on whose behalf this one is made; empty if none.
 	Parent string
+	// Urgency orders the organisation's requests; higher goes first.
+	Urgency int
 	// Deadline is the instant after which the answer is of no use.
 	Deadline time.Time
 	Method   string
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -115,7 +115,7 @@
 		Service:      c.Service.Name,
 		Pool:         c.Service.Pool,
 		Model:        c.Model,
-		Urgency:      c.Class.Urgency,
+		Urgency:      c.Urgency,
 		MayWait:      c.Class.MayWait,
 		Estimate:     c.Class.EstimatedCost,
 		Deadline:     c.Deadline,
