--- a/internal/coordination/endpoint/message.go
+++ b/internal/coordination/endpoint/message.go
@@ -17,6 +17,8 @@
 	VM            string
 	FailureDomain string
 	Address       netip.AddrPort
+	// Engine is set for a model engine, which reports its load when polled.
+	Engine bool
 	// Models are assumed of an engine that doesn't report what it holds; nil
 	// for a plain service.
 	Models []string
@@ -113,6 +115,7 @@
 type Poll struct {
 	Key     string
 	Address netip.AddrPort
+	Engine  bool
 }
 
 // ReadList asks for a List.
--- a/internal/coordination/endpoint/table.go
+++ b/internal/coordination/endpoint/table.go
@@ -189,7 +189,7 @@
 		return
 	}
 	r.polled = now
-	t.emit(Poll{r.configured.Key, r.configured.Address})
+	t.emit(Poll{r.configured.Key, r.configured.Address, r.configured.Engine})
 }
 
 // pollWait is the time between two polls of the endpoint by this router. All
--- a/internal/coordination/endpoint/table_test.go
+++ b/internal/coordination/endpoint/table_test.go
@@ -67,7 +67,7 @@
 	out := table.Step(epoch, configured(1))
 	is.Equal(out, []Output{Changed{[]view.Endpoint{}}})
 	out = table.Step(epoch, Tick{})
-	is.Equal(out[0], Poll{"vm0/e", configured(1).Endpoints[0].Address}) // everybody looks for it
+	is.Equal(out[0], Poll{"vm0/e", configured(1).Endpoints[0].Address, false}) // everybody looks for it
 	out = table.Step(epoch, Report{Key: "vm0/e", Started: epoch, Models: []string{"b", "a"}})
 	shown := out[len(out)-1].(Changed).Endpoints
 	is.Equal(shown[0].ID, NewID("vm0/e", epoch))
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -111,6 +111,10 @@
 	return time.Now()
 }
 
+// weightsClient keeps no connection, so that a closed engine leaves nothing
+// behind.
+var weightsClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 func (e *Engine) askWeights(ctx context.Context, m platform.LoadedModel) (time.Time, error) {
 	body, err := json.Marshal(platform.ReserveRequest{Model: m.Name, Bytes: e.settings.ModelBytes})
 	if err != nil {
@@ -121,7 +125,7 @@
 	if err != nil {
 		return time.Time{}, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := weightsClient.Do(request)
 	if err != nil {
 		return time.Time{}, err
 	}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -58,7 +58,7 @@
 	Log         *journal.Journal
 	VMList      *vmlist.List
 	WeightStore *weights.Store
-	// Engines and Services are indexed by the endpoint's name.
+	// Engines and Services are indexed by the endpoint's key.
 	Engines  map[string]*engine.Engine
 	Services map[string]*plain.Service
 }
@@ -93,7 +93,7 @@
 	for _, pool := range document.Pools {
 		for _, endpoint := range pool.Endpoints {
 			if err := f.startEndpoint(settings, document, pool.Name, endpoint); err != nil {
-				return fmt.Errorf("start endpoint %s: %w", endpoint.Name, err)
+				return fmt.Errorf("start endpoint %s: %w", endpoint.Key(), err)
 			}
 		}
 	}
@@ -105,7 +105,7 @@
 		s := settings.Plain
 		s.Name = endpoint.Name
 		service := plain.New(s)
-		f.Services[endpoint.Name] = service
+		f.Services[endpoint.Key()] = service
 		return service.Start(endpoint.Address)
 	}
 	s := settings.Engine
@@ -114,7 +114,7 @@
 	s.WeightStore = f.WeightStore.Address()
 	s.Models = poolModels(document, pool)
 	e := engine.New(s)
-	f.Engines[endpoint.Name] = e
+	f.Engines[endpoint.Key()] = e
 	return e.Start(endpoint.Address)
 }
 
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -28,7 +28,7 @@
 	is.Equal(len(f.Engines), 2)
 	is.Equal(len(f.Services), 1)
 	is.Equal(len(f.VMList.Now().VMs), 2) // two endpoints share a VM
-	is.True(f.Engines["e1"].Address().Port() != 0)
+	is.True(f.Engines["v1/e1"].Address().Port() != 0)
 	is.NoErr(f.Close())
 }
 
@@ -38,7 +38,7 @@
 	is.NoErr(err)
 	defer first.Close()
 	taken := document()
-	taken.Pools[1].Endpoints[0].Address = first.Engines["e1"].Address()
+	taken.Pools[1].Endpoints[0].Address = first.Engines["v1/e1"].Address()
 	_, err = Start(Default(), taken)
 	is.True(err != nil)
 }
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -14,6 +14,11 @@
 func (r *Router) startComponents() {
 	s, o := r.options.Settings, r.options
 	r.components = append(r.components, startFollower(platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, o.Logger))
+	e := newEndpoints(r.fleet, r.peers, r.client, platform.NewVMList(s.VMListAddress, o.Network.DialContext),
+		r.scheduling.Input, o.Logger, o.Incarnation)
+	e.start()
+	r.components = append(r.components, e)
+	r.watchers = append(r.watchers, e)
 }
 
 // announceDrain tells the fleet that this router takes no new callers.
--- a/internal/transport/router/follower.go
+++ b/internal/transport/router/follower.go
@@ -9,8 +9,6 @@
 	"github.com/apex/log"
 
 	"hyssopreach/internal/state/revision"
-	"hyssopreach/internal/state/text"
-	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/platform"
 )
 
@@ -91,25 +89,4 @@
 		return
 	}
 	w.fleet.setConfiguration(c)
-	w.fleet.setEndpoints(configuredEndpoints(c.Document))
-}
-
-// configuredEndpoints lists the endpoints as the text names them.
-func configuredEndpoints(doc *text.Document) []view.Endpoint {
-	models := make(map[string][]string)
-	for i := range doc.Models {
-		models[doc.Models[i].Pool] = append(models[doc.Models[i].Pool], doc.Models[i].Name)
-	}
-	var all []view.Endpoint
-	for i := range doc.Pools {
-		p := &doc.Pools[i]
-		for j := range p.Endpoints {
-			e := &p.Endpoints[j]
-			all = append(all, view.Endpoint{
-				ID: view.EndpointID(e.Key()), Pool: p.Name, VM: e.VM, FailureDomain: e.FailureDomain,
-				Address: e.Address, Models: models[p.Name],
-			})
-		}
-	}
-	return all
 }
