--- a/internal/tool/load/report.go
+++ b/internal/tool/load/report.go
@@ -60,11 +60,14 @@
 func newReport() *Report {
 	return &Report{
 		Refused:   make(map[int]int),
-		Latency:   hdrhistogram.New(1, longestMicros, figures),
-		FirstByte: hdrhistogram.New(1, longestMicros, figures),
+		Latency:   NewHistogram(),
+		FirstByte: NewHistogram(),
 	}
 }
 
+// NewHistogram returns an empty histogram of microseconds.
+func NewHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestMicros, figures) }
+
 // PerSecond is the rate of answered requests.
 func (r *Report) PerSecond() float64 { return float64(r.Answered) / r.Elapsed.Seconds() }
 
