--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"hyssopreach/internal/standin/engine"
 	"hyssopreach/internal/standin/journal"
 	"hyssopreach/internal/standin/plain"
+	"hyssopreach/internal/standin/runs"
 	"hyssopreach/internal/standin/vmlist"
 	"hyssopreach/internal/standin/weights"
 	"hyssopreach/internal/state/text"
@@ -118,6 +119,23 @@
 	return e.Start(endpoint.Address)
 }
 
+// RunsByKey counts the runs of each idempotency key over all endpoints.
+func (f *Fleet) RunsByKey() map[string]int {
+	counts := make(map[string]int)
+	add := func(s runs.Summary) {
+		for key, n := range s.ByKey {
+			counts[key] += n
+		}
+	}
+	for _, e := range f.Engines {
+		add(e.Runs())
+	}
+	for _, s := range f.Services {
+		add(s.Runs())
+	}
+	return counts
+}
+
 // Close stops everything and waits.
 func (f *Fleet) Close() error {
 	errs := []error{f.Log.Close(), f.VMList.Close(), f.WeightStore.Close()}
--- a/internal/tool/load/caller.go
+++ b/internal/tool/load/caller.go
@@ -131,10 +131,13 @@
 }
 
 func (c *caller) refused(response *http.Response) (told, time.Duration) {
-	c.report.count(func(p *Report) { p.Refused[response.StatusCode]++ })
 	var problem protocol.Problem
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
-	if err != nil || json.Unmarshal(data, &problem) != nil {
+	if err == nil {
+		err = json.Unmarshal(data, &problem)
+	}
+	c.report.count(func(p *Report) { p.Refused[fmt.Sprint(response.StatusCode, problem.Step)]++ })
+	if err != nil {
 		return toldNothing, shortestPause
 	}
 	pause := max(shortestPause, min(longestPause, time.Until(problem.RetryAt)))
--- a/internal/tool/load/report.go
+++ b/internal/tool/load/report.go
@@ -42,8 +42,8 @@
 	Lost int
 	// Undelivered tries found nobody at the address.
 	Undelivered int
-	// Refused tries were refused, by status.
-	Refused map[int]int
+	// Refused tries were refused, by status and step.
+	Refused map[string]int
 
 	// NeverRun are the keys of requests all of whose tries were told that
 	// they did not run.
@@ -59,7 +59,7 @@
 
 func newReport() *Report {
 	return &Report{
-		Refused:   make(map[int]int),
+		Refused:   make(map[string]int),
 		Latency:   NewHistogram(),
 		FirstByte: NewHistogram(),
 	}
