Connect routers: membership, and configuration from the log and from peers

Cause: routers knew only themselves, and each polled the log on its own. Change: the router runs the membership table and the configuration spreader; links tell which addresses refuse connections and can take up a higher incarnation; suspected routers are marked in the view and not named to callers. The follower, which every router ran, is gone. Conclusion: with real routers over loopback TCP, a killed, a drained and a returning router are noticed, an empty one learns the text while the log is down, and a thousand racing publishes fold alike on seven.

--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -84,8 +84,6 @@
 	// Routers are sorted by ID and include this one. A router that flaps is
 	// listed as draining, so that it owns nothing until it stays.
 	Routers []view.Router
-	// Suspected are the routers that callers should not be sent to.
-	Suspected []view.RouterID
 }
 
 // Raise says that this router's incarnation is raised, because a peer
--- a/internal/coordination/membership/table.go
+++ b/internal/coordination/membership/table.go
@@ -99,7 +99,7 @@
 	news      map[view.RouterID]bool
 	quiet     bool // set while news is taken that is not to be passed on
 	digest    uint64
-	last      Change // the view handed out last
+	last      []view.Router // the view handed out last
 
 	out []Output
 }
@@ -198,17 +198,14 @@
 		if vm, listed := t.listed[string(r.ID)]; listed && vm.Leaving || now.Before(m.dampedUntil) {
 			r.Draining = true
 		}
+		r.Suspected = m.Suspected
 		change.Routers = append(change.Routers, r)
-		if m.Suspected {
-			change.Suspected = append(change.Suspected, r.ID)
-		}
 	}
 	slices.SortFunc(change.Routers, func(a, b view.Router) int { return compareIDs(a.ID, b.ID) })
-	slices.Sort(change.Suspected)
-	if slices.Equal(change.Routers, t.last.Routers) && slices.Equal(change.Suspected, t.last.Suspected) {
+	if slices.Equal(change.Routers, t.last) {
 		return
 	}
-	t.last = change
+	t.last = change.Routers
 	t.emit(change)
 }
 
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -26,6 +26,9 @@
 	Incarnation uint64
 	// Draining routers take no new callers and own nothing.
 	Draining bool
+	// Suspected routers are silent and may be dead. They keep what they own
+	// until they are, yet callers are not sent to them.
+	Suspected bool
 }
 
 // Endpoint is an endpoint as the fleet sees it now.
--- a/internal/tool/membership/fleet.go
+++ b/internal/tool/membership/fleet.go
@@ -29,9 +29,8 @@
 	// Paused routers keep their state and take no part; what reaches them
 	// waits.
 	Paused bool
-	// Routers and Suspected are the last view that the table gave out.
-	Routers   []view.Router
-	Suspected []view.RouterID
+	// Routers is the last view that the table gave out.
+	Routers []view.Router
 	// Changes counts the views given out, Messages and Bytes what was sent.
 	Changes, Messages, Bytes int
 
@@ -158,7 +157,6 @@
 		case membership.Change:
 			n.Changes++
 			n.Routers = slices.Clone(out.Routers)
-			n.Suspected = slices.Clone(out.Suspected)
 		case membership.Wake:
 			n.wake = out.At
 			f.schedule(n, out.At.Sub(f.Now), membership.Alarm{})
@@ -192,11 +190,11 @@
 		if !n.Up {
 			continue
 		}
-		if len(n.Routers) != up || len(n.Suspected) > 0 {
+		if len(n.Routers) != up {
 			return false
 		}
 		for i := range n.Routers {
-			if r := &n.Routers[i]; !f.byPeer[r.PeerAddress].Up {
+			if r := &n.Routers[i]; r.Suspected || !f.byPeer[r.PeerAddress].Up {
 				return false
 			}
 		}
--- a/internal/tool/membership/fleet_test.go
+++ b/internal/tool/membership/fleet_test.go
@@ -118,7 +118,9 @@
 	for range 50 {
 		f.Run(100 * time.Millisecond)
 		is.Equal(len(f.Nodes[3].Routers), 7)
-		is.Equal(len(f.Nodes[3].Suspected), 0)
+		for _, r := range f.Nodes[3].Routers {
+			is.True(!r.Suspected)
+		}
 	}
 	is.True(f.Agreed())
 }
--- a/internal/tool/rig/rig.go
+++ b/internal/tool/rig/rig.go
@@ -138,7 +138,8 @@
 		}
 	}
 	return r.Await(ctx, func(one *router.Router) bool {
-		return one.Fleet().Revision > 0 && len(one.Fleet().Endpoints) > 0
+		v := one.Fleet()
+		return v.Revision > 0 && len(v.Endpoints) > 0 && len(v.Routers) == len(r.Routers)
 	})
 }
 
--- a/internal/transport/entry/handler.go
+++ b/internal/transport/entry/handler.go
@@ -135,7 +135,7 @@
 	v := h.views.View()
 	var others []netip.AddrPort
 	for i := range v.Routers {
-		if v.Routers[i].ID != v.Self && !v.Routers[i].Draining {
+		if v.Routers[i].ID != v.Self && !v.Routers[i].Draining && !v.Routers[i].Suspected {
 			others = append(others, v.Routers[i].CallerAddress)
 		}
 	}
--- a/internal/transport/entry/routers.go
+++ b/internal/transport/entry/routers.go
@@ -82,7 +82,21 @@
 	for _, id := range order[homes:] {
 		ordered = append(ordered, byID[id])
 	}
-	return spreadDomains(ordered)
+	return spreadDomains(reachable(ordered))
+}
+
+// reachable leaves out the suspected routers, unless that leaves none.
+func reachable(ordered []*view.Router) []*view.Router {
+	left := make([]*view.Router, 0, len(ordered))
+	for _, r := range ordered {
+		if !r.Suspected {
+			left = append(left, r)
+		}
+	}
+	if len(left) == 0 {
+		return ordered
+	}
+	return left
 }
 
 // callerOffset spreads the callers of an organisation. The port is left out,
--- a/internal/transport/peer/links.go
+++ b/internal/transport/peer/links.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -38,13 +41,15 @@
 // several goroutines.
 type Links struct {
 	self        view.RouterID
-	incarnation uint64
+	incarnation atomic.Uint64
 	dialer      Dialer
 	registry    metrics.Registry
 	logger      log.Interface
 	ctx         context.Context
 	cancel      context.CancelFunc
 	running     sync.WaitGroup
+	// refused is told the addresses at which nobody listens; nil for nobody.
+	refused func(netip.AddrPort)
 
 	mu     sync.Mutex
 	links  map[netip.AddrPort]*link // guarded by mu
@@ -59,12 +64,22 @@
 // NewLinks returns links that speak for the given router and incarnation.
 func NewLinks(self view.RouterID, incarnation uint64, dialer Dialer, registry metrics.Registry, logger log.Interface) *Links {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Links{
-		self: self, incarnation: incarnation, dialer: dialer, registry: registry, logger: logger,
+	l := &Links{
+		self: self, dialer: dialer, registry: registry, logger: logger,
 		ctx: ctx, cancel: cancel, links: make(map[netip.AddrPort]*link),
 	}
+	l.incarnation.Store(incarnation)
+	return l
 }
 
+// OnRefused sets who is told of addresses that refuse connections. It must be
+// called before the first Send, and the callback must not block.
+func (l *Links) OnRefused(callback func(netip.AddrPort)) { l.refused = callback }
+
+// Raise makes the links speak for a higher incarnation, because peers remember
+// one and drop what an earlier one says.
+func (l *Links) Raise(incarnation uint64) { l.incarnation.Store(incarnation) }
+
 // Send queues a message for the router that listens at the address. It never
 // blocks; a message that finds the queue full is dropped and counted.
 func (l *Links) Send(to netip.AddrPort, m *wire.Message) {
@@ -124,6 +139,7 @@
 				if stream, err = l.open(k.address); err != nil {
 					l.logger.WithField("Peer", k.address).WithField("Error", err).Info("PeerUnreachable")
 					redialAt = time.Now().Add(redialPause)
+					l.tellRefused(k.address, err)
 					l.drop(len(batch))
 					continue
 				}
@@ -138,6 +154,12 @@
 	}
 }
 
+func (l *Links) tellRefused(address netip.AddrPort, err error) {
+	if l.refused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+		l.refused(address)
+	}
+}
+
 // retire forgets a link that nobody uses. It fails if a message came meanwhile.
 func (l *Links) retire(k *link) bool {
 	l.mu.Lock()
@@ -157,7 +179,7 @@
 	for _, m := range batch {
 		countMessage(l.registry, m)
 	}
-	e := &wire.Envelope{From: string(l.self), Incarnation: l.incarnation, Messages: batch}
+	e := &wire.Envelope{From: string(l.self), Incarnation: l.incarnation.Load(), Messages: batch}
 	if err := s.deliver.Send(e); err != nil {
 		return fmt.Errorf("deliver %d messages: %w", len(batch), err)
 	}
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -2,8 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
+	"hyssopreach/internal/coordination/configuration"
+	"hyssopreach/internal/coordination/membership"
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/coordination/share"
 	"hyssopreach/internal/transport/platform"
@@ -13,20 +16,23 @@
 // closed in the opposite order.
 func (r *Router) startComponents() {
 	s, o := r.options.Settings, r.options
-	r.components = append(r.components, startFollower(platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, o.Logger))
+	r.members = startMembers(
+		membership.Options{Self: r.self, Seeds: s.Peers, Random: random(o.Incarnation, "membership")},
+		r.fleet, r.peers, platform.NewVMList(s.VMListAddress, o.Network.DialContext), o.Logger)
+	configurations := startConfigurations(
+		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
+		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
+	r.components = append(r.components, r.members, configurations)
 }
 
-// announceDrain tells the fleet that this router takes no new callers.
-func (r *Router) announceDrain() {
-	routers := slices.Clone(r.fleet.View().Routers)
-	for i := range routers {
-		if routers[i].ID == r.self.ID {
-			routers[i].Draining = true
-		}
-	}
-	r.fleet.setRouters(routers)
+// random returns a source of its own for each state machine.
+func random(incarnation uint64, part string) *rand.Rand {
+	return rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(part)))
 }
 
+// announceDrain tells the fleet that this router takes no new callers.
+func (r *Router) announceDrain() { r.members.drain() }
+
 // defaultScheduler returns the policy that a router follows unless it is given
 // another.
 func defaultScheduler(seed uint64) schedule.Scheduler {
--- /dev/null
+++ b/internal/transport/router/membership.go
@@ -0,0 +1,143 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hyssopreach/internal/coordination/membership"
+	wire "hyssopreach/internal/protocol/peer"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/driver"
+	"hyssopreach/internal/transport/platform"
+)
+
+const (
+	// listInterval is the time between two reads of the VM list. It is long,
+	// since the list only confirms what heartbeats tell sooner.
+	listInterval = 30 * time.Second
+	// listTimeout bounds one read of the VM list.
+	listTimeout = 5 * time.Second
+	// goodbyePause is the time given to the last heartbeats of a planned stop.
+	goodbyePause = 100 * time.Millisecond
+)
+
+// members runs the membership table of a router.
+type members struct {
+	driver *driver.Driver[membership.Input, membership.Output]
+	fleet  *fleet
+	peers  *peers
+	vms    *platform.VMList
+	logger log.Interface
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+}
+
+func startMembers(o membership.Options, f *fleet, p *peers, vms *platform.VMList, logger log.Interface) *members {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &members{fleet: f, peers: p, vms: vms, logger: logger, cancel: cancel}
+	table := membership.New(o)
+	m.driver = driver.New(table.Step, membership.Input(membership.Alarm{}), m.apply)
+	p.On("Heartbeat", m.receive)
+	p.links.OnRefused(m.refused)
+	m.driver.Input(membership.Alarm{})
+	m.ended.Add(1)
+	go func() {
+		defer m.ended.Done()
+		m.readList(ctx)
+	}()
+	return m
+}
+
+// Close stops the table and waits.
+func (m *members) Close() {
+	m.cancel()
+	m.driver.Close()
+	m.ended.Wait()
+	_ = m.vms.Close()
+}
+
+// drain tells the fleet that this router takes no new callers.
+func (m *members) drain() { m.driver.Input(membership.Drain{}) }
+
+// leave tells the fleet that this router is gone now.
+func (m *members) leave() {
+	m.driver.Input(membership.Leave{})
+	time.Sleep(goodbyePause)
+}
+
+func (m *members) receive(from view.RouterID, _ uint64, w *wire.Message) {
+	beat, err := wire.ToHeartbeat(w.GetHeartbeat())
+	if err != nil {
+		m.logger.WithField("Peer", from).WithField("Error", err).Warn("HeartbeatMalformed")
+		return
+	}
+	m.driver.Input(membership.Received{From: from, Heartbeat: beat})
+}
+
+// refused takes an address at which nobody listens for a router that is gone.
+func (m *members) refused(address netip.AddrPort) {
+	v := m.fleet.View()
+	for i := range v.Routers {
+		if v.Routers[i].PeerAddress == address {
+			m.driver.Input(membership.Unreachable{Router: v.Routers[i].ID})
+		}
+	}
+}
+
+func (m *members) apply(out membership.Output) {
+	switch out := out.(type) {
+	case membership.Send:
+		m.peers.links.Send(out.Address, &wire.Message{Kind: &wire.Message_Heartbeat{Heartbeat: wire.FromHeartbeat(&out.Heartbeat)}})
+	case membership.Change:
+		m.fleet.setRouters(out.Routers)
+	case membership.Raise:
+		m.peers.links.Raise(out.Incarnation)
+	case membership.Wake:
+		m.driver.WakeAt(out.At)
+	case membership.Decision:
+		logDecision(m.logger, out.Event, out.Fields)
+	}
+}
+
+// readList reads the VM list now and then; a list that cannot be read leaves
+// the table with what it knows.
+func (m *members) readList(ctx context.Context) {
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, listTimeout)
+		list, err := m.vms.VMs(attempt)
+		cancel()
+		if err != nil {
+			m.logger.WithField("Error", err).Info("VMListUnavailable")
+		} else {
+			vms := make([]membership.VM, len(list.VMs))
+			for i, vm := range list.VMs {
+				vms[i] = membership.VM{Name: vm.Name, Leaving: vm.Leaving}
+			}
+			m.driver.Input(membership.Listed{VMs: vms})
+		}
+		sleep(ctx, listInterval/2+rand.N(listInterval))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// logDecision writes the one line of a decision.
+func logDecision(logger log.Interface, event string, fields []string) {
+	all := make(log.Fields, len(fields)/2)
+	for i := 0; i+1 < len(fields); i += 2 {
+		all[fields[i]] = fields[i+1]
+	}
+	logger.WithFields(all).Info(event)
+}
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -63,6 +63,7 @@
 	entry      *entry.Handler
 	callers    *http.Server
 	operators  *http.Server
+	members    *members
 	components []component
 	serving    sync.WaitGroup
 	callerAt   netip.AddrPort
@@ -170,6 +171,7 @@
 		return fmt.Errorf("drain router %s: %w", r.self.ID, err)
 	}
 	log.Info("DrainFinished")
+	r.members.leave()
 	r.Close()
 	return nil
 }
--- /dev/null
+++ b/internal/transport/router/together_test.go
@@ -0,0 +1,127 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/standin/journal"
+	"hyssopreach/internal/state/invariant"
+	"hyssopreach/internal/state/revision"
+	"hyssopreach/internal/tool/rig"
+	"hyssopreach/internal/transport/platform"
+	"hyssopreach/internal/transport/router"
+)
+
+// patience bounds what these tests wait for; it decides nothing, since every
+// condition holds for good once it holds.
+const patience = time.Minute
+
+func await(t *testing.T, r *rig.Rig, condition func(one *router.Router) bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if err := r.Await(ctx, condition); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func status(t *testing.T, one *router.Router) router.Status {
+	t.Helper()
+	response, err := http.Get("http://" + one.OperatorAddress().String() + router.PathStatus)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s router.Status
+	if err := json.Unmarshal(data, &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// fold reads the whole stream as a reader of its own.
+func fold(t *testing.T, r *rig.Rig) revision.Version {
+	t.Helper()
+	l := platform.NewLog(r.Platform.Log.Address(), nil)
+	defer l.Close()
+	var f revision.Fold
+	for {
+		page, err := l.Read(context.Background(), revision.Stream, f.Next(), time.Time{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, record := range page.Records {
+			if _, err := f.Apply(record.Offset, record.Payload); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if f.Next() == page.Next {
+			return f.InForce().Version
+		}
+	}
+}
+
+func TestRoutersNoticeLossStopAndReturn(t *testing.T) {
+	is := is.New(t)
+	r := startRig(t, 4)
+	r.Kill(1)
+	await(t, r, func(one *router.Router) bool { return len(one.Fleet().Routers) == 3 })
+	is.NoErr(r.Drain(context.Background(), 2))
+	await(t, r, func(one *router.Router) bool { return len(one.Fleet().Routers) == 2 })
+	is.NoErr(r.StartRouter(context.Background(), 1))
+	await(t, r, func(one *router.Router) bool { return len(one.Fleet().Routers) == 3 })
+}
+
+func TestEmptyRouterLearnsTextWhileTheLogIsDown(t *testing.T) {
+	is := is.New(t)
+	r := startRig(t, 3)
+	is.NoErr(r.Publish(r.Document))
+	await(t, r, func(one *router.Router) bool { return one.Fleet().Revision == 2 })
+	r.Platform.Log.SetFaults(journal.Faults{Down: true})
+	r.Kill(0)
+	is.NoErr(r.StartRouter(context.Background(), 0))
+	await(t, r, func(one *router.Router) bool { return one.Fleet().Revision == 2 })
+	r.Platform.Log.SetFaults(journal.Faults{})
+	is.NoErr(r.Publish(r.Document))
+	await(t, r, func(one *router.Router) bool { return one.Fleet().Revision == 3 })
+}
+
+// TestRacingPublishesFoldAlike lets operators race on seven routers, each
+// basing its text on what some router has in force.
+func TestRacingPublishesFoldAlike(t *testing.T) {
+	is := is.New(t)
+	r := startRig(t, 7)
+	broken := invariant.Broken()
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 1000 {
+		base := r.Routers[random.IntN(7)].Fleet().Revision
+		data := fmt.Sprintf(`{"FormatVersion":1,"BasedOn":%d,"Organisations":[{"Name":"o-%d","Weight":1}]}`, base, i)
+		record := revision.NewPublish(fmt.Sprint("race-", i), base, []byte(data))
+		payload, err := record.Encode()
+		is.NoErr(err)
+		r.Platform.Log.Append(revision.Stream, [][]byte{payload})
+		if i%50 == 0 {
+			time.Sleep(5 * time.Millisecond) // lets some bases be fresh
+		}
+	}
+	want := fold(t, r)
+	is.True(want.Revision > 1)
+	await(t, r, func(one *router.Router) bool { return one.Fleet().Revision == want.Revision })
+	for _, one := range r.Routers {
+		s := status(t, one)
+		is.Equal(revision.Version{Revision: s.Revision, Offset: s.Offset, Hash: s.Hash}, want)
+	}
+	is.Equal(invariant.Broken(), broken) // nothing reverted, no revision had two texts
+}
