Run the endpoint table in the router: polls, VM list, news, ejection

Cause: endpoints came from the text alone, so nobody noticed one that left, failed or restarted. Change: the table's polls, the VM list and peers' news decide which endpoints take work; the outcome of every attempt counts; loads reach the scheduler.

--- /dev/null
+++ b/internal/transport/driver/decision.go
@@ -0,0 +1,13 @@
+package driver
+
+import "github.com/apex/log"
+
+// LogDecision writes the one line of a decision; the fields are alternating
+// keys and values.
+func LogDecision(logger log.Interface, event string, pairs []string) {
+	fields := make(log.Fields, len(pairs)/2)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		fields[pairs[i]] = pairs[i+1]
+	}
+	logger.WithFields(fields).Info(event)
+}
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -129,7 +129,7 @@
 	case schedule.Wake:
 		d.driver.WakeAt(o.At)
 	case schedule.Decision:
-		logDecision(d.logger, o)
+		driver.LogDecision(d.logger, o.Event, o.Fields)
 	}
 }
 
@@ -146,11 +146,3 @@
 	decided <- out
 	return true
 }
-
-func logDecision(logger log.Interface, d schedule.Decision) {
-	fields := log.Fields{}
-	for i := 0; i+1 < len(d.Fields); i += 2 {
-		fields[d.Fields[i]] = d.Fields[i+1]
-	}
-	logger.WithFields(fields).Info(d.Event)
-}
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -22,7 +22,8 @@
 	configurations := startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
-	r.components = append(r.components, r.members, configurations)
+	r.endpoints = startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
+	r.components = append(r.components, r.members, configurations, r.endpoints)
 }
 
 // random returns a source of its own for each state machine.
--- a/internal/transport/router/configuration.go
+++ b/internal/transport/router/configuration.go
@@ -12,7 +12,6 @@
 	wire "hyssopreach/internal/protocol/peer"
 	"hyssopreach/internal/state/invariant"
 	"hyssopreach/internal/state/revision"
-	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/driver"
 	"hyssopreach/internal/transport/platform"
@@ -110,7 +109,7 @@
 			invariant.Check(false, invariant.OneHashPerRevision, out.Fields...)
 			return
 		}
-		logDecision(c.logger, out.Event, out.Fields)
+		driver.LogDecision(c.logger, out.Event, out.Fields)
 	}
 }
 
@@ -121,7 +120,6 @@
 		return
 	}
 	c.fleet.setConfiguration(next)
-	c.fleet.setEndpoints(configuredEndpoints(next.Document))
 }
 
 // spawn runs work beside the driver, which must not block.
@@ -176,23 +174,3 @@
 	result.Text = answer.Text
 	return result
 }
-
-// configuredEndpoints lists the endpoints as the text names them.
-func configuredEndpoints(doc *text.Document) []view.Endpoint {
-	models := make(map[string][]string)
-	for i := range doc.Models {
-		models[doc.Models[i].Pool] = append(models[doc.Models[i].Pool], doc.Models[i].Name)
-	}
-	var all []view.Endpoint
-	for i := range doc.Pools {
-		p := &doc.Pools[i]
-		for j := range p.Endpoints {
-			e := &p.Endpoints[j]
-			all = append(all, view.Endpoint{
-				ID: view.EndpointID(e.Key()), Pool: p.Name, VM: e.VM, FailureDomain: e.FailureDomain,
-				Address: e.Address, Models: models[p.Name],
-			})
-		}
-	}
-	return all
-}
--- /dev/null
+++ b/internal/transport/router/endpoints.go
@@ -0,0 +1,245 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"hyssopreach/internal/coordination/endpoint"
+	"hyssopreach/internal/coordination/schedule"
+	wire "hyssopreach/internal/protocol/peer"
+	platformtypes "hyssopreach/internal/protocol/platform"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/driver"
+	client "hyssopreach/internal/transport/endpoint"
+	"hyssopreach/internal/transport/execution"
+	"hyssopreach/internal/transport/platform"
+)
+
+const (
+	// endpointTick is the distance of the steps in which polls may fall due.
+	endpointTick = 50 * time.Millisecond
+	// pollTimeout bounds one poll of an endpoint.
+	pollTimeout = time.Second
+	// endpointListTimeout bounds one read of the VM list. It is short, because
+	// an endpoint that leaves must be known within seconds.
+	endpointListTimeout = time.Second
+	// maxPolls bounds the polls that are open at once.
+	maxPolls = 64
+)
+
+// endpoints runs the endpoint table.
+type endpoints struct {
+	driver     *driver.Driver[endpoint.Input, endpoint.Output]
+	client     *client.Client
+	list       *platform.VMList
+	peers      *peers
+	fleet      *fleet
+	scheduling *execution.Scheduling
+	logger     log.Interface
+	ctx        context.Context
+	cancel     context.CancelFunc
+	calls      sync.WaitGroup
+	polls      chan struct{}
+}
+
+func startEndpoints(r *Router, list *platform.VMList) *endpoints {
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &endpoints{
+		client: r.client, list: list, peers: r.peers, fleet: r.fleet, scheduling: r.scheduling,
+		logger: r.options.Logger, ctx: ctx, cancel: cancel, polls: make(chan struct{}, maxPolls),
+	}
+	table := endpoint.New(random(r.options.Incarnation, "endpoint"))
+	e.driver = driver.New(table.Step, endpoint.Input(endpoint.Tick{}), e.apply)
+	r.peers.On("EndpointNews", func(from view.RouterID, _ uint64, m *wire.Message) {
+		e.driver.Input(endpoint.Delivery{From: from, News: wire.ToEndpointNews(m.GetEndpointNews())})
+	})
+	e.spawn(e.tick)
+	return e
+}
+
+// spawn runs work beside the driver, which must not block.
+func (e *endpoints) spawn(work func()) {
+	e.calls.Add(1)
+	go func() {
+		defer e.calls.Done()
+		work()
+	}()
+}
+
+// Close stops and waits for open polls.
+func (e *endpoints) Close() {
+	e.cancel()
+	e.driver.Close()
+	e.calls.Wait()
+	_ = e.list.Close()
+}
+
+// tick steps the table at a steady pace, and tells it of a view or a text that
+// has changed since the last step. The fleet cannot tell it directly, because
+// it is locked while it tells and the table's outputs change it.
+func (e *endpoints) tick() {
+	t := time.NewTicker(endpointTick)
+	defer t.Stop()
+	var known *view.Snapshot
+	var index *text.Index
+	for {
+		if now := e.fleet.Index(); now != index {
+			index = now
+			e.driver.Input(endpoint.Configuration{Endpoints: configuredEndpoints(index.Document())})
+		}
+		if now := e.fleet.View(); now != known {
+			known = now
+			e.driver.Input(endpoint.Routers{View: now})
+		}
+		e.driver.Input(endpoint.Tick{})
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (e *endpoints) apply(out endpoint.Output) {
+	switch o := out.(type) {
+	case endpoint.Changed:
+		// The table reuses nothing of the slice, but the fleet sorts it.
+		e.fleet.setEndpoints(slices.Clone(o.Endpoints))
+	case endpoint.Poll:
+		e.poll(o)
+	case endpoint.ReadList:
+		e.spawn(e.readList)
+	case endpoint.Send:
+		e.peers.Send(o.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(&o.News)}})
+	case endpoint.Decision:
+		driver.LogDecision(e.logger, o.Event, o.Fields)
+	}
+}
+
+// poll asks an endpoint for its load. A poll that finds too many others open
+// is left out; the table polls again.
+func (e *endpoints) poll(o endpoint.Poll) {
+	select {
+	case e.polls <- struct{}{}:
+	default:
+		return
+	}
+	e.spawn(func() {
+		defer func() { <-e.polls }()
+		ctx, cancel := context.WithTimeout(e.ctx, pollTimeout)
+		defer cancel()
+		e.ask(ctx, o.Key, o.Address)
+	})
+}
+
+func (e *endpoints) ask(ctx context.Context, key string, address netip.AddrPort) {
+	load, err := e.load(ctx, key, address)
+	if err != nil {
+		if e.ctx.Err() == nil {
+			e.driver.Input(endpoint.PollFailed{Key: key})
+		}
+		return
+	}
+	e.driver.Input(endpoint.Report{Key: key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
+	if !load.MeasuredAt.IsZero() {
+		e.scheduling.Input(schedule.Load{
+			Endpoint: endpoint.NewID(key, load.Started), Running: load.Running, Queued: load.Queued,
+			MemoryUsed: load.MemoryUsed, MeasuredAt: load.MeasuredAt,
+		})
+	}
+}
+
+// load asks an engine for its load and a plain service for its instance.
+func (e *endpoints) load(ctx context.Context, key string, address netip.AddrPort) (platformtypes.Load, error) {
+	if index := e.fleet.Index(); index != nil && !servesModels(index.Document(), key) {
+		instance, err := e.client.Instance(ctx, address)
+		return platformtypes.Load{Instance: instance}, err
+	}
+	return e.client.Load(ctx, address)
+}
+
+func (e *endpoints) readList() {
+	ctx, cancel := context.WithTimeout(e.ctx, endpointListTimeout)
+	defer cancel()
+	list, err := e.list.VMs(ctx)
+	if err != nil {
+		if e.ctx.Err() == nil {
+			e.logger.WithField("Error", err).Warn("VMListUnavailable")
+		}
+		return
+	}
+	in := endpoint.List{Version: list.Version, AsOf: list.AsOf}
+	for _, vm := range list.VMs {
+		in.VMs = append(in.VMs, endpoint.VM{Name: vm.Name, Leaving: vm.Leaving})
+	}
+	e.driver.Input(in)
+}
+
+// AttemptStarted does nothing; only ends tell about an endpoint's health.
+func (e *endpoints) AttemptStarted(*execution.Attempt) {}
+
+// AttemptEnded tells the table how an endpoint did.
+func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, _ error) {
+	switch result {
+	case schedule.ResultFinished:
+		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID})
+	case schedule.ResultNotSent, schedule.ResultBroken, schedule.ResultRejected:
+		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID, Failed: true})
+	}
+}
+
+// configuredEndpoints lists the endpoints as the text names them.
+func configuredEndpoints(doc *text.Document) []endpoint.Configured {
+	models := make(map[string][]string)
+	for i := range doc.Models {
+		m := &doc.Models[i]
+		models[m.Pool] = append(models[m.Pool], modelNames([]platformtypes.LoadedModel{{Name: m.Name, Adapters: m.Adapters}})...)
+	}
+	var all []endpoint.Configured
+	for i := range doc.Pools {
+		p := &doc.Pools[i]
+		for j := range p.Endpoints {
+			one := &p.Endpoints[j]
+			all = append(all, endpoint.Configured{
+				Key: one.Key(), Pool: p.Name, VM: one.VM, FailureDomain: one.FailureDomain,
+				Address: one.Address, Models: models[p.Name],
+			})
+		}
+	}
+	return all
+}
+
+// modelNames lists the names under which callers may ask for the models: each
+// model, and each of its adapters as "Model:Adapter".
+func modelNames(loaded []platformtypes.LoadedModel) []string {
+	var names []string
+	for _, m := range loaded {
+		names = append(names, m.Name)
+		for _, a := range m.Adapters {
+			names = append(names, m.Name+":"+a)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// servesModels tells whether the endpoint with the key is an engine.
+func servesModels(doc *text.Document, key string) bool {
+	for i := range doc.Pools {
+		p := &doc.Pools[i]
+		for j := range p.Endpoints {
+			if p.Endpoints[j].Key() == key {
+				return slices.ContainsFunc(doc.Services, func(s text.Service) bool {
+					return s.Pool == p.Name && s.Kind == text.KindModel
+				})
+			}
+		}
+	}
+	return false
+}
--- a/internal/transport/router/membership.go
+++ b/internal/transport/router/membership.go
@@ -100,7 +100,7 @@
 	case membership.Wake:
 		m.driver.WakeAt(out.At)
 	case membership.Decision:
-		logDecision(m.logger, out.Event, out.Fields)
+		driver.LogDecision(m.logger, out.Event, out.Fields)
 	}
 }
 
@@ -132,12 +132,3 @@
 	case <-timer.C:
 	}
 }
-
-// logDecision writes the one line of a decision.
-func logDecision(logger log.Interface, event string, fields []string) {
-	all := make(log.Fields, len(fields)/2)
-	for i := 0; i+1 < len(fields); i += 2 {
-		all[fields[i]] = fields[i+1]
-	}
-	logger.WithFields(all).Info(event)
-}
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -64,6 +64,7 @@
 	callers    *http.Server
 	operators  *http.Server
 	members    *members
+	endpoints  *endpoints
 	components []component
 	serving    sync.WaitGroup
 	callerAt   netip.AddrPort
@@ -96,7 +97,7 @@
 	r.peers.onScheduler(func(d schedule.Delivery) { r.scheduling.Input(d) })
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
-	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger)
+	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.endpoints)
 	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, idempotentOnly{runner}, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
 		return nil, errors.Join(fmt.Errorf("start router %s: %w", r.self.ID, err), listeners.close())
