--- a/internal/protocol/peer/conversion_endpoint_test.go
+++ b/internal/protocol/peer/conversion_endpoint_test.go
@@ -16,7 +16,7 @@
 		{ID: "vm/e#1", Leaving: true, AsOf: time.UnixMilli(7), Models: []string{"m"}},
 		{ID: "vm/f#2", Gone: true, EjectedUntil: time.UnixMilli(9)},
 	}}
-	data, err := proto.Marshal(FromEndpointNews(news))
+	data, err := proto.Marshal(FromEndpointNews(&news))
 	is.NoErr(err)
 	var m EndpointNews
 	is.NoErr(proto.Unmarshal(data, &m))
--- a/internal/tool/outage/stop.go
+++ b/internal/tool/outage/stop.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer f.close()
+	defer func() { _ = f.close() }()
 	report := &StopReport{}
 	report.Drain = f.during(ctx, o, func() {
 		began := time.Now()
--- a/internal/tool/process/router.go
+++ b/internal/tool/process/router.go
@@ -51,7 +51,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("open log of %s: %w", s.Name, err)
 	}
-	r := &Router{Settings: s, command: exec.Command(binary, "router", base+".json"), log: log}
+	// The process outlives the context, which bounds only its start.
+	command := exec.CommandContext(context.WithoutCancel(ctx), binary, "router", base+".json")
+	r := &Router{Settings: s, command: command, log: log}
 	r.command.Stdout, r.command.Stderr = log, log
 	if err := r.command.Start(); err != nil {
 		_ = log.Close()
--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -2,249 +2,244 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
-	table "hyssopreach/internal/coordination/endpoint"
+	"hyssopreach/internal/coordination/endpoint"
 	"hyssopreach/internal/coordination/schedule"
 	wire "hyssopreach/internal/protocol/peer"
-	"hyssopreach/internal/protocol/platform"
+	platformtypes "hyssopreach/internal/protocol/platform"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
-	"hyssopreach/internal/transport/endpoint"
+	"hyssopreach/internal/transport/driver"
+	client "hyssopreach/internal/transport/endpoint"
 	"hyssopreach/internal/transport/execution"
-	services "hyssopreach/internal/transport/platform"
+	"hyssopreach/internal/transport/platform"
 )
 
 const (
-	// endpointTick is the time between two ticks of the endpoint table.
-	endpointTick = 100 * time.Millisecond
-	// endpointInputs bounds the inputs that wait for the table. What doesn't
-	// fit is dropped: polls and news come again.
-	endpointInputs = 4096
-	// pollTimeout bounds one poll of an endpoint or of the VM list.
+	// endpointTick is the distance of the steps in which polls may fall due.
+	endpointTick = 50 * time.Millisecond
+	// pollTimeout bounds one poll of an endpoint.
 	pollTimeout = time.Second
-	// maxPolls bounds the polls under way.
+	// endpointListTimeout bounds one read of the VM list. It is short, because
+	// an endpoint that leaves must be known within seconds.
+	endpointListTimeout = time.Second
+	// maxPolls bounds the polls that are open at once.
 	maxPolls = 64
 )
 
-// endpoints feeds the endpoint table with what the text, the VM list, the
-// endpoints themselves, attempts and peers tell, and does what it asks.
+// endpoints runs the endpoint table.
 type endpoints struct {
-	fleet  *fleet
-	peers  *peers
-	client *endpoint.Client
-	list   *services.VMList
-	loads  func(schedule.Input)
-	logger log.Interface
-
-	table  *table.Table
-	inputs chan table.Input
-	polls  chan struct{}
-	cancel context.CancelFunc
-	ended  sync.WaitGroup
-
-	// index and view are what the table was last told of; only run uses them.
-	index *text.Index
-	view  *view.Snapshot
+	driver     *driver.Driver[endpoint.Input, endpoint.Output]
+	client     *client.Client
+	list       *platform.VMList
+	peers      *peers
+	fleet      *fleet
+	scheduling *execution.Scheduling
+	logger     log.Interface
+	ctx        context.Context
+	cancel     context.CancelFunc
+	calls      sync.WaitGroup
+	polls      chan struct{}
 }
 
-// newEndpoints returns the component; loads takes the reports of engines.
-func newEndpoints(f *fleet, p *peers, client *endpoint.Client, list *services.VMList, loads func(schedule.Input), logger log.Interface, seed uint64) *endpoints {
+func startEndpoints(r *Router, list *platform.VMList) *endpoints {
+	ctx, cancel := context.WithCancel(context.Background())
 	e := &endpoints{
-		fleet: f, peers: p, client: client, list: list, loads: loads, logger: logger,
-		table:  table.New(rand.New(rand.NewPCG(seed, 3))),
-		inputs: make(chan table.Input, endpointInputs),
-		polls:  make(chan struct{}, maxPolls),
+		client: r.client, list: list, peers: r.peers, fleet: r.fleet, scheduling: r.scheduling,
+		logger: r.options.Logger, ctx: ctx, cancel: cancel, polls: make(chan struct{}, maxPolls),
 	}
-	p.On("EndpointNews", e.receive)
+	table := endpoint.New(random(r.options.Incarnation, "endpoint"))
+	e.driver = driver.New(table.Step, endpoint.Input(endpoint.Tick{}), e.apply)
+	r.peers.On("EndpointNews", func(from view.RouterID, _ uint64, m *wire.Message) {
+		e.driver.Input(endpoint.Delivery{From: from, News: wire.ToEndpointNews(m.GetEndpointNews())})
+	})
+	e.spawn(e.tick)
 	return e
 }
 
-func (e *endpoints) start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
-	e.ended.Go(func() { e.run(ctx) })
+// spawn runs work beside the driver, which must not block.
+func (e *endpoints) spawn(work func()) {
+	e.calls.Add(1)
+	go func() {
+		defer e.calls.Done()
+		work()
+	}()
 }
 
-// Close stops polling and waits.
+// Close stops and waits for open polls.
 func (e *endpoints) Close() {
 	e.cancel()
-	e.ended.Wait()
+	e.driver.Close()
+	e.calls.Wait()
 	_ = e.list.Close()
 }
 
-func (e *endpoints) run(ctx context.Context) {
-	ticker := time.NewTicker(endpointTick)
-	defer ticker.Stop()
+// tick steps the table at a steady pace, and tells it of a view or a text that
+// has changed since the last step. The fleet cannot tell it directly, because
+// it is locked while it tells and the table's outputs change it.
+func (e *endpoints) tick() {
+	t := time.NewTicker(endpointTick)
+	defer t.Stop()
+	var known *view.Snapshot
+	var index *text.Index
 	for {
+		if now := e.fleet.Index(); now != index {
+			index = now
+			e.driver.Input(endpoint.Configuration{Endpoints: configuredEndpoints(index.Document())})
+		}
+		if now := e.fleet.View(); now != known {
+			known = now
+			e.driver.Input(endpoint.Routers{View: now})
+		}
+		e.driver.Input(endpoint.Tick{})
 		select {
-		case <-ctx.Done():
+		case <-e.ctx.Done():
 			return
-		case in := <-e.inputs:
-			e.step(ctx, in)
-		case <-ticker.C:
-			e.refresh(ctx)
-			e.step(ctx, table.Tick{})
+		case <-t.C:
 		}
 	}
 }
 
-// refresh tells the table of a new text and of new routers.
-func (e *endpoints) refresh(ctx context.Context) {
-	if index := e.fleet.Index(); index != e.index {
-		e.index = index
-		e.step(ctx, table.Configuration{Endpoints: configuredEndpoints(index.Document())})
-	}
-	if v := e.fleet.View(); v != e.view {
-		e.view = v
-		e.step(ctx, table.Routers{View: v})
-	}
-}
-
-func (e *endpoints) step(ctx context.Context, in table.Input) {
-	for _, out := range e.table.Step(time.Now(), in) {
-		switch out := out.(type) {
-		case table.Changed:
-			e.fleet.setEndpoints(out.Endpoints)
-		case table.Poll:
-			e.background(func() { e.poll(ctx, out) })
-		case table.ReadList:
-			e.background(func() { e.readList(ctx) })
-		case table.Send:
-			e.peers.Send(out.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(out.News)}})
-		case table.Decision:
-			fields := make(log.Fields, len(out.Fields)/2)
-			for i := 0; i+1 < len(out.Fields); i += 2 {
-				fields[out.Fields[i]] = out.Fields[i+1]
-			}
-			e.logger.WithFields(fields).Info(out.Event)
-		}
+func (e *endpoints) apply(out endpoint.Output) {
+	switch o := out.(type) {
+	case endpoint.Changed:
+		// The table reuses nothing of the slice, but the fleet sorts it.
+		e.fleet.setEndpoints(slices.Clone(o.Endpoints))
+	case endpoint.Poll:
+		e.poll(o)
+	case endpoint.ReadList:
+		e.spawn(e.readList)
+	case endpoint.Send:
+		e.peers.Send(o.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(&o.News)}})
+	case endpoint.Decision:
+		driver.LogDecision(e.logger, o.Event, o.Fields)
 	}
 }
 
-// background runs a poll unless too many are under way; then it is left out,
-// and the table asks again.
-func (e *endpoints) background(poll func()) {
+// poll asks an endpoint for its load. A poll that finds too many others open
+// is left out; the table polls again.
+func (e *endpoints) poll(o endpoint.Poll) {
 	select {
 	case e.polls <- struct{}{}:
-		e.ended.Go(func() {
-			poll()
-			<-e.polls
-		})
-	default:
-	}
-}
-
-// feed hands an input to the table without blocking.
-func (e *endpoints) feed(in table.Input) {
-	select {
-	case e.inputs <- in:
 	default:
+		return
 	}
+	e.spawn(func() {
+		defer func() { <-e.polls }()
+		ctx, cancel := context.WithTimeout(e.ctx, pollTimeout)
+		defer cancel()
+		e.ask(ctx, o)
+	})
 }
 
-func (e *endpoints) poll(ctx context.Context, p table.Poll) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	var load platform.Load
-	var err error
-	if p.Engine {
-		load, err = e.client.Load(ctx, p.Address)
-	} else {
-		load.Instance, err = e.client.Instance(ctx, p.Address)
-	}
+func (e *endpoints) ask(ctx context.Context, o endpoint.Poll) {
+	load, err := e.load(ctx, o)
 	if err != nil {
-		e.feed(table.PollFailed{Key: p.Key})
+		if e.ctx.Err() == nil {
+			e.driver.Input(endpoint.PollFailed{Key: o.Key})
+		}
 		return
 	}
-	e.feed(table.Report{Key: p.Key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
-	if !p.Engine {
-		return
+	e.driver.Input(endpoint.Report{Key: o.Key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
+	if o.Engine {
+		e.scheduling.Input(schedule.Load{
+			Endpoint: endpoint.NewID(o.Key, load.Started), Running: load.Running, Queued: load.Queued,
+			MemoryUsed: load.MemoryUsed, MeasuredAt: load.MeasuredAt,
+		})
 	}
-	e.loads(schedule.Load{
-		Endpoint: table.NewID(p.Key, load.Started), Running: load.Running, Queued: load.Queued,
-		MemoryUsed: load.MemoryUsed, MeasuredAt: load.MeasuredAt,
-	})
 }
 
-// modelNames are the names by which callers reach the models; nil stays nil,
-// since it means that the endpoint doesn't say.
-func modelNames(models []platform.LoadedModel) []string {
-	if models == nil {
-		return nil
+// load asks an engine for its load and a plain service for its instance.
+func (e *endpoints) load(ctx context.Context, o endpoint.Poll) (platformtypes.Load, error) {
+	if o.Engine {
+		return e.client.Load(ctx, o.Address)
 	}
-	names := []string{}
-	for _, m := range models {
-		names = append(names, m.Name)
-		for _, adapter := range m.Adapters {
-			names = append(names, m.Name+":"+adapter)
-		}
-	}
-	return names
+	instance, err := e.client.Instance(ctx, o.Address)
+	return platformtypes.Load{Instance: instance}, err
 }
 
-func (e *endpoints) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+func (e *endpoints) readList() {
+	ctx, cancel := context.WithTimeout(e.ctx, endpointListTimeout)
 	defer cancel()
 	list, err := e.list.VMs(ctx)
 	if err != nil {
-		e.logger.WithError(err).Warn("VMListUnavailable")
+		if e.ctx.Err() == nil {
+			e.logger.WithField("Error", err).Warn("VMListUnavailable")
+		}
 		return
 	}
-	in := table.List{Version: list.Version, AsOf: list.AsOf}
+	in := endpoint.List{Version: list.Version, AsOf: list.AsOf}
 	for _, vm := range list.VMs {
-		in.VMs = append(in.VMs, table.VM{Name: vm.Name, Leaving: vm.Leaving})
+		in.VMs = append(in.VMs, endpoint.VM{Name: vm.Name, Leaving: vm.Leaving})
 	}
-	e.feed(in)
+	e.driver.Input(in)
 }
 
-func (e *endpoints) receive(from view.RouterID, _ uint64, m *wire.Message) {
-	e.feed(table.Delivery{From: from, News: wire.ToEndpointNews(m.GetEndpointNews())})
-}
-
-// AttemptStarted does nothing; see execution.Watcher.
+// AttemptStarted does nothing; only ends tell about an endpoint's health.
 func (e *endpoints) AttemptStarted(*execution.Attempt) {}
 
-// AttemptEnded tells the table how an attempt ended.
+// AttemptEnded tells the table how an endpoint did.
 func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, _ error) {
 	switch result {
 	case schedule.ResultFinished:
-		e.feed(table.Outcome{ID: a.Endpoint.ID})
-	case schedule.ResultNotSent, schedule.ResultBroken:
-		e.feed(table.Outcome{ID: a.Endpoint.ID, Failed: true})
+		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID})
+	case schedule.ResultNotSent, schedule.ResultBroken, schedule.ResultRejected:
+		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID, Failed: true})
 	}
 }
 
 // configuredEndpoints lists the endpoints as the text names them.
-func configuredEndpoints(doc *text.Document) []table.Configured {
-	engines := make(map[string]bool)
-	for i := range doc.Services {
-		if doc.Services[i].Kind == text.KindModel {
-			engines[doc.Services[i].Pool] = true
-		}
-	}
+func configuredEndpoints(doc *text.Document) []endpoint.Configured {
+	engines := enginePools(doc)
 	models := make(map[string][]string)
 	for i := range doc.Models {
 		m := &doc.Models[i]
-		models[m.Pool] = append(models[m.Pool], m.Name)
-		for _, adapter := range m.Adapters {
-			models[m.Pool] = append(models[m.Pool], m.Name+":"+adapter)
-		}
+		models[m.Pool] = append(models[m.Pool], modelNames([]platformtypes.LoadedModel{{Name: m.Name, Adapters: m.Adapters}})...)
 	}
-	var all []table.Configured
+	var all []endpoint.Configured
 	for i := range doc.Pools {
 		p := &doc.Pools[i]
 		for j := range p.Endpoints {
-			e := &p.Endpoints[j]
-			all = append(all, table.Configured{
-				Key: e.Key(), Pool: p.Name, VM: e.VM, FailureDomain: e.FailureDomain,
-				Address: e.Address, Engine: engines[p.Name], Models: models[p.Name],
+			one := &p.Endpoints[j]
+			all = append(all, endpoint.Configured{
+				Key: one.Key(), Pool: p.Name, VM: one.VM, FailureDomain: one.FailureDomain,
+				Address: one.Address, Engine: engines[p.Name], Models: models[p.Name],
 			})
 		}
 	}
 	return all
 }
+
+// modelNames lists the names under which callers may ask for the models: each
+// model, and each of its adapters as "Model:Adapter". An engine that holds no
+// model names none; nil is kept for one that doesn't say what it holds.
+func modelNames(loaded []platformtypes.LoadedModel) []string {
+	if loaded == nil {
+		return nil
+	}
+	names := []string{}
+	for _, m := range loaded {
+		names = append(names, m.Name)
+		for _, a := range m.Adapters {
+			names = append(names, m.Name+":"+a)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// enginePools returns the pools whose endpoints are model engines.
+func enginePools(doc *text.Document) map[string]bool {
+	pools := make(map[string]bool)
+	for i := range doc.Services {
+		if doc.Services[i].Kind == text.KindModel {
+			pools[doc.Services[i].Pool] = true
+		}
+	}
+	return pools
+}
