Measure when a leaving endpoint gets its last new request

Cause: nothing showed the bound of 3 s. Change: hyssopreach-measure leaving lets an engine leave under load with 7 routers, once with all reading the VM list and once with all but one cut from it; the bound of 3 s stands in bounds.json. rig.Options.Network lets a measurement cut a router's network.

--- a/cmd/hyssopreach-measure/bounds.go
+++ b/cmd/hyssopreach-measure/bounds.go
@@ -13,6 +13,7 @@
 type bounds struct {
 	Fairness fairnessBounds
 	Latency  latencyBounds
+	Leaving  leavingBounds
 }
 
 // fairnessBounds hold in scene A.
--- a/internal/tool/outage/stop.go
+++ b/internal/tool/outage/stop.go
@@ -27,7 +27,8 @@
 	engines       = 6
 	plainServices = 3
 	// meanTokens makes chats long enough to be under way when a router dies.
-	meanTokens = 100
+	meanTokens  = 100
+	promptBytes = 200
 	// resends is how often a caller sends a request again.
 	resends    = 6
 	tryTimeout = 20 * time.Second
@@ -135,17 +136,24 @@
 }
 
 func (f *fleetOfProcesses) load(o StopOptions) *load.Settings {
+	s := newLoad(f.rig, o.PerSecond, o.Seed)
+	s.Work.Kinds = append(s.Work.Kinds, load.KindBooking, load.KindBooking)
+	for _, one := range f.settings {
+		s.Addresses = append(s.Addresses, one.CallerAddress)
+	}
+	return s
+}
+
+// newLoad is a mixed load of requests that may be repeated.
+func newLoad(r *rig.Rig, perSecond float64, seed uint64) *load.Settings {
 	s := &load.Settings{
-		PerSecond: o.PerSecond, Resends: resends, Timeout: tryTimeout, Seed: o.Seed,
+		PerSecond: perSecond, Resends: resends, Timeout: tryTimeout, Seed: seed,
 		Work: load.Work{
-			Kinds: []load.Kind{load.KindStream, load.KindWhole, load.KindAsset, load.KindShare, load.KindBooking, load.KindBooking},
-			Model: rig.Model, Tokens: meanTokens, PromptBytes: 200, PlainPrefix: "/services/" + rig.PlainService,
+			Kinds: []load.Kind{load.KindStream, load.KindWhole, load.KindAsset, load.KindShare},
+			Model: rig.Model, Tokens: meanTokens, PromptBytes: promptBytes, PlainPrefix: "/services/" + rig.PlainService,
 		},
 	}
-	for _, one := range f.settings {
-		s.Addresses = append(s.Addresses, one.CallerAddress)
-	}
-	for _, organisation := range f.rig.Document.Organisations {
+	for _, organisation := range r.Document.Organisations {
 		s.Keys = append(s.Keys, rig.Key(organisation.Name))
 	}
 	return s
--- a/internal/tool/rig/rig.go
+++ b/internal/tool/rig/rig.go
@@ -37,6 +37,9 @@
 	Platform fleet.Settings
 	// Scheduler makes the scheduler of each router; nil means the default.
 	Scheduler func(id view.RouterID) schedule.Scheduler
+	// Network makes the network of each router from the host's, so that a
+	// measurement can cut it; nil leaves it as it is.
+	Network func(number int, host router.Network) router.Network
 	// EntryHold is how long entry answers hold.
 	EntryHold time.Duration
 	Logger    log.Interface
@@ -150,6 +153,9 @@
 		Settings: &s, Incarnation: uint64(time.Now().UnixNano()), Network: router.NewNetwork(s.PeerAddress.Addr()),
 		Logger: r.options.Logger, Registry: metrics.NewRegistry(),
 	}
+	if r.options.Network != nil {
+		o.Network = r.options.Network(i, o.Network)
+	}
 	if r.options.Scheduler != nil {
 		o.Scheduler = r.options.Scheduler(s.Name)
 	}
