--- a/internal/protocol/peer/conversion_endpoint.go
+++ b/internal/protocol/peer/conversion_endpoint.go
@@ -7,38 +7,31 @@
 	"hyssopreach/internal/state/view"
 )
 
-// FromEndpointNews returns the wire form of news about endpoints.
-func FromEndpointNews(n *endpoint.News) *EndpointNews {
-	wire := &EndpointNews{
-		ListVersion: n.ListVersion, ListAsOfUnixMillis: toMillis(n.ListAsOf),
-		Endpoints: make([]*EndpointState, len(n.States)),
-	}
-	for i := range n.States {
-		s := &n.States[i]
-		wire.Endpoints[i] = &EndpointState{
+// FromEndpointNews converts news of endpoints to its wire form.
+func FromEndpointNews(n endpoint.News) *EndpointNews {
+	m := &EndpointNews{ListVersion: n.ListVersion, ListAsOfUnixMillis: toMillis(n.ListAsOf)}
+	for _, s := range n.States {
+		m.Endpoints = append(m.Endpoints, &EndpointState{
 			Endpoint: string(s.ID), Leaving: s.Leaving, Gone: s.Gone, Models: s.Models,
 			EjectedUntilUnixMillis: toMillis(s.EjectedUntil), AsOfUnixMillis: toMillis(s.AsOf),
-		}
+		})
 	}
-	return wire
+	return m
 }
 
-// ToEndpointNews reads the wire form of news about endpoints.
-func ToEndpointNews(wire *EndpointNews) endpoint.News {
-	n := endpoint.News{
-		ListVersion: wire.ListVersion, ListAsOf: fromMillis(wire.ListAsOfUnixMillis),
-		States: make([]endpoint.State, len(wire.Endpoints)),
-	}
-	for i, w := range wire.Endpoints {
-		n.States[i] = endpoint.State{
-			ID: view.EndpointID(w.Endpoint), Leaving: w.Leaving, Gone: w.Gone, Models: w.Models,
-			EjectedUntil: fromMillis(w.EjectedUntilUnixMillis), AsOf: fromMillis(w.AsOfUnixMillis),
-		}
+// ToEndpointNews converts news of endpoints from its wire form.
+func ToEndpointNews(m *EndpointNews) endpoint.News {
+	n := endpoint.News{ListVersion: m.GetListVersion(), ListAsOf: fromMillis(m.GetListAsOfUnixMillis())}
+	for _, s := range m.GetEndpoints() {
+		n.States = append(n.States, endpoint.State{
+			ID: view.EndpointID(s.GetEndpoint()), Leaving: s.GetLeaving(), Gone: s.GetGone(), Models: s.GetModels(),
+			EjectedUntil: fromMillis(s.GetEjectedUntilUnixMillis()), AsOf: fromMillis(s.GetAsOfUnixMillis()),
+		})
 	}
 	return n
 }
 
-// toMillis writes the zero instant as 0.
+// toMillis keeps the zero time zero.
 func toMillis(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
@@ -46,9 +39,9 @@
 	return t.UnixMilli()
 }
 
-func fromMillis(n int64) time.Time {
-	if n == 0 {
+func fromMillis(millis int64) time.Time {
+	if millis == 0 {
 		return time.Time{}
 	}
-	return time.UnixMilli(n)
+	return time.UnixMilli(millis)
 }
--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net/netip"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -116,7 +116,7 @@
 	case endpoint.ReadList:
 		e.spawn(e.readList)
 	case endpoint.Send:
-		e.peers.Send(o.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(&o.News)}})
+		e.peers.Send(o.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(o.News)}})
 	case endpoint.Decision:
 		driver.LogDecision(e.logger, o.Event, o.Fields)
 	}
@@ -134,36 +134,33 @@
 		defer func() { <-e.polls }()
 		ctx, cancel := context.WithTimeout(e.ctx, pollTimeout)
 		defer cancel()
-		e.ask(ctx, o.Key, o.Address)
+		e.ask(ctx, o)
 	})
 }
 
-func (e *endpoints) ask(ctx context.Context, key string, address netip.AddrPort) {
-	load, err := e.load(ctx, key, address)
+func (e *endpoints) ask(ctx context.Context, o endpoint.Poll) {
+	var load platformtypes.Load
+	var err error
+	if o.Engine {
+		load, err = e.client.Load(ctx, o.Address)
+	} else {
+		load.Instance, err = e.client.Instance(ctx, o.Address)
+	}
 	if err != nil {
 		if e.ctx.Err() == nil {
-			e.driver.Input(endpoint.PollFailed{Key: key})
+			e.driver.Input(endpoint.PollFailed{Key: o.Key})
 		}
 		return
 	}
-	e.driver.Input(endpoint.Report{Key: key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
-	if !load.MeasuredAt.IsZero() {
+	e.driver.Input(endpoint.Report{Key: o.Key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
+	if o.Engine {
 		e.scheduling.Input(schedule.Load{
-			Endpoint: endpoint.NewID(key, load.Started), Running: load.Running, Queued: load.Queued,
+			Endpoint: endpoint.NewID(o.Key, load.Started), Running: load.Running, Queued: load.Queued,
 			MemoryUsed: load.MemoryUsed, MeasuredAt: load.MeasuredAt,
 		})
 	}
 }
 
-// load asks an engine for its load and a plain service for its instance.
-func (e *endpoints) load(ctx context.Context, key string, address netip.AddrPort) (platformtypes.Load, error) {
-	if index := e.fleet.Index(); index != nil && !servesModels(index.Document(), key) {
-		instance, err := e.client.Instance(ctx, address)
-		return platformtypes.Load{Instance: instance}, err
-	}
-	return e.client.Load(ctx, address)
-}
-
 func (e *endpoints) readList() {
 	ctx, cancel := context.WithTimeout(e.ctx, endpointListTimeout)
 	defer cancel()
@@ -184,18 +181,28 @@
 // AttemptStarted does nothing; only ends tell about an endpoint's health.
 func (e *endpoints) AttemptStarted(*execution.Attempt) {}
 
-// AttemptEnded tells the table how an endpoint did.
-func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, _ error) {
+// AttemptEnded tells the table how an endpoint did. An attempt that its caller
+// gave up says nothing of the endpoint.
+func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
 	switch result {
 	case schedule.ResultFinished:
 		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID})
-	case schedule.ResultNotSent, schedule.ResultBroken, schedule.ResultRejected:
+	case schedule.ResultNotSent, schedule.ResultBroken:
 		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID, Failed: true})
 	}
 }
 
 // configuredEndpoints lists the endpoints as the text names them.
 func configuredEndpoints(doc *text.Document) []endpoint.Configured {
+	engines := make(map[string]bool)
+	for i := range doc.Services {
+		if doc.Services[i].Kind == text.KindModel {
+			engines[doc.Services[i].Pool] = true
+		}
+	}
 	models := make(map[string][]string)
 	for i := range doc.Models {
 		m := &doc.Models[i]
@@ -208,7 +215,7 @@
 			one := &p.Endpoints[j]
 			all = append(all, endpoint.Configured{
 				Key: one.Key(), Pool: p.Name, VM: one.VM, FailureDomain: one.FailureDomain,
-				Address: one.Address, Models: models[p.Name],
+				Address: one.Address, Engine: engines[p.Name], Models: models[p.Name],
 			})
 		}
 	}
@@ -216,9 +223,13 @@
 }
 
 // modelNames lists the names under which callers may ask for the models: each
-// model, and each of its adapters as "Model:Adapter".
+// model, and each of its adapters as "Model:Adapter". Nil stays nil, since it
+// means that the endpoint does not say.
 func modelNames(loaded []platformtypes.LoadedModel) []string {
-	var names []string
+	if loaded == nil {
+		return nil
+	}
+	names := []string{}
 	for _, m := range loaded {
 		names = append(names, m.Name)
 		for _, a := range m.Adapters {
@@ -228,18 +239,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// servesModels tells whether the endpoint with the key is an engine.
-func servesModels(doc *text.Document, key string) bool {
-	for i := range doc.Pools {
-		p := &doc.Pools[i]
-		for j := range p.Endpoints {
-			if p.Endpoints[j].Key() == key {
-				return slices.ContainsFunc(doc.Services, func(s text.Service) bool {
-					return s.Pool == p.Name && s.Kind == text.KindModel
-				})
-			}
-		}
-	}
-	return false
-}
