Count service when it is received and reserve for what is to come

Change: a counter is the settled service and a reserve per running request, half the learnt mean for requests that stream. An organisation behind by d then holds d/reserve more slots until it has caught up. Settled amounts stay monotone; reserves are replaced by newer words. Dispatchers keep the word of each router apart and add grants that are on their way. Routers tell dispatchers of moved counters in one message per peer (Counters).

--- a/internal/coordination/bidding/bidder.go
+++ b/internal/coordination/bidding/bidder.go
@@ -197,6 +197,7 @@
 		b.widen(now, l)
 		b.spread(now, l)
 	}
+	b.tellCounters(now)
 	b.report(now)
 	b.running.renew(b, now)
 	b.forget(now)
--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -26,11 +26,6 @@
 	strayEvery = 250 * time.Millisecond
 	// resyncAfter is the silence after which a bid is stated afresh.
 	resyncAfter = 2 * time.Second
-	// tagEvery is the least time between two bids that only bring a new tag.
-	tagEvery = time.Second
-	// tagQuanta is the number of estimates by which a tag must have risen to
-	// be told by itself.
-	tagQuanta = 4
 	// noEndpointGrace is how long a request waits for an endpoint to appear.
 	noEndpointGrace = 10 * time.Second
 )
@@ -69,7 +64,6 @@
 	received uint64
 	told     int // waiting requests told
 	toldAt   time.Time
-	toldTag  float64
 	urgency  int
 	toldWith uint64 // value of received when last told
 	heardAt  time.Time
@@ -117,11 +111,7 @@
 	if l.queue.first().urgency() > s.urgency {
 		return true
 	}
-	if now.Sub(s.heardAt) >= resyncAfter && now.Sub(s.toldAt) >= resyncAfter {
-		return true
-	}
-	rise := l.meter.Tag() - s.toldTag
-	return rise > tagQuanta*l.meter.estimate() && now.Sub(s.toldAt) >= tagEvery
+	return now.Sub(s.heardAt) >= resyncAfter && now.Sub(s.toldAt) >= resyncAfter
 }
 
 // urgency is the request's urgency for a dispatcher; nested calls go before
@@ -142,7 +132,6 @@
 	s.told = min(l.queue.Len(), mostTold)
 	s.toldWith = s.received
 	s.toldAt = now
-	s.toldTag = l.meter.Tag()
 	s.urgency = 0
 	if first := l.queue.first(); first != nil {
 		s.urgency = first.urgency()
@@ -152,6 +141,6 @@
 	}
 	return &schedule.Bid{
 		Endpoint: s.endpoint, Line: l.key.line, Waiting: s.told, Received: s.received,
-		Resync: resync, Urgency: s.urgency, Tag: s.toldTag, Estimate: l.meter.estimate(),
+		Resync: resync, Urgency: s.urgency, Tag: l.meter.Tag(), Reserve: l.meter.reserve(),
 	}
 }
--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -1,6 +1,8 @@
 package bidding
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"hyssopreach/internal/coordination/schedule"
@@ -9,12 +11,16 @@
 )
 
 const (
-	// reportEvery is the longest time for which a change goes unreported, and
-	// the distance of repeated reports while work waits.
+	// reportEvery is the longest time for which a change goes unreported to
+	// the holder, and the distance of repeated reports while work waits.
 	reportEvery = time.Second
-	// reportQuanta is the number of estimates of unreported service that make
-	// a report due at once.
-	reportQuanta = 4
+	// sharedReportEvery is the same while other routers have work of the
+	// organisation too.
+	sharedReportEvery = 250 * time.Millisecond
+	// counterEvery is the least distance of words to dispatchers about a
+	// counter that has moved, and counterLatest the greatest.
+	counterEvery  = 250 * time.Millisecond
+	counterLatest = time.Second
 	// idleAfter is how long nothing must wait before an organisation is
 	// reported as idle.
 	idleAfter = 500 * time.Millisecond
@@ -23,7 +29,7 @@
 	// learnAfter is the number of costs from which the learnt mean replaces
 	// the caller's hint.
 	learnAfter = 5
-	// leastCost is the smallest charge of a request, in units of service.
+	// leastCost is the smallest cost of a request, in units of service.
 	leastCost = 1e-6
 )
 
@@ -33,21 +39,27 @@
 // meter is the router's record of one organisation in one pool.
 type meter struct {
 	account.Meter
-	key      meterKey
-	weight   float64
-	mean     float64 // learnt cost of a request, in units of service
-	samples  int
-	hint     float64
-	waiting  int
-	emptyAt  time.Time
+	key     meterKey
+	weight  float64
+	mean    float64 // learnt cost of a request, in units of service
+	early   float64 // learnt part of the cost that is reported on the way
+	samples int
+	hint    float64
+	waiting int
+	emptyAt time.Time
+	// shared says that other routers have work of the organisation.
+	shared   bool
 	reported struct {
 		at      time.Time
-		total   float64
 		waiting bool
 	}
+	told struct {
+		at  time.Time
+		tag float64
+	}
 }
 
-// estimate is the expected charge of one request.
+// estimate is the expected cost of one request, per unit of weight.
 func (m *meter) estimate() float64 {
 	cost := m.hint
 	if m.samples >= learnAfter {
@@ -56,14 +68,18 @@
 	return max(cost, leastCost) / m.weight
 }
 
-// learn takes the cost of a finished request, in units of service.
-func (m *meter) learn(cost float64) {
+// reserve is what a running request is taken to cost beyond what it is known
+// to have received: all of it if that is told at the end only, half of it, as
+// the mean over a request's life, if it is told on the way.
+func (m *meter) reserve() float64 { return m.estimate() * (1 - m.early/2) }
+
+// learn takes the cost of a finished request and the part of it that was told
+// on the way, in units of service.
+func (m *meter) learn(cost, early float64) {
 	m.samples++
-	if m.samples == 1 {
-		m.mean = cost
-	}
 	weight := max(learnWeight, 1/float64(m.samples))
 	m.mean += weight * (cost - m.mean)
+	m.early += weight * (early/max(cost, leastCost) - m.early)
 }
 
 // waits reports whether the organisation counts as having work.
@@ -75,18 +91,22 @@
 func (m *meter) due(now time.Time) bool {
 	r := &m.reported
 	waits := m.waits(now)
-	if waits != r.waiting || m.Total()-r.total >= reportQuanta*m.estimate() {
+	if waits != r.waiting {
 		return true
 	}
-	return (waits || m.Total() != m.Acknowledged()) && now.Sub(r.at) >= reportEvery
+	every := reportEvery
+	if m.shared {
+		every = sharedReportEvery
+	}
+	return (waits || m.Total() != m.Acknowledged()) && now.Sub(r.at) >= every
 }
 
 // charge builds the organisation's line of a report.
 func (m *meter) charge(now time.Time) schedule.Charge {
-	m.reported.at, m.reported.total, m.reported.waiting = now, m.Total(), m.waits(now)
+	m.reported.at, m.reported.waiting = now, m.waits(now)
 	return schedule.Charge{
 		Organisation: m.key.organisation, Total: m.Total(), Acknowledged: m.Acknowledged(),
-		Tag: m.HolderTag(), Waiting: m.reported.waiting,
+		Settled: m.Settled(), Reserved: m.Reserved(), Waiting: m.reported.waiting,
 	}
 }
 
@@ -137,31 +157,73 @@
 
 // Tags takes the holder's answer.
 func (b *Bidder) Tags(now time.Time, m *schedule.Tags) {
-	for i := range m.Charges {
-		c := &m.Charges[i]
-		if known := b.meters[meterKey{m.Pool, c.Organisation}]; known != nil {
-			before := known.Tag()
-			known.Acknowledge(c.Tag, c.Total)
-			if known.Tag()-before > tagQuanta*known.estimate() {
-				b.lifted(now, known)
-			}
+	for i := range m.Accounts {
+		a := &m.Accounts[i]
+		known := b.meters[meterKey{m.Pool, a.Organisation}]
+		if known == nil {
+			continue
 		}
+		known.Acknowledge(a.Settled, a.Total, a.OthersReserved)
+		known.shared = a.OthersWait
 	}
 	b.pool(m.Pool).served(now, m.Virtual)
+	b.tellCounters(now)
+}
+
+// moved reports whether the dispatchers must hear of the counter.
+func (m *meter) moved(now time.Time) bool {
+	if m.waiting == 0 {
+		return false
+	}
+	age := now.Sub(m.told.at)
+	change := math.Abs(m.Tag() - m.told.tag)
+	return change > m.estimate()/2 && age >= counterEvery || change > 4*m.estimate() || age >= counterLatest
+}
+
+// tellCounters tells the dispatchers at which lines bid of counters that have
+// moved.
+func (b *Bidder) tellCounters(now time.Time) {
+	type to struct {
+		owner view.RouterID
+		pool  string
+	}
+	var order []to
+	words := map[to]*schedule.Counters{}
+	for _, m := range b.meterOrder {
+		if !m.moved(now) {
+			continue
+		}
+		m.told.at, m.told.tag = now, m.Tag()
+		for _, owner := range b.biddingAt(m) {
+			key := to{owner, m.key.pool}
+			if words[key] == nil {
+				words[key] = &schedule.Counters{Pool: key.pool}
+				order = append(order, key)
+			}
+			words[key].Counters = append(words[key].Counters,
+				schedule.Counter{Organisation: m.key.organisation, Tag: m.told.tag})
+		}
+	}
+	for _, key := range order {
+		b.send(key.owner, words[key])
+	}
 }
 
-// lifted tells the dispatchers at once of a counter that has jumped.
-func (b *Bidder) lifted(now time.Time, m *meter) {
+// biddingAt is the routers that dispatch an endpoint at which the
+// organisation bids.
+func (b *Bidder) biddingAt(m *meter) []view.RouterID {
+	var owners []view.RouterID
 	for _, l := range b.lineOrder {
 		if l.meter != m || l.queue.Len() == 0 {
 			continue
 		}
 		for _, s := range l.bids {
-			if s.remaining() > 0 {
-				b.send(s.owner, l.tell(now, s))
+			if s.remaining() > 0 && !slices.Contains(owners, s.owner) {
+				owners = append(owners, s.owner)
 			}
 		}
 	}
+	return owners
 }
 
 // meterOf returns the organisation's meter in the pool.
--- a/internal/coordination/bidding/running.go
+++ b/internal/coordination/bidding/running.go
@@ -26,7 +26,8 @@
 	endpoint   view.EndpointID
 	line       schedule.Line
 	meter      *meter
-	charged    float64 // per unit of weight
+	reserved   float64 // per unit of weight
+	early      float64 // units of service before the end
 	served     float64 // units of service
 	firstToken time.Duration
 }
@@ -101,7 +102,7 @@
 	m := &schedule.Renewal{Endpoint: id}
 	for _, s := range r.byEndpoint[id] {
 		m.Running = append(m.Running, schedule.Running{
-			Grant: s.grant, Line: s.line, Estimate: s.charged, FirstToken: s.firstToken,
+			Grant: s.grant, Line: s.line, FirstToken: s.firstToken,
 		})
 	}
 	b.send(owner, m)
@@ -164,16 +165,16 @@
 	gap := now.Sub(l.grantedAt)
 	l.pace += time.Duration(paceWeight * float64(gap-l.pace))
 	l.grantedAt = now
-	charge := l.meter.estimate()
+	reserve := l.meter.reserve()
 	tag := l.meter.Tag()
-	l.meter.Charge(charge)
+	l.meter.Reserve(reserve)
 	b.running.add(&run{
-		request: i.request, grant: m.Grant, endpoint: e.ID, line: m.Line, meter: l.meter, charged: charge,
+		request: i.request, grant: m.Grant, endpoint: e.ID, line: m.Line, meter: l.meter, reserved: reserve,
 	})
 	b.out = append(b.out, schedule.Start{
 		ID: i.request.ID, Endpoint: e.ID,
-		Reason: fmt.Sprintf("policy=share tag=%.0f dispatcherTag=%.0f charge=%.0f waiting=%d",
-			tag, m.Virtual, charge, l.queue.Len()),
+		Reason: fmt.Sprintf("policy=share tag=%.0f dispatcherTag=%.0f reserve=%.0f waiting=%d",
+			tag, m.Virtual, reserve, l.queue.Len()),
 	})
 }
 
@@ -187,37 +188,34 @@
 		r.firstToken = m.FirstToken
 	}
 	r.serve(m.Service)
+	r.early = r.served
 }
 
-// serve books service beyond what was charged already.
+// serve settles service.
 func (r *run) serve(service float64) {
 	r.served += service
-	if due := r.served / r.meter.weight; due > r.charged {
-		r.meter.Charge(due - r.charged)
-		r.charged = due
-	}
+	r.meter.Serve(service / r.meter.weight)
 }
 
-// Complete takes the end of a running request, corrects its charge and gives
-// the slot back.
+// Complete takes the end of a running request, settles what it received and
+// gives the slot back.
 func (b *Bidder) Complete(m schedule.Completion) {
 	r := b.running.byID[m.ID]
 	if r == nil {
 		return
 	}
 	b.running.remove(r)
+	r.meter.Free(r.reserved)
+	if m.Result == schedule.ResultFinished && r.served+m.Service == 0 {
+		m.Service = r.reserved * r.meter.weight // nobody said what it cost
+	}
 	r.serve(m.Service)
-	final := r.served / r.meter.weight
 	if m.Result == schedule.ResultFinished {
-		if r.served == 0 {
-			final = r.charged
-		}
-		r.meter.learn(final * r.meter.weight)
+		r.meter.learn(r.served, r.early)
 	}
-	r.meter.Refund(r.charged - final)
 	if owner := b.owners[r.endpoint]; owner != "" {
 		b.send(owner, &schedule.Return{
-			Grant: r.grant, Endpoint: r.endpoint, Line: r.line, Result: m.Result, Service: final,
+			Grant: r.grant, Endpoint: r.endpoint, Line: r.line, Result: m.Result,
 			Elapsed: m.Elapsed, FirstToken: r.firstToken, Tag: r.meter.Tag(),
 		})
 	}
--- a/internal/coordination/dispatch/bids.go
+++ b/internal/coordination/dispatch/bids.go
@@ -21,7 +21,7 @@
 	waiting int // requests that wait and have no grant on its way
 	granted uint64
 	urgency int
-	amount  float64 // the charge of one grant
+	amount  float64 // reserved for one grant
 	order   uint64
 	until   time.Time
 	index   int // in the queue; -1 outside
@@ -131,7 +131,7 @@
 		held.granted = m.Received
 	}
 	held.until = until
-	held.amount = m.Estimate
+	held.amount = m.Reserve
 	held.waiting = max(0, m.Waiting-int(held.granted-m.Received))
 	if m.Waiting == 0 {
 		held.waiting = 0
--- a/internal/coordination/dispatch/endpoint.go
+++ b/internal/coordination/dispatch/endpoint.go
@@ -26,12 +26,11 @@
 
 // grant is a slot that is out.
 type grant struct {
-	to     view.RouterID
-	line   schedule.Line
-	amount float64
-	given  time.Time
-	until  time.Time
-	began  bool // its time to first token has been taken
+	to    view.RouterID
+	line  schedule.Line
+	given time.Time
+	until time.Time
+	began bool // its time to first token has been taken
 }
 
 // endpoint is the dispatcher of one endpoint.
@@ -87,7 +86,7 @@
 	for _, r := range m.Running {
 		g := e.grants[r.Grant]
 		if g == nil {
-			g = &grant{to: from, line: r.Line, amount: r.Estimate, given: now}
+			g = &grant{to: from, line: r.Line, given: now}
 			e.grants[r.Grant] = g
 			if r.Line.Exclusive {
 				e.exclusive = r.Grant
@@ -105,18 +104,17 @@
 	e.limit.atLeast(len(e.grants))
 }
 
-// end takes a grant back and reports whether it was out.
-func (e *endpoint) end(now time.Time, m *schedule.Return) *grant {
+// end takes a grant back.
+func (e *endpoint) end(now time.Time, m *schedule.Return) {
 	running := len(e.grants)
 	g := e.release(m.Grant)
 	if g == nil {
-		return nil
+		return
 	}
 	if m.FirstToken > 0 && !g.began {
 		e.limit.began(now, m.FirstToken, running)
 	}
 	e.limit.ended(now, m, running)
-	return g
 }
 
 // announce reports whether a shortage of the given room is due to be told. The
--- a/internal/coordination/dispatch/table.go
+++ b/internal/coordination/dispatch/table.go
@@ -73,6 +73,13 @@
 		e.releaseWhere(func(g *grant) bool { return lost(g.to) })
 		e.board.drop(func(b *bid) bool { return lost(b.key.from) })
 	}
+	for router := range old {
+		if lost(router) {
+			for _, c := range t.pools {
+				c.Forget(now, router)
+			}
+		}
+	}
 	t.sort()
 }
 
@@ -143,7 +150,7 @@
 		return
 	}
 	e := t.open(known)
-	e.board.counters.Merge(m.Line.Organisation, m.Tag)
+	t.hear(now, e.pool, from, m.Line.Organisation, m.Tag)
 	e.board.place(now.Add(bidLifetime), from, m)
 	t.serve(now, e)
 }
@@ -154,15 +161,9 @@
 	if e == nil {
 		return
 	}
-	organisation := m.Line.Organisation
-	if g := e.end(now, m); g != nil {
-		e.board.counters.Correct(organisation, g.amount-m.Service)
-	}
-	e.board.counters.Merge(organisation, m.Tag)
-	for _, other := range t.order {
-		if other.pool == e.pool {
-			other.board.lowered(organisation)
-		}
+	e.end(now, m)
+	if m.Tag > 0 {
+		t.hear(now, e.pool, from, m.Line.Organisation, m.Tag)
 	}
 	if b := e.board.bids[bidKey{from, m.Line}]; b != nil {
 		b.until = now.Add(bidLifetime)
@@ -170,6 +171,30 @@
 	t.serve(now, e)
 }
 
+// Hear takes a router's word about counters.
+func (t *Table) Hear(now time.Time, from view.RouterID, m *schedule.Counters) {
+	if t.pools[m.Pool] == nil {
+		return
+	}
+	for i := range m.Counters {
+		t.hear(now, m.Pool, from, m.Counters[i].Organisation, m.Counters[i].Tag)
+	}
+}
+
+func (t *Table) hear(now time.Time, pool string, from view.RouterID, organisation string, tag float64) {
+	c := t.counters(pool)
+	before := c.Value(organisation)
+	c.Hear(now, from, organisation, tag)
+	if c.Value(organisation) >= before {
+		return // boards find a risen counter by themselves
+	}
+	for _, e := range t.order {
+		if e.pool == pool {
+			e.board.lowered(organisation)
+		}
+	}
+}
+
 // Renew takes a router's list of what it runs at an endpoint.
 func (t *Table) Renew(now time.Time, from view.RouterID, m *schedule.Renewal) {
 	known := t.known[m.Endpoint]
@@ -260,8 +285,8 @@
 	id := t.lastGrant
 	line := b.key.line
 	until := now.Add(grantLifetime)
-	before := e.board.counters.Serve(now, line.Organisation, b.amount)
-	e.grants[id] = &grant{to: b.key.from, line: line, amount: b.amount, given: now, until: until}
+	before := e.board.counters.Serve(now, b.key.from, line.Organisation, b.amount)
+	e.grants[id] = &grant{to: b.key.from, line: line, given: now, until: until}
 	if line.Exclusive {
 		e.exclusive = id
 	}
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -40,8 +40,9 @@
 	// Tag is the organisation's counter as the sender knows it, in units of
 	// service per unit of weight.
 	Tag float64
-	// Estimate is the expected charge of one request, in the same unit.
-	Estimate float64
+	// Reserve is what the sender will set aside for each request that it
+	// starts, in the same unit.
+	Reserve float64
 }
 
 // Grant gives the receiver one slot of an endpoint for a line.
@@ -58,13 +59,10 @@
 
 // Return gives a slot back: unused, or after the work has ended.
 type Return struct {
-	Grant    GrantID
-	Endpoint view.EndpointID
-	Line     Line
-	Result   Result
-	// Service is the whole charge of the request, in units of service per
-	// unit of weight.
-	Service    float64
+	Grant      GrantID
+	Endpoint   view.EndpointID
+	Line       Line
+	Result     Result
 	Elapsed    time.Duration
 	FirstToken time.Duration
 	// Tag is the organisation's counter as the sender knows it.
@@ -82,9 +80,6 @@
 type Running struct {
 	Grant GrantID
 	Line  Line
-	// Estimate is the charge booked for the grant, in units of service per
-	// unit of weight.
-	Estimate float64
 	// FirstToken is the time that the endpoint took to begin the answer;
 	// zero until it has begun.
 	FirstToken time.Duration
@@ -103,31 +98,57 @@
 	Virtual float64
 }
 
-// Charge is one organisation's line in a Report or in Tags.
+// Charge is one organisation's line in a Report.
 type Charge struct {
 	Organisation string
-	// Total is the charge through the router since its start, in units of
-	// service per unit of weight. It never falls, so that a report can be
-	// lost or repeated without harm. In Tags it is the total that the holder
-	// has taken in.
+	// Total is the service received through the sender since its start, in
+	// units of service per unit of weight. It never falls, so that a report
+	// can be lost or repeated without harm.
 	Total float64
-	// Acknowledged is the part of Total that Tag already contains.
-	Acknowledged float64
-	// Tag is the organisation's counter as the holder gave it last.
-	Tag float64
+	// Settled is what the holder gave last as received through all routers,
+	// and Acknowledged the part of Total that it contains.
+	Settled, Acknowledged float64
+	// Reserved is set aside for what runs through the sender.
+	Reserved float64
 	// Waiting says that requests of the organisation wait at the sender.
 	Waiting bool
 }
 
 // Tags answers a Report with the accounts as their holder sees them.
 type Tags struct {
-	Pool    string
-	Charges []Charge
+	Pool     string
+	Accounts []Account
 	// Virtual is the pool's virtual time, in units of service per unit of
 	// weight: about the least counter that is being served.
 	Virtual float64
 }
 
+// Account is one organisation's line in Tags.
+type Account struct {
+	Organisation string
+	// Settled is the service received through all routers, and Total the part
+	// of it that came through the receiver.
+	Settled, Total float64
+	// OthersReserved is set aside for what runs through other routers.
+	OthersReserved float64
+	// OthersWait says that work waits at other routers.
+	OthersWait bool
+}
+
+// Counters tells dispatchers what has become of the counters of organisations
+// that bid there.
+type Counters struct {
+	Pool     string
+	Counters []Counter
+}
+
+// Counter is one organisation's counter as the sender knows it, in units of
+// service per unit of weight.
+type Counter struct {
+	Organisation string
+	Tag          float64
+}
+
 // Shortage tells that an endpoint has room and no bids.
 type Shortage struct {
 	Endpoint view.EndpointID
@@ -153,5 +174,8 @@
 // SchedulerMessage marks Tags as a Message.
 func (*Tags) SchedulerMessage() {}
 
+// SchedulerMessage marks Counters as a Message.
+func (*Counters) SchedulerMessage() {}
+
 // SchedulerMessage marks a Shortage as a Message.
 func (*Shortage) SchedulerMessage() {}
--- a/internal/coordination/share/holder.go
+++ b/internal/coordination/share/holder.go
@@ -26,16 +26,17 @@
 	if m.Virtual > 0 {
 		ledger.Served(now, from, m.Virtual)
 	}
-	answer := &schedule.Tags{Pool: m.Pool, Charges: make([]schedule.Charge, len(m.Charges))}
+	answer := &schedule.Tags{Pool: m.Pool, Accounts: make([]schedule.Account, len(m.Charges))}
 	for i := range m.Charges {
 		c := &m.Charges[i]
-		counter := ledger.Take(now, account.Claim{
+		standing := ledger.Take(now, account.Claim{
 			From: from, Incarnation: m.Incarnation, Organisation: c.Organisation,
-			Total: c.Total, Acknowledged: c.Acknowledged, Tag: c.Tag, Waiting: c.Waiting,
+			Total: c.Total, Acknowledged: c.Acknowledged, Settled: c.Settled,
+			Reserved: c.Reserved, Waiting: c.Waiting,
 		})
-		total := ledger.Total(c.Organisation, from)
-		answer.Charges[i] = schedule.Charge{
-			Organisation: c.Organisation, Total: total, Acknowledged: total, Tag: counter, Waiting: c.Waiting,
+		answer.Accounts[i] = schedule.Account{
+			Organisation: c.Organisation, Settled: standing.Settled, Total: standing.Total,
+			OthersReserved: standing.OthersReserved, OthersWait: standing.OthersWait,
 		}
 	}
 	answer.Virtual = ledger.Virtual()
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -100,6 +100,8 @@
 		s.table.Return(now, from, m)
 	case *schedule.Renewal:
 		s.table.Renew(now, from, m)
+	case *schedule.Counters:
+		s.table.Hear(now, from, m)
 	case *schedule.Grant:
 		s.bidder.Grant(now, from, m)
 	case *schedule.Shortage:
--- a/internal/protocol/peer/conversion_schedule.go
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -15,7 +15,7 @@
 		return &Message{Kind: &Message_Bid{&Bid{
 			Endpoint: string(m.Endpoint), Line: fromLine(m.Line), Waiting: uint32(m.Waiting),
 			Received: m.Received, Resync: m.Resync, Urgency: int32(m.Urgency),
-			Tag: m.Tag, Estimate: float32(m.Estimate),
+			Tag: m.Tag, Reserve: float32(m.Reserve),
 		}}}
 	case *schedule.Grant:
 		return &Message{Kind: &Message_Grant{&Grant{
@@ -25,7 +25,7 @@
 	case *schedule.Return:
 		return &Message{Kind: &Message_Return{&Return{
 			Grant: uint64(m.Grant), Endpoint: string(m.Endpoint), Line: fromLine(m.Line),
-			Result: uint32(m.Result), Service: m.Service, ElapsedMicros: m.Elapsed.Microseconds(),
+			Result: uint32(m.Result), ElapsedMicros: m.Elapsed.Microseconds(),
 			FirstTokenMicros: m.FirstToken.Microseconds(), Tag: m.Tag,
 		}}}
 	case *schedule.Renewal:
@@ -36,8 +36,10 @@
 		}}}
 	case *schedule.Tags:
 		return &Message{Kind: &Message_Tags{&Tags{
-			Pool: m.Pool, Charges: fromCharges(m.Charges), Virtual: m.Virtual,
+			Pool: m.Pool, Accounts: fromAccounts(m.Accounts), Virtual: m.Virtual,
 		}}}
+	case *schedule.Counters:
+		return &Message{Kind: &Message_Counters{fromCounters(m)}}
 	case *schedule.Shortage:
 		return &Message{Kind: &Message_Shortage{&Shortage{Endpoint: string(m.Endpoint), Room: uint32(m.Room)}}}
 	}
@@ -53,7 +55,7 @@
 		return &schedule.Bid{
 			Endpoint: view.EndpointID(w.GetEndpoint()), Line: toLine(w.GetLine()),
 			Waiting: int(w.GetWaiting()), Received: w.GetReceived(), Resync: w.GetResync(),
-			Urgency: int(w.GetUrgency()), Tag: w.GetTag(), Estimate: float64(w.GetEstimate()),
+			Urgency: int(w.GetUrgency()), Tag: w.GetTag(), Reserve: float64(w.GetReserve()),
 		}, true
 	case *Message_Grant:
 		w := kind.Grant
@@ -66,7 +68,7 @@
 		w := kind.Return
 		return &schedule.Return{
 			Grant: schedule.GrantID(w.GetGrant()), Endpoint: view.EndpointID(w.GetEndpoint()),
-			Line: toLine(w.GetLine()), Result: schedule.Result(w.GetResult()), Service: w.GetService(),
+			Line: toLine(w.GetLine()), Result: schedule.Result(w.GetResult()),
 			Elapsed: micros(w.GetElapsedMicros()), FirstToken: micros(w.GetFirstTokenMicros()), Tag: w.GetTag(),
 		}, true
 	case *Message_Renewal:
@@ -80,8 +82,10 @@
 	case *Message_Tags:
 		w := kind.Tags
 		return &schedule.Tags{
-			Pool: w.GetPool(), Charges: toCharges(w.GetCharges()), Virtual: w.GetVirtual(),
+			Pool: w.GetPool(), Accounts: toAccounts(w.GetAccounts()), Virtual: w.GetVirtual(),
 		}, true
+	case *Message_Counters:
+		return toCounters(kind.Counters), true
 	case *Message_Shortage:
 		w := kind.Shortage
 		return &schedule.Shortage{Endpoint: view.EndpointID(w.GetEndpoint()), Room: int(w.GetRoom())}, true
@@ -103,7 +107,7 @@
 	w := &Renewal{Endpoint: string(m.Endpoint), Running: make([]*RunningGrant, len(m.Running))}
 	for i, r := range m.Running {
 		w.Running[i] = &RunningGrant{
-			Grant: uint64(r.Grant), Line: fromLine(r.Line), Estimate: float32(r.Estimate),
+			Grant: uint64(r.Grant), Line: fromLine(r.Line),
 			FirstTokenMicros: r.FirstToken.Microseconds(),
 		}
 	}
@@ -115,7 +119,7 @@
 	for _, r := range w.GetRunning() {
 		m.Running = append(m.Running, schedule.Running{
 			Grant: schedule.GrantID(r.GetGrant()), Line: toLine(r.GetLine()),
-			Estimate: float64(r.GetEstimate()), FirstToken: micros(r.GetFirstTokenMicros()),
+			FirstToken: micros(r.GetFirstTokenMicros()),
 		})
 	}
 	return m
@@ -125,8 +129,8 @@
 	w := make([]*Charge, len(charges))
 	for i, c := range charges {
 		w[i] = &Charge{
-			Organisation: c.Organisation, Total: c.Total, Tag: c.Tag, Waiting: c.Waiting,
-			Acknowledged: c.Acknowledged,
+			Organisation: c.Organisation, Total: c.Total, Settled: c.Settled,
+			Acknowledged: c.Acknowledged, Reserved: c.Reserved, Waiting: c.Waiting,
 		}
 	}
 	return w
@@ -136,9 +140,47 @@
 	charges := make([]schedule.Charge, len(w))
 	for i, c := range w {
 		charges[i] = schedule.Charge{
-			Organisation: c.GetOrganisation(), Total: c.GetTotal(), Tag: c.GetTag(),
-			Waiting: c.GetWaiting(), Acknowledged: c.GetAcknowledged(),
+			Organisation: c.GetOrganisation(), Total: c.GetTotal(), Settled: c.GetSettled(),
+			Acknowledged: c.GetAcknowledged(), Reserved: c.GetReserved(), Waiting: c.GetWaiting(),
 		}
 	}
 	return charges
 }
+
+func fromAccounts(accounts []schedule.Account) []*Account {
+	w := make([]*Account, len(accounts))
+	for i, a := range accounts {
+		w[i] = &Account{
+			Organisation: a.Organisation, Settled: a.Settled, Total: a.Total,
+			OthersReserved: a.OthersReserved, OthersWait: a.OthersWait,
+		}
+	}
+	return w
+}
+
+func toAccounts(w []*Account) []schedule.Account {
+	accounts := make([]schedule.Account, len(w))
+	for i, a := range w {
+		accounts[i] = schedule.Account{
+			Organisation: a.GetOrganisation(), Settled: a.GetSettled(), Total: a.GetTotal(),
+			OthersReserved: a.GetOthersReserved(), OthersWait: a.GetOthersWait(),
+		}
+	}
+	return accounts
+}
+
+func fromCounters(m *schedule.Counters) *Counters {
+	w := &Counters{Pool: m.Pool, Counters: make([]*Counter, len(m.Counters))}
+	for i, c := range m.Counters {
+		w.Counters[i] = &Counter{Organisation: c.Organisation, Tag: c.Tag}
+	}
+	return w
+}
+
+func toCounters(w *Counters) *schedule.Counters {
+	m := &schedule.Counters{Pool: w.GetPool()}
+	for _, c := range w.GetCounters() {
+		m.Counters = append(m.Counters, schedule.Counter{Organisation: c.GetOrganisation(), Tag: c.GetTag()})
+	}
+	return m
+}
--- a/internal/state/account/counters.go
+++ b/internal/state/account/counters.go
@@ -1,82 +1,128 @@
 package account
 
 import (
-	"math"
 	"time"
+
+	"hyssopreach/internal/state/view"
 )
 
-// lowWindow is how long a served counter counts as recent; a counter is
-// forgotten after one to two windows.
-const lowWindow = time.Second
+const (
+	// sourceFresh is how long a router's word about a counter stands beside
+	// fresher words of others.
+	sourceFresh = 3 * time.Second
+	// onTheWay is the age from which a grant is taken to be contained in what
+	// its receiver says of the counter.
+	onTheWay = 10 * time.Millisecond
+)
 
 // Counters are a dispatcher's view of the organisations of one pool.
 type Counters struct {
-	values map[string]float64
+	values map[string]*counter
+	recent []serving
 	low    lowest
 }
 
+// counter is one organisation's, from what each router says of it.
+type counter struct {
+	value float64
+	words map[view.RouterID]word
+}
+
+type word struct {
+	tag   float64
+	until time.Time
+}
+
+// serving is a grant that its receiver may not have seen yet.
+type serving struct {
+	at           time.Time
+	organisation string
+	to           view.RouterID
+	amount       float64
+}
+
 // NewCounters returns an empty view.
 func NewCounters() *Counters {
-	return &Counters{values: map[string]float64{}, low: newLowest()}
+	return &Counters{values: map[string]*counter{}, low: newLowest()}
 }
 
 // Value is the organisation's counter.
-func (c *Counters) Value(organisation string) float64 { return c.values[organisation] }
+func (c *Counters) Value(organisation string) float64 {
+	if known := c.values[organisation]; known != nil {
+		return known.value
+	}
+	return 0
+}
 
-// Merge takes another's view of the organisation; the higher one wins.
-func (c *Counters) Merge(organisation string, tag float64) {
-	if tag > c.values[organisation] {
-		c.values[organisation] = tag
+// Hear takes a router's word about an organisation: the greatest fresh word
+// counts. Grants that may still be on their way to that router are added.
+func (c *Counters) Hear(now time.Time, from view.RouterID, organisation string, tag float64) {
+	known := c.counter(organisation)
+	for _, s := range c.young(now) {
+		if s.to == from && s.organisation == organisation {
+			tag += s.amount
+		}
 	}
+	known.words[from] = word{tag, now.Add(sourceFresh)}
+	known.settle(now)
 }
 
-// Serve charges the organisation for a grant and returns its counter before.
-func (c *Counters) Serve(now time.Time, organisation string, amount float64) float64 {
-	before := c.values[organisation]
-	c.values[organisation] = before + amount
+// Serve charges the organisation for a grant to the router and returns its
+// counter before.
+func (c *Counters) Serve(now time.Time, to view.RouterID, organisation string, amount float64) float64 {
+	known := c.counter(organisation)
+	before := known.value
+	w := known.words[to]
+	known.words[to] = word{max(w.tag, before) + amount, now.Add(sourceFresh)}
+	known.settle(now)
+	c.recent = append(c.young(now), serving{now, organisation, to, amount})
 	c.low.add(now, before)
 	return before
 }
 
-// Correct takes back the part of a charge that the request did not need.
-func (c *Counters) Correct(organisation string, amount float64) {
-	c.values[organisation] = max(0, c.values[organisation]-amount)
+// Forget drops the words of a router that is gone.
+func (c *Counters) Forget(now time.Time, from view.RouterID) {
+	for _, known := range c.values {
+		if _, ok := known.words[from]; ok {
+			delete(known.words, from)
+			known.settle(now)
+		}
+	}
 }
 
 // Lowest is the least counter that was served lately; false if none was.
 func (c *Counters) Lowest(now time.Time) (float64, bool) { return c.low.value(now) }
 
-// lowest keeps a minimum over a sliding window by two halves.
-type lowest struct {
-	current, previous float64
-	since             time.Time
-}
-
-func newLowest() lowest {
-	return lowest{current: math.Inf(1), previous: math.Inf(1)}
-}
-
-func (l *lowest) turn(now time.Time) {
-	age := now.Sub(l.since)
-	switch {
-	case age < lowWindow:
-	case age < 2*lowWindow:
-		l.previous, l.current, l.since = l.current, math.Inf(1), now
-	default:
-		l.previous, l.current, l.since = math.Inf(1), math.Inf(1), now
+func (c *Counters) counter(organisation string) *counter {
+	known := c.values[organisation]
+	if known == nil {
+		known = &counter{words: map[view.RouterID]word{}}
+		c.values[organisation] = known
 	}
+	return known
 }
 
-func (l *lowest) add(now time.Time, value float64) {
-	l.turn(now)
-	l.current = min(l.current, value)
+// young drops the grants that have surely arrived and returns the others.
+func (c *Counters) young(now time.Time) []serving {
+	old := 0
+	for old < len(c.recent) && now.Sub(c.recent[old].at) >= onTheWay {
+		old++
+	}
+	c.recent = append(c.recent[:0], c.recent[old:]...)
+	return c.recent
 }
 
-func (l *lowest) value(now time.Time) (float64, bool) {
-	l.turn(now)
-	value := min(l.current, l.previous)
-	if math.IsInf(value, 1) {
-		return 0, false
+// settle sets the value to the greatest fresh word; without one it stays.
+func (k *counter) settle(now time.Time) {
+	best, fresh := 0.0, false
+	for from, w := range k.words {
+		if now.After(w.until) {
+			delete(k.words, from)
+			continue
+		}
+		best, fresh = max(best, w.tag), true
+	}
+	if fresh {
+		k.value = best
 	}
-	return value, true
 }
--- a/internal/state/account/ledger.go
+++ b/internal/state/account/ledger.go
@@ -24,7 +24,7 @@
 }
 
 type entry struct {
-	counter float64
+	settled float64
 	sources map[view.RouterID]*source
 }
 
@@ -32,6 +32,9 @@
 type source struct {
 	incarnation uint64
 	total       float64
+	reserved    float64
+	// heardUntil is the instant until which the reserve counts.
+	heardUntil time.Time
 	// waitingUntil is the instant until which the router is taken to have
 	// work of the organisation waiting.
 	waitingUntil time.Time
@@ -42,10 +45,22 @@
 	From         view.RouterID
 	Incarnation  uint64
 	Organisation string
-	Total        float64
-	Acknowledged float64
-	Tag          float64
-	Waiting      bool
+	// Total is what the router has settled since its start, and Acknowledged
+	// the part of it that Settled, the holder's last answer, contains.
+	Total, Acknowledged, Settled float64
+	Reserved                     float64
+	Waiting                      bool
+}
+
+// Standing is the answer to a claim.
+type Standing struct {
+	// Settled is everything that the organisation has received, and Total the
+	// part of it that came through the claimant.
+	Settled, Total float64
+	// OthersReserved is reserved through other routers.
+	OthersReserved float64
+	// OthersWait says that other routers have work of the organisation.
+	OthersWait bool
 }
 
 // NewLedger returns a ledger without accounts.
@@ -73,8 +88,8 @@
 // Virtual is the pool's virtual time.
 func (l *Ledger) Virtual() float64 { return l.virtual }
 
-// Take adds a router's report to the account and returns its counter.
-func (l *Ledger) Take(now time.Time, c Claim) float64 {
+// Take adds a router's report to the account.
+func (l *Ledger) Take(now time.Time, c Claim) Standing {
 	e := l.accounts[c.Organisation]
 	if e == nil {
 		e = &entry{sources: map[view.RouterID]*source{}}
@@ -84,48 +99,55 @@
 	s := e.sources[c.From]
 	switch {
 	case s == nil || s.incarnation != c.Incarnation:
-		// The router's tag holds what an earlier holder knew.
-		e.counter = max(e.counter, c.Tag) + max(0, c.Total-c.Acknowledged)
+		// The router remembers what an earlier holder knew.
+		e.settled = max(e.settled, c.Settled) + max(0, c.Total-c.Acknowledged)
 		s = &source{incarnation: c.Incarnation, total: c.Total}
 		e.sources[c.From] = s
 	case c.Total > s.total:
-		e.counter += c.Total - s.total
+		e.settled += c.Total - s.total
 		s.total = c.Total
 	}
+	s.reserved, s.heardUntil = c.Reserved, now.Add(sourceLifetime)
 	s.waitingUntil = time.Time{}
 	if c.Waiting {
 		s.waitingUntil = now.Add(sourceLifetime)
-		if !wasWaiting {
-			e.counter = max(e.counter, l.virtual)
-		}
 	}
-	return e.counter
+	if c.Waiting && !wasWaiting {
+		e.settled = max(e.settled, l.virtual-e.reserved(now, ""))
+	}
+	return Standing{
+		Settled: e.settled, Total: s.total,
+		OthersReserved: e.reserved(now, c.From), OthersWait: e.othersWait(now, c.From),
+	}
 }
 
-// Counter is the organisation's counter; zero if it has no account.
-func (l *Ledger) Counter(organisation string) float64 {
+// Settled is what the organisation has received; zero if it has no account.
+func (l *Ledger) Settled(organisation string) float64 {
 	if e := l.accounts[organisation]; e != nil {
-		return e.counter
+		return e.settled
 	}
 	return 0
 }
 
-// Total is what the ledger has taken in from the router for the organisation.
-func (l *Ledger) Total(organisation string, from view.RouterID) float64 {
-	if e := l.accounts[organisation]; e != nil {
-		if s := e.sources[from]; s != nil {
-			return s.total
+// reserved adds up what routers other than the given one have reserved.
+func (e *entry) reserved(now time.Time, except view.RouterID) float64 {
+	sum := 0.0
+	for from, s := range e.sources {
+		if from != except && now.Before(s.heardUntil) {
+			sum += s.reserved
 		}
 	}
-	return 0
+	return sum
 }
 
-// waiting reports whether any router has work of the organisation waiting.
-func (e *entry) waiting(now time.Time) bool {
-	for _, s := range e.sources {
-		if now.Before(s.waitingUntil) {
+func (e *entry) othersWait(now time.Time, except view.RouterID) bool {
+	for from, s := range e.sources {
+		if from != except && now.Before(s.waitingUntil) {
 			return true
 		}
 	}
 	return false
 }
+
+// waiting reports whether any router has work of the organisation waiting.
+func (e *entry) waiting(now time.Time) bool { return e.othersWait(now, "") }
--- a/internal/state/account/meter.go
+++ b/internal/state/account/meter.go
@@ -3,42 +3,51 @@
 // Meter is what one router knows of one organisation in one pool.
 type Meter struct {
 	total        float64
-	credit       float64
-	tag          float64
+	reserved     float64
+	settled      float64
 	acknowledged float64
+	// others is what the organisation received and has reserved through
+	// other routers.
+	othersSettled, othersReserved float64
 }
 
-// Charge books an amount, using up earlier refunds first.
-func (m *Meter) Charge(amount float64) {
-	used := min(m.credit, amount)
-	m.credit -= used
-	m.total += amount - used
-}
+// Serve settles service that has been received.
+func (m *Meter) Serve(amount float64) { m.total += amount }
+
+// Reserve sets an amount aside for a request that begins.
+func (m *Meter) Reserve(amount float64) { m.reserved += amount }
 
-// Refund gives back a part of an earlier charge. The total stays, so that it
-// never falls; later charges use the refund up.
-func (m *Meter) Refund(amount float64) { m.credit += amount }
+// Free ends the reserve of a request that has ended.
+func (m *Meter) Free(amount float64) { m.reserved = max(0, m.reserved-amount) }
 
-// Total is everything charged since the router's start.
+// Total is everything settled since the router's start.
 func (m *Meter) Total() float64 { return m.total }
 
-// Acknowledged is the part of Total that HolderTag contains.
+// Reserved is the reserve of everything that runs.
+func (m *Meter) Reserved() float64 { return m.reserved }
+
+// Acknowledged is the part of Total that Settled contains.
 func (m *Meter) Acknowledged() float64 { return m.acknowledged }
 
-// HolderTag is the counter that the account's holder gave last.
-func (m *Meter) HolderTag() float64 { return m.tag }
+// Settled is what the account's holder gave last.
+func (m *Meter) Settled() float64 { return m.settled }
 
-// Tag is the organisation's counter: the holder's and what was charged here
-// since, less refunds that are not used up.
+// Tag is the organisation's counter as this router knows it.
 func (m *Meter) Tag() float64 {
-	return max(0, m.tag+m.total-m.acknowledged-m.credit)
+	return m.othersSettled + m.total + m.othersReserved + m.reserved
 }
 
-// Acknowledge takes the holder's answer to a report. The counter never falls:
-// an answer that is older than what the meter knows changes nothing.
-func (m *Meter) Acknowledge(tag, total float64) {
-	if total > m.total || tag-total < m.tag-m.acknowledged {
+// Acknowledge takes the holder's answer to a report: what is settled in all,
+// the part of it that comes from this meter, and what is reserved through
+// others. An answer older than what the meter knows settles nothing.
+func (m *Meter) Acknowledge(settled, total, othersReserved float64) {
+	if total > m.total {
+		return // for an earlier incarnation of this router
+	}
+	m.othersReserved = othersReserved
+	if settled-total < m.othersSettled || total < m.acknowledged {
 		return
 	}
-	m.tag, m.acknowledged = tag, total
+	m.settled, m.acknowledged = settled, total
+	m.othersSettled = settled - total
 }
