Let dispatchers extrapolate counters at the rate that routers tell

Change: Bid, Return and Counters carry the rate; Counters values and other routers' parts of a meter grow at it for up to two seconds; a counter is told when it is not where it is taken to be.

--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -141,6 +141,6 @@
 	}
 	return &schedule.Bid{
 		Endpoint: s.endpoint, Line: l.key.line, Waiting: s.told, Received: s.received,
-		Resync: resync, Urgency: s.urgency, Tag: l.meter.Tag(), Reserve: l.meter.reserve(),
+		Resync: resync, Urgency: s.urgency, Tag: l.meter.Tag(now), Rate: l.meter.Rate(), Reserve: l.meter.reserve(),
 	}
 }
--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -18,9 +18,11 @@
 	// organisation too.
 	sharedReportEvery = 250 * time.Millisecond
 	// counterEvery is the least distance of words to dispatchers about a
-	// counter that has moved, and counterLatest the greatest.
-	counterEvery  = 250 * time.Millisecond
+	// counter that is not where they take it to be by counterParts of an
+	// estimate, and counterLatest the greatest distance.
+	counterEvery  = 100 * time.Millisecond
 	counterLatest = time.Second
+	counterParts  = 2
 	// idleAfter is how long nothing must wait before an organisation is
 	// reported as idle.
 	idleAfter = 500 * time.Millisecond
@@ -54,8 +56,8 @@
 		waiting bool
 	}
 	told struct {
-		at  time.Time
-		tag float64
+		at        time.Time
+		tag, rate float64
 	}
 }
 
@@ -163,21 +165,23 @@
 		if known == nil {
 			continue
 		}
-		known.Acknowledge(a.Settled, a.Total, a.OthersReserved)
+		known.Acknowledge(now, a.Settled, a.Total, a.OthersReserved)
 		known.shared = a.OthersWait
 	}
 	b.pool(m.Pool).served(now, m.Virtual)
 	b.tellCounters(now)
 }
 
-// moved reports whether the dispatchers must hear of the counter.
+// moved reports whether the dispatchers must hear of the counter: when it is
+// not where they take it to be.
 func (m *meter) moved(now time.Time) bool {
 	if m.waiting == 0 {
 		return false
 	}
 	age := now.Sub(m.told.at)
-	change := math.Abs(m.Tag() - m.told.tag)
-	return change > m.estimate()/2 && age >= counterEvery || change > 4*m.estimate() || age >= counterLatest
+	taken := m.told.tag + m.told.rate*min(age, counterLatest).Seconds()
+	off := math.Abs(m.Tag(now) - taken)
+	return age >= counterLatest || age >= counterEvery && off > m.estimate()/counterParts
 }
 
 // tellCounters tells the dispatchers at which lines bid of counters that have
@@ -190,10 +194,11 @@
 	var order []to
 	words := map[to]*schedule.Counters{}
 	for _, m := range b.meterOrder {
+		m.Measure(now)
 		if !m.moved(now) {
 			continue
 		}
-		m.told.at, m.told.tag = now, m.Tag()
+		m.told.at, m.told.tag, m.told.rate = now, m.Tag(now), m.Rate()
 		for _, owner := range b.biddingAt(m) {
 			key := to{owner, m.key.pool}
 			if words[key] == nil {
@@ -201,7 +206,7 @@
 				order = append(order, key)
 			}
 			words[key].Counters = append(words[key].Counters,
-				schedule.Counter{Organisation: m.key.organisation, Tag: m.told.tag})
+				schedule.Counter{Organisation: m.key.organisation, Tag: m.told.tag, Rate: m.told.rate})
 		}
 	}
 	for _, key := range order {
--- a/internal/coordination/bidding/running.go
+++ b/internal/coordination/bidding/running.go
@@ -133,7 +133,7 @@
 		l = b.sibling(l, endpoint, now)
 	}
 	if l == nil || late {
-		b.giveBack(from, m, l)
+		b.giveBack(now, from, m, l)
 		return
 	}
 	b.pool(endpoint.Pool).served(now, m.Virtual)
@@ -151,10 +151,10 @@
 	return nil
 }
 
-func (b *Bidder) giveBack(from view.RouterID, m *schedule.Grant, l *line) {
+func (b *Bidder) giveBack(now time.Time, from view.RouterID, m *schedule.Grant, l *line) {
 	r := &schedule.Return{Grant: m.Grant, Endpoint: m.Endpoint, Line: m.Line, Result: schedule.ResultNotSent}
 	if l != nil {
-		r.Tag = l.meter.Tag()
+		r.Tag, r.Rate = l.meter.Tag(now), l.meter.Rate()
 	}
 	b.send(from, r)
 }
@@ -166,7 +166,7 @@
 	l.pace += time.Duration(paceWeight * float64(gap-l.pace))
 	l.grantedAt = now
 	reserve := l.meter.reserve()
-	tag := l.meter.Tag()
+	tag := l.meter.Tag(now)
 	l.meter.Reserve(reserve)
 	b.running.add(&run{
 		request: i.request, grant: m.Grant, endpoint: e.ID, line: m.Line, meter: l.meter, reserved: reserve,
@@ -199,7 +199,7 @@
 
 // Complete takes the end of a running request, settles what it received and
 // gives the slot back.
-func (b *Bidder) Complete(m schedule.Completion) {
+func (b *Bidder) Complete(now time.Time, m schedule.Completion) {
 	r := b.running.byID[m.ID]
 	if r == nil {
 		return
@@ -216,7 +216,7 @@
 	if owner := b.owners[r.endpoint]; owner != "" {
 		b.send(owner, &schedule.Return{
 			Grant: r.grant, Endpoint: r.endpoint, Line: r.line, Result: m.Result,
-			Elapsed: m.Elapsed, FirstToken: r.firstToken, Tag: r.meter.Tag(),
+			Elapsed: m.Elapsed, FirstToken: r.firstToken, Tag: r.meter.Tag(now), Rate: r.meter.Rate(),
 		})
 	}
 }
--- a/internal/coordination/bidding/spread.go
+++ b/internal/coordination/bidding/spread.go
@@ -152,7 +152,7 @@
 	if placed >= most {
 		return
 	}
-	behind := l.meter.Tag()+l.meter.estimate() < b.pool(l.key.pool).front(now)
+	behind := l.meter.Tag(now)+l.meter.estimate() < b.pool(l.key.pool).front(now)
 	switch {
 	case behind:
 		l.width = min(2*max(placed, firstBids), most)
--- a/internal/coordination/dispatch/bids.go
+++ b/internal/coordination/dispatch/bids.go
@@ -117,7 +117,7 @@
 }
 
 // place takes a router's word about a line.
-func (b *board) place(until time.Time, from view.RouterID, m *schedule.Bid) {
+func (b *board) place(now time.Time, from view.RouterID, m *schedule.Bid) {
 	key := bidKey{from, m.Line}
 	held := b.bids[key]
 	if held == nil {
@@ -130,7 +130,7 @@
 	if m.Resync || held.granted < m.Received {
 		held.granted = m.Received
 	}
-	held.until = until
+	held.until = now.Add(bidLifetime)
 	held.amount = m.Reserve
 	held.waiting = max(0, m.Waiting-int(held.granted-m.Received))
 	if m.Waiting == 0 {
@@ -141,17 +141,17 @@
 	}
 	held.urgency = m.Urgency
 	if held.waiting > 0 && held.index < 0 {
-		b.list(held)
+		b.list(now, held)
 	}
 }
 
-func (b *board) list(held *bid) {
+func (b *board) list(now time.Time, held *bid) {
 	b.placed++
 	held.order = b.placed
 	name := held.key.line.Organisation
 	q := b.byName[name]
 	if q == nil {
-		q = &queue{organisation: name, counter: b.counters.Value(name)}
+		q = &queue{organisation: name, counter: b.counters.Value(now, name)}
 		b.byName[name] = q
 		heap.Push(&b.heap, q)
 	}
@@ -170,7 +170,7 @@
 
 // next returns the bid to serve: the first in the queue of the organisation
 // with the least counter. Exclusive bids are passed over if none may run.
-func (b *board) next(exclusive bool) *bid {
+func (b *board) next(now time.Time, exclusive bool) *bid {
 	var passed []*queue
 	defer func() {
 		for _, q := range passed {
@@ -179,7 +179,7 @@
 	}()
 	for len(b.heap) > 0 {
 		q := b.heap[0]
-		if counter := b.counters.Value(q.organisation); counter != q.counter {
+		if counter := b.counters.Value(now, q.organisation); counter != q.counter {
 			q.counter = counter
 			heap.Fix(&b.heap, 0)
 			continue
@@ -207,19 +207,19 @@
 }
 
 // served counts a grant against the bid.
-func (b *board) served(held *bid) {
+func (b *board) served(now time.Time, held *bid) {
 	held.granted++
 	held.waiting--
 	b.unlist(held)
 	if held.waiting > 0 {
-		b.list(held)
+		b.list(now, held)
 	}
 }
 
 // lowered puts the organisation back in order after its counter fell.
-func (b *board) lowered(organisation string) {
+func (b *board) lowered(now time.Time, organisation string) {
 	if q := b.byName[organisation]; q != nil {
-		q.counter = b.counters.Value(organisation)
+		q.counter = b.counters.Value(now, organisation)
 		heap.Fix(&b.heap, q.index)
 	}
 }
--- a/internal/coordination/dispatch/table.go
+++ b/internal/coordination/dispatch/table.go
@@ -150,8 +150,8 @@
 		return
 	}
 	e := t.open(known)
-	t.hear(now, e.pool, from, m.Line.Organisation, m.Tag)
-	e.board.place(now.Add(bidLifetime), from, m)
+	t.hear(now, e.pool, from, schedule.Counter{Organisation: m.Line.Organisation, Tag: m.Tag, Rate: m.Rate})
+	e.board.place(now, from, m)
 	t.serve(now, e)
 }
 
@@ -163,7 +163,7 @@
 	}
 	e.end(now, m)
 	if m.Tag > 0 {
-		t.hear(now, e.pool, from, m.Line.Organisation, m.Tag)
+		t.hear(now, e.pool, from, schedule.Counter{Organisation: m.Line.Organisation, Tag: m.Tag, Rate: m.Rate})
 	}
 	if b := e.board.bids[bidKey{from, m.Line}]; b != nil {
 		b.until = now.Add(bidLifetime)
@@ -177,20 +177,20 @@
 		return
 	}
 	for i := range m.Counters {
-		t.hear(now, m.Pool, from, m.Counters[i].Organisation, m.Counters[i].Tag)
+		t.hear(now, m.Pool, from, m.Counters[i])
 	}
 }
 
-func (t *Table) hear(now time.Time, pool string, from view.RouterID, organisation string, tag float64) {
+func (t *Table) hear(now time.Time, pool string, from view.RouterID, word schedule.Counter) {
 	c := t.counters(pool)
-	before := c.Value(organisation)
-	c.Hear(now, from, organisation, tag)
-	if c.Value(organisation) >= before {
+	before := c.Value(now, word.Organisation)
+	c.Hear(now, from, word.Organisation, word.Tag, word.Rate)
+	if c.Value(now, word.Organisation) >= before {
 		return // boards find a risen counter by themselves
 	}
 	for _, e := range t.order {
 		if e.pool == pool {
-			e.board.lowered(organisation)
+			e.board.lowered(now, word.Organisation)
 		}
 	}
 }
@@ -265,7 +265,7 @@
 	}
 	room := e.limit.room(len(e.grants))
 	for ; room > 0; room-- {
-		b := e.board.next(e.exclusive == 0)
+		b := e.board.next(now, e.exclusive == 0)
 		if b == nil {
 			break
 		}
@@ -291,7 +291,7 @@
 		e.exclusive = id
 	}
 	to := b.key.from
-	e.board.served(b)
+	e.board.served(now, b)
 	t.out = append(t.out, schedule.Send{To: to, Message: &schedule.Grant{
 		Grant: id, Endpoint: e.id, Line: line, Deadline: until, Virtual: before,
 	}})
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -40,6 +40,9 @@
 	// Tag is the organisation's counter as the sender knows it, in units of
 	// service per unit of weight.
 	Tag float64
+	// Rate is the service that the organisation receives, in the same unit a
+	// second.
+	Rate float64
 	// Reserve is what the sender will set aside for each request that it
 	// starts, in the same unit.
 	Reserve float64
@@ -65,8 +68,9 @@
 	Result     Result
 	Elapsed    time.Duration
 	FirstToken time.Duration
-	// Tag is the organisation's counter as the sender knows it.
-	Tag float64
+	// Tag is the organisation's counter as the sender knows it, and Rate the
+	// service that it receives a second.
+	Tag, Rate float64
 }
 
 // Renewal lists everything that the sender runs at an endpoint. Grants that
@@ -143,10 +147,10 @@
 }
 
 // Counter is one organisation's counter as the sender knows it, in units of
-// service per unit of weight.
+// service per unit of weight, and the rate at which it grows a second.
 type Counter struct {
 	Organisation string
-	Tag          float64
+	Tag, Rate    float64
 }
 
 // Shortage tells that an endpoint has room and no bids.
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -58,7 +58,7 @@
 	case schedule.Progress:
 		s.bidder.Progress(in)
 	case schedule.Completion:
-		s.bidder.Complete(in)
+		s.bidder.Complete(now, in)
 	case schedule.Load:
 		s.table.Load(now, in)
 	case schedule.Delivery:
--- a/internal/protocol/peer/conversion_schedule.go
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -15,7 +15,7 @@
 		return &Message{Kind: &Message_Bid{&Bid{
 			Endpoint: string(m.Endpoint), Line: fromLine(m.Line), Waiting: uint32(m.Waiting),
 			Received: m.Received, Resync: m.Resync, Urgency: int32(m.Urgency),
-			Tag: m.Tag, Reserve: float32(m.Reserve),
+			Tag: m.Tag, Rate: float32(m.Rate), Reserve: float32(m.Reserve),
 		}}}
 	case *schedule.Grant:
 		return &Message{Kind: &Message_Grant{&Grant{
@@ -26,7 +26,7 @@
 		return &Message{Kind: &Message_Return{&Return{
 			Grant: uint64(m.Grant), Endpoint: string(m.Endpoint), Line: fromLine(m.Line),
 			Result: uint32(m.Result), ElapsedMicros: m.Elapsed.Microseconds(),
-			FirstTokenMicros: m.FirstToken.Microseconds(), Tag: m.Tag,
+			FirstTokenMicros: m.FirstToken.Microseconds(), Tag: m.Tag, Rate: float32(m.Rate),
 		}}}
 	case *schedule.Renewal:
 		return &Message{Kind: &Message_Renewal{fromRenewal(m)}}
@@ -55,7 +55,7 @@
 		return &schedule.Bid{
 			Endpoint: view.EndpointID(w.GetEndpoint()), Line: toLine(w.GetLine()),
 			Waiting: int(w.GetWaiting()), Received: w.GetReceived(), Resync: w.GetResync(),
-			Urgency: int(w.GetUrgency()), Tag: w.GetTag(), Reserve: float64(w.GetReserve()),
+			Urgency: int(w.GetUrgency()), Tag: w.GetTag(), Rate: float64(w.GetRate()), Reserve: float64(w.GetReserve()),
 		}, true
 	case *Message_Grant:
 		w := kind.Grant
@@ -69,7 +69,7 @@
 		return &schedule.Return{
 			Grant: schedule.GrantID(w.GetGrant()), Endpoint: view.EndpointID(w.GetEndpoint()),
 			Line: toLine(w.GetLine()), Result: schedule.Result(w.GetResult()),
-			Elapsed: micros(w.GetElapsedMicros()), FirstToken: micros(w.GetFirstTokenMicros()), Tag: w.GetTag(),
+			Elapsed: micros(w.GetElapsedMicros()), FirstToken: micros(w.GetFirstTokenMicros()), Tag: w.GetTag(), Rate: float64(w.GetRate()),
 		}, true
 	case *Message_Renewal:
 		return toRenewal(kind.Renewal), true
@@ -172,7 +172,7 @@
 func fromCounters(m *schedule.Counters) *Counters {
 	w := &Counters{Pool: m.Pool, Counters: make([]*Counter, len(m.Counters))}
 	for i, c := range m.Counters {
-		w.Counters[i] = &Counter{Organisation: c.Organisation, Tag: c.Tag}
+		w.Counters[i] = &Counter{Organisation: c.Organisation, Tag: c.Tag, Rate: float32(c.Rate)}
 	}
 	return w
 }
@@ -180,7 +180,7 @@
 func toCounters(w *Counters) *schedule.Counters {
 	m := &schedule.Counters{Pool: w.GetPool()}
 	for _, c := range w.GetCounters() {
-		m.Counters = append(m.Counters, schedule.Counter{Organisation: c.GetOrganisation(), Tag: c.GetTag()})
+		m.Counters = append(m.Counters, schedule.Counter{Organisation: c.GetOrganisation(), Tag: c.GetTag(), Rate: float64(c.GetRate())})
 	}
 	return m
 }
--- a/internal/state/account/account_test.go
+++ b/internal/state/account/account_test.go
@@ -34,7 +34,7 @@
 // exchange reports a meter to a ledger and takes the answer back.
 func exchange(l *Ledger, from view.RouterID, m *Meter) {
 	s := l.Take(start, claim(from, m, true))
-	m.Acknowledge(s.Settled, s.Total, s.OthersReserved)
+	m.Acknowledge(start, s.Settled, s.Total, s.OthersReserved)
 }
 
 func TestIdlenessSavesNoCredit(t *testing.T) {
@@ -66,26 +66,44 @@
 func TestCountersTakeTheGreatestFreshWord(t *testing.T) {
 	is := is.New(t)
 	c := NewCounters()
-	c.Hear(start, "a", "o", 10)
-	c.Hear(start, "b", "o", 8)
-	is.Equal(c.Value("o"), 10.0)
-	c.Hear(start, "a", "o", 5) // a's request ended and freed its reserve
-	is.Equal(c.Value("o"), 8.0)
+	c.Hear(start, "a", "o", 10, 0)
+	c.Hear(start, "b", "o", 8, 0)
+	is.Equal(c.Value(start, "o"), 10.0)
+	c.Hear(start, "a", "o", 5, 0) // a's request ended and freed its reserve
+	is.Equal(c.Value(start, "o"), 8.0)
 	c.Forget(start, "b")
-	is.Equal(c.Value("o"), 5.0)
+	is.Equal(c.Value(start, "o"), 5.0)
 	c.Forget(start, "a")
-	is.Equal(c.Value("o"), 5.0) // nothing better is known
+	is.Equal(c.Value(start, "o"), 5.0) // nothing better is known
 }
 
 func TestCountersKeepGrantsThatAreOnTheWay(t *testing.T) {
 	is := is.New(t)
 	c := NewCounters()
-	c.Hear(start, "a", "o", 10)
+	c.Hear(start, "a", "o", 10, 0)
 	is.Equal(c.Serve(start, "a", "o", 7), 10.0)
-	c.Hear(start.Add(time.Millisecond), "a", "o", 11) // sent before the grant came
-	is.Equal(c.Value("o"), 18.0)
-	c.Hear(start.Add(onTheWay), "a", "o", 18)
-	is.Equal(c.Value("o"), 18.0)
+	c.Hear(start.Add(time.Millisecond), "a", "o", 11, 0) // sent before the grant came
+	is.Equal(c.Value(start, "o"), 18.0)
+	c.Hear(start.Add(onTheWay), "a", "o", 18, 0)
+	is.Equal(c.Value(start, "o"), 18.0)
+}
+
+func TestCountersGrowBetweenWords(t *testing.T) {
+	is := is.New(t)
+	c := NewCounters()
+	c.Hear(start, "a", "o", 10, 100)
+	is.Equal(c.Value(start.Add(time.Second), "o"), 110.0)
+	is.Equal(c.Value(start.Add(time.Minute), "o"), 210.0) // for two seconds at most
+}
+
+func TestMeterTakesOthersToGoOn(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	m.Acknowledge(start, 0, 0, 0)
+	m.Acknowledge(start.Add(time.Second), 100, 0, 0)
+	is.Equal(m.Rate(), 50.0) // smoothed
+	is.Equal(m.Tag(start.Add(2*time.Second)), 150.0)
+	is.Equal(m.Settled(), 100.0)
 }
 
 func TestLowestServed(t *testing.T) {
@@ -94,7 +112,7 @@
 	low, ok := c.Lowest(start)
 	is.True(!ok)
 	is.Equal(low, 0.0) // never infinite: it would poison every account
-	c.Hear(start, "a", "o", 10)
+	c.Hear(start, "a", "o", 10, 0)
 	c.Serve(start, "a", "o", 7)
 	low, ok = c.Lowest(start.Add(time.Second))
 	is.True(ok)
@@ -174,7 +192,7 @@
 	exchange(left, "b", b) // the partition ends
 	is.Equal(left.Settled("o"), 330.0)
 	exchange(left, "a", a)
-	is.Equal(a.Tag(), 330.0)
+	is.Equal(a.Tag(start), 330.0)
 }
 
 func TestReservesOfOtherRoutersCount(t *testing.T) {
@@ -183,12 +201,12 @@
 	a.Reserve(60)
 	exchange(l, "a", a)
 	exchange(l, "b", b)
-	is.Equal(b.Tag(), 60.0)
+	is.Equal(b.Tag(start), 60.0)
 	a.Free(60)
 	a.Serve(10)
 	exchange(l, "a", a)
 	exchange(l, "b", b)
-	is.Equal(b.Tag(), 10.0)
+	is.Equal(b.Tag(start), 10.0)
 	later := l.Take(start.Add(2*sourceLifetime), Claim{From: "b", Incarnation: 1, Organisation: "o"})
 	is.Equal(later.OthersReserved, 0.0) // a has gone
 }
@@ -197,9 +215,9 @@
 	is := is.New(t)
 	var m Meter
 	m.Serve(5)
-	m.Acknowledge(500, 100, 0)
-	is.Equal(m.Tag(), 5.0)
-	m.Acknowledge(500, 5, 0)
-	m.Acknowledge(450, 3, 0) // older
-	is.Equal(m.Tag(), 500.0)
+	m.Acknowledge(start, 500, 100, 0)
+	is.Equal(m.Tag(start), 5.0)
+	m.Acknowledge(start, 500, 5, 0)
+	m.Acknowledge(start, 450, 3, 0) // older
+	is.Equal(m.Tag(start), 500.0)
 }
--- a/internal/state/account/counters.go
+++ b/internal/state/account/counters.go
@@ -24,15 +24,20 @@
 
 // counter is one organisation's, from what each router says of it.
 type counter struct {
-	value float64
+	// base stands while no word is fresh.
+	base  float64
 	words map[view.RouterID]word
 }
 
 type word struct {
 	tag   float64
+	rate  float64
+	at    time.Time
 	until time.Time
 }
 
+func (w *word) value(now time.Time) float64 { return w.tag + grown(w.rate, w.at, now) }
+
 // serving is a grant that its receiver may not have seen yet.
 type serving struct {
 	at           time.Time
@@ -46,24 +51,34 @@
 	return &Counters{values: map[string]*counter{}, low: newLowest()}
 }
 
-// Value is the organisation's counter.
-func (c *Counters) Value(organisation string) float64 {
+// Value is the organisation's counter at an instant. Between two words it only
+// grows.
+func (c *Counters) Value(now time.Time, organisation string) float64 {
 	if known := c.values[organisation]; known != nil {
-		return known.value
+		return known.value(now)
 	}
 	return 0
 }
 
-// Hear takes a router's word about an organisation: the greatest fresh word
-// counts. Grants that may still be on their way to that router are added.
-func (c *Counters) Hear(now time.Time, from view.RouterID, organisation string, tag float64) {
+func (k *counter) value(now time.Time) float64 {
+	value := k.base
+	for _, w := range k.words {
+		value = max(value, w.value(now))
+	}
+	return value
+}
+
+// Hear takes a router's word about an organisation and the rate at which it
+// grows: the greatest fresh word counts. Grants that may still be on their way
+// to that router are added.
+func (c *Counters) Hear(now time.Time, from view.RouterID, organisation string, tag, rate float64) {
 	known := c.counter(organisation)
 	for _, s := range c.young(now) {
 		if s.to == from && s.organisation == organisation {
 			tag += s.amount
 		}
 	}
-	known.words[from] = word{tag, now.Add(sourceFresh)}
+	known.words[from] = word{tag, rate, now, now.Add(sourceFresh)}
 	known.settle(now)
 }
 
@@ -71,10 +86,8 @@
 // counter before.
 func (c *Counters) Serve(now time.Time, to view.RouterID, organisation string, amount float64) float64 {
 	known := c.counter(organisation)
-	before := known.value
-	w := known.words[to]
-	known.words[to] = word{max(w.tag, before) + amount, now.Add(sourceFresh)}
-	known.settle(now)
+	before := known.value(now)
+	known.words[to] = word{before + amount, known.words[to].rate, now, now.Add(sourceFresh)}
 	c.recent = append(c.young(now), serving{now, organisation, to, amount})
 	c.low.add(now, before)
 	return before
@@ -83,7 +96,8 @@
 // Forget drops the words of a router that is gone.
 func (c *Counters) Forget(now time.Time, from view.RouterID) {
 	for _, known := range c.values {
-		if _, ok := known.words[from]; ok {
+		if w, ok := known.words[from]; ok {
+			known.base = w.value(now)
 			delete(known.words, from)
 			known.settle(now)
 		}
@@ -112,17 +126,16 @@
 	return c.recent
 }
 
-// settle sets the value to the greatest fresh word; without one it stays.
+// settle drops what is no longer fresh. The base keeps the last of it, and
+// gives way to any fresh word.
 func (k *counter) settle(now time.Time) {
-	best, fresh := 0.0, false
 	for from, w := range k.words {
 		if now.After(w.until) {
+			k.base = max(k.base, w.value(now))
 			delete(k.words, from)
-			continue
 		}
-		best, fresh = max(best, w.tag), true
 	}
-	if fresh {
-		k.value = best
+	if len(k.words) > 0 {
+		k.base = 0
 	}
 }
--- a/internal/state/account/meter.go
+++ b/internal/state/account/meter.go
@@ -1,14 +1,56 @@
 package account
 
+import "time"
+
+const (
+	// paceEvery is the least time over which a rate is measured.
+	paceEvery = 500 * time.Millisecond
+	// paceWeight is the weight of a new rate in the smoothed one.
+	paceWeight = 0.5
+	// extrapolateFor is how long a counter is taken to grow at its last known
+	// rate without being heard of.
+	extrapolateFor = 2 * time.Second
+)
+
 // Meter is what one router knows of one organisation in one pool.
 type Meter struct {
 	total        float64
 	reserved     float64
 	settled      float64
 	acknowledged float64
+	own          pace
 	// others is what the organisation received and has reserved through
 	// other routers.
 	othersSettled, othersReserved float64
+	others                        pace
+}
+
+// pace measures the rate of an amount that grows.
+type pace struct {
+	amount float64
+	at     time.Time
+	rate   float64 // a second
+}
+
+func (p *pace) measure(now time.Time, amount float64) {
+	if p.at.IsZero() {
+		p.amount, p.at = amount, now
+		return
+	}
+	age := now.Sub(p.at)
+	if age < paceEvery {
+		return
+	}
+	p.rate += paceWeight * ((amount-p.amount)/age.Seconds() - p.rate)
+	p.amount, p.at = amount, now
+}
+
+// grown is what the rate adds from the given instant on.
+func grown(rate float64, since, now time.Time) float64 {
+	if since.IsZero() {
+		return 0
+	}
+	return rate * min(max(now.Sub(since), 0), extrapolateFor).Seconds()
 }
 
 // Serve settles service that has been received.
@@ -32,15 +74,23 @@
 // Settled is what the account's holder gave last.
 func (m *Meter) Settled() float64 { return m.settled }
 
+// Measure looks at the rate of service; it is to be called now and then.
+func (m *Meter) Measure(now time.Time) { m.own.measure(now, m.total) }
+
+// Rate is the service that the organisation receives a second, from all
+// routers.
+func (m *Meter) Rate() float64 { return m.own.rate + m.others.rate }
+
 // Tag is the organisation's counter as this router knows it.
-func (m *Meter) Tag() float64 {
-	return m.othersSettled + m.total + m.othersReserved + m.reserved
+func (m *Meter) Tag(now time.Time) float64 {
+	growth := grown(m.others.rate, m.others.at, now)
+	return m.othersSettled + growth + m.total + m.othersReserved + m.reserved
 }
 
 // Acknowledge takes the holder's answer to a report: what is settled in all,
 // the part of it that comes from this meter, and what is reserved through
 // others. An answer older than what the meter knows settles nothing.
-func (m *Meter) Acknowledge(settled, total, othersReserved float64) {
+func (m *Meter) Acknowledge(now time.Time, settled, total, othersReserved float64) {
 	if total > m.total {
 		return // for an earlier incarnation of this router
 	}
@@ -50,4 +100,5 @@
 	}
 	m.settled, m.acknowledged = settled, total
 	m.othersSettled = settled - total
+	m.others.measure(now, m.othersSettled)
 }
