--- a/internal/coordination/bidding/bidder.go
+++ b/internal/coordination/bidding/bidder.go
@@ -113,7 +113,7 @@
 		l.grantedAt = now
 		l.widenAt = now.Add(widenEvery)
 	}
-	l.meter.hint = r.Estimate
+	l.meter.costs.hint = r.Estimate
 	l.meter.waiting++
 	b.store.add(i)
 	b.shed(now, i)
--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -26,13 +26,6 @@
 	// idleAfter is how long nothing must wait before an organisation is
 	// reported as idle.
 	idleAfter = 500 * time.Millisecond
-	// learnWeight is the weight of a new cost in the learnt mean.
-	learnWeight = 0.1
-	// learnAfter is the number of costs from which the learnt mean replaces
-	// the caller's hint.
-	learnAfter = 5
-	// leastCost is the smallest cost of a request, in units of service.
-	leastCost = 1e-6
 )
 
 // meterKey names an account.
@@ -43,10 +36,7 @@
 	account.Meter
 	key     meterKey
 	weight  float64
-	mean    float64 // learnt cost of a request, in units of service
-	early   float64 // learnt part of the cost that is reported on the way
-	samples int
-	hint    float64
+	costs   *costs
 	waiting int
 	emptyAt time.Time
 	// shared says that other routers have work of the organisation.
@@ -62,27 +52,12 @@
 }
 
 // estimate is the expected cost of one request, per unit of weight.
-func (m *meter) estimate() float64 {
-	cost := m.hint
-	if m.samples >= learnAfter {
-		cost = m.mean
-	}
-	return max(cost, leastCost) / m.weight
-}
+func (m *meter) estimate() float64 { return m.costs.estimate() / m.weight }
 
 // reserve is what a running request is taken to cost beyond what it is known
 // to have received: all of it if that is told at the end only, half of it, as
 // the mean over a request's life, if it is told on the way.
-func (m *meter) reserve() float64 { return m.estimate() * (1 - m.early/2) }
-
-// learn takes the cost of a finished request and the part of it that was told
-// on the way, in units of service.
-func (m *meter) learn(cost, early float64) {
-	m.samples++
-	weight := max(learnWeight, 1/float64(m.samples))
-	m.mean += weight * (cost - m.mean)
-	m.early += weight * (early/max(cost, leastCost) - m.early)
-}
+func (m *meter) reserve() float64 { return m.estimate() * (1 - m.costs.early/2) }
 
 // waits reports whether the organisation counts as having work.
 func (m *meter) waits(now time.Time) bool {
@@ -236,7 +211,7 @@
 	key := meterKey{pool, organisation}
 	m := b.meters[key]
 	if m == nil {
-		m = &meter{key: key}
+		m = &meter{key: key, costs: &b.pool(pool).costs}
 		b.meters[key] = m
 		b.meterOrder = append(b.meterOrder, m)
 	}
--- a/internal/coordination/bidding/pool.go
+++ b/internal/coordination/bidding/pool.go
@@ -23,6 +23,7 @@
 type pool struct {
 	name  string
 	hints []hint
+	costs costs
 	// high is the greatest counter lately served, in two halves of a window.
 	high, highBefore float64
 	highSince        time.Time
--- a/internal/coordination/bidding/running.go
+++ b/internal/coordination/bidding/running.go
@@ -211,7 +211,7 @@
 	}
 	r.serve(m.Service)
 	if m.Result == schedule.ResultFinished {
-		r.meter.learn(r.served, r.early)
+		r.meter.costs.learn(r.served, r.early)
 	}
 	if owner := b.owners[r.endpoint]; owner != "" {
 		b.send(owner, &schedule.Return{
