--- a/internal/coordination/bidding/bidder.go
+++ b/internal/coordination/bidding/bidder.go
@@ -113,7 +113,7 @@
 		l.grantedAt = now
 		l.widenAt = now.Add(widenEvery)
 	}
-	l.meter.hint = r.Estimate
+	l.meter.costs.hint = r.Estimate
 	l.meter.waiting++
 	b.store.add(i)
 	b.shed(now, i)
@@ -197,6 +197,7 @@
 		b.widen(now, l)
 		b.spread(now, l)
 	}
+	b.tellCounters(now)
 	b.report(now)
 	b.running.renew(b, now)
 	b.forget(now)
