--- a/cmd/hyssopreach-measure/latency.go
+++ b/cmd/hyssopreach-measure/latency.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/pprof"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -25,18 +26,43 @@
 	o := latency.Options{
 		Callers: []int{1, 16, 256}, Rounds: 5, Slice: time.Second, CallTime: 5 * time.Millisecond, Seed: 1,
 	}
-	kind := string(load.KindAsset)
+	kind, profile := string(load.KindAsset), ""
 	s.String(&kind, "k", "kind", "Asset, Share or Booking of a plain service, Stream or Whole of an engine")
 	s.Int(&o.Rounds, "r", "rounds", "turns of each side")
 	s.Duration(&o.Slice, "t", "slice", "length of a turn")
 	s.Duration(&o.CallTime, "c", "call-time", "time of a plain call")
 	s.UInt64(&o.Seed, "s", "seed", "random seed")
+	s.String(&profile, "f", "profile", "file for a processor profile of the run")
 	return command{s, func() ([]string, error) {
 		o.Kind = load.Kind(kind)
+		stop, err := startProfile(profile)
+		if err != nil {
+			return nil, err
+		}
+		defer stop()
 		return measureLatency(o)
 	}}
 }
 
+// startProfile writes a processor profile until the returned function is
+// called; an empty name writes none.
+func startProfile(name string) (stop func(), err error) {
+	if name == "" {
+		return func() {}, nil
+	}
+	file, err := os.Create(name)
+	if err != nil {
+		return nil, err
+	}
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return nil, err
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = file.Close()
+	}, nil
+}
+
 func measureLatency(o latency.Options) ([]string, error) {
 	b, err := readBounds()
 	if err != nil {
--- a/internal/coordination/share/share.go
+++ b/internal/coordination/share/share.go
@@ -58,7 +58,7 @@
 	case schedule.Progress:
 		s.bidder.Progress(in)
 	case schedule.Completion:
-		s.bidder.Complete(in)
+		s.bidder.Complete(now, in)
 	case schedule.Load:
 		s.table.Load(now, in)
 	case schedule.Delivery:
@@ -100,6 +100,8 @@
 		s.table.Return(now, from, m)
 	case *schedule.Renewal:
 		s.table.Renew(now, from, m)
+	case *schedule.Counters:
+		s.table.Hear(now, from, m)
 	case *schedule.Grant:
 		s.bidder.Grant(now, from, m)
 	case *schedule.Shortage:
--- a/internal/state/account/meter.go
+++ b/internal/state/account/meter.go
@@ -1,44 +1,104 @@
 package account
 
+import "time"
+
+const (
+	// paceEvery is the least time over which a rate is measured.
+	paceEvery = 500 * time.Millisecond
+	// paceWeight is the weight of a new rate in the smoothed one.
+	paceWeight = 0.5
+	// extrapolateFor is how long a counter is taken to grow at its last known
+	// rate without being heard of.
+	extrapolateFor = 2 * time.Second
+)
+
 // Meter is what one router knows of one organisation in one pool.
 type Meter struct {
 	total        float64
-	credit       float64
-	tag          float64
+	reserved     float64
+	settled      float64
 	acknowledged float64
+	own          pace
+	// others is what the organisation received and has reserved through
+	// other routers.
+	othersSettled, othersReserved float64
+	others                        pace
 }
 
-// Charge books an amount, using up earlier refunds first.
-func (m *Meter) Charge(amount float64) {
-	used := min(m.credit, amount)
-	m.credit -= used
-	m.total += amount - used
+// pace measures the rate of an amount that grows.
+type pace struct {
+	amount float64
+	at     time.Time
+	rate   float64 // a second
 }
 
-// Refund gives back a part of an earlier charge. The total stays, so that it
-// never falls; later charges use the refund up.
-func (m *Meter) Refund(amount float64) { m.credit += amount }
+func (p *pace) measure(now time.Time, amount float64) {
+	if p.at.IsZero() {
+		p.amount, p.at = amount, now
+		return
+	}
+	age := now.Sub(p.at)
+	if age < paceEvery {
+		return
+	}
+	p.rate += paceWeight * ((amount-p.amount)/age.Seconds() - p.rate)
+	p.amount, p.at = amount, now
+}
 
-// Total is everything charged since the router's start.
+// grown is what the rate adds from the given instant on.
+func grown(rate float64, since, now time.Time) float64 {
+	if since.IsZero() {
+		return 0
+	}
+	return rate * min(max(now.Sub(since), 0), extrapolateFor).Seconds()
+}
+
+// Serve settles service that has been received.
+func (m *Meter) Serve(amount float64) { m.total += amount }
+
+// Reserve sets an amount aside for a request that begins.
+func (m *Meter) Reserve(amount float64) { m.reserved += amount }
+
+// Free ends the reserve of a request that has ended.
+func (m *Meter) Free(amount float64) { m.reserved = max(0, m.reserved-amount) }
+
+// Total is everything settled since the router's start.
 func (m *Meter) Total() float64 { return m.total }
 
-// Acknowledged is the part of Total that HolderTag contains.
+// Reserved is the reserve of everything that runs.
+func (m *Meter) Reserved() float64 { return m.reserved }
+
+// Acknowledged is the part of Total that Settled contains.
 func (m *Meter) Acknowledged() float64 { return m.acknowledged }
 
-// HolderTag is the counter that the account's holder gave last.
-func (m *Meter) HolderTag() float64 { return m.tag }
+// Settled is what the account's holder gave last.
+func (m *Meter) Settled() float64 { return m.settled }
+
+// Measure looks at the rate of service; it is to be called now and then.
+func (m *Meter) Measure(now time.Time) { m.own.measure(now, m.total) }
 
-// Tag is the organisation's counter: the holder's and what was charged here
-// since, less refunds that are not used up.
-func (m *Meter) Tag() float64 {
-	return max(0, m.tag+m.total-m.acknowledged-m.credit)
+// Rate is the service that the organisation receives a second, from all
+// routers.
+func (m *Meter) Rate() float64 { return m.own.rate + m.others.rate }
+
+// Tag is the organisation's counter as this router knows it.
+func (m *Meter) Tag(now time.Time) float64 {
+	growth := grown(m.others.rate, m.others.at, now)
+	return m.othersSettled + growth + m.total + m.othersReserved + m.reserved
 }
 
-// Acknowledge takes the holder's answer to a report. The counter never falls:
-// an answer that is older than what the meter knows changes nothing.
-func (m *Meter) Acknowledge(tag, total float64) {
-	if total > m.total || tag-total < m.tag-m.acknowledged {
+// Acknowledge takes the holder's answer to a report: what is settled in all,
+// the part of it that comes from this meter, and what is reserved through
+// others. An answer older than what the meter knows settles nothing.
+func (m *Meter) Acknowledge(now time.Time, settled, total, othersReserved float64) {
+	if total > m.total {
+		return // for an earlier incarnation of this router
+	}
+	m.othersReserved = othersReserved
+	if settled-total < m.othersSettled || total < m.acknowledged {
 		return
 	}
-	m.tag, m.acknowledged = tag, total
+	m.settled, m.acknowledged = settled, total
+	m.othersSettled = settled - total
+	m.others.measure(now, m.othersSettled)
 }
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -22,8 +22,9 @@
 	configurations := startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
-	r.endpoints = startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
-	r.components = append(r.components, r.members, configurations, r.endpoints)
+	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
+	r.components = append(r.components, r.members, configurations, endpoints)
+	r.watchers = append(r.watchers, endpoints)
 }
 
 // random returns a source of its own for each state machine.
--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -115,7 +116,7 @@
 	case endpoint.ReadList:
 		e.spawn(e.readList)
 	case endpoint.Send:
-		e.peers.Send(o.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(&o.News)}})
+		e.peers.Send(o.To, &wire.Message{Kind: &wire.Message_EndpointNews{EndpointNews: wire.FromEndpointNews(o.News)}})
 	case endpoint.Decision:
 		driver.LogDecision(e.logger, o.Event, o.Fields)
 	}
@@ -138,7 +139,13 @@
 }
 
 func (e *endpoints) ask(ctx context.Context, o endpoint.Poll) {
-	load, err := e.load(ctx, o)
+	var load platformtypes.Load
+	var err error
+	if o.Engine {
+		load, err = e.client.Load(ctx, o.Address)
+	} else {
+		load.Instance, err = e.client.Instance(ctx, o.Address)
+	}
 	if err != nil {
 		if e.ctx.Err() == nil {
 			e.driver.Input(endpoint.PollFailed{Key: o.Key})
@@ -154,15 +161,6 @@
 	}
 }
 
-// load asks an engine for its load and a plain service for its instance.
-func (e *endpoints) load(ctx context.Context, o endpoint.Poll) (platformtypes.Load, error) {
-	if o.Engine {
-		return e.client.Load(ctx, o.Address)
-	}
-	instance, err := e.client.Instance(ctx, o.Address)
-	return platformtypes.Load{Instance: instance}, err
-}
-
 func (e *endpoints) readList() {
 	ctx, cancel := context.WithTimeout(e.ctx, endpointListTimeout)
 	defer cancel()
@@ -183,19 +181,30 @@
 // AttemptStarted does nothing; only ends tell about an endpoint's health.
 func (e *endpoints) AttemptStarted(*execution.Attempt) {}
 
-// AttemptEnded tells the table how an endpoint did.
-func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, _ error) {
+// AttemptEnded tells the table how an endpoint did. An attempt that its caller
+// gave up, or gave too little time, says nothing of the endpoint; one that
+// found nobody within the time of a dial does.
+func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, err error) {
+	cut := result == schedule.ResultBroken && errors.Is(err, context.DeadlineExceeded)
+	if cut || errors.Is(err, context.Canceled) {
+		return
+	}
 	switch result {
 	case schedule.ResultFinished:
 		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID})
-	case schedule.ResultNotSent, schedule.ResultBroken, schedule.ResultRejected:
+	case schedule.ResultNotSent, schedule.ResultBroken:
 		e.driver.Input(endpoint.Outcome{ID: a.Endpoint.ID, Failed: true})
 	}
 }
 
 // configuredEndpoints lists the endpoints as the text names them.
 func configuredEndpoints(doc *text.Document) []endpoint.Configured {
-	engines := enginePools(doc)
+	engines := make(map[string]bool)
+	for i := range doc.Services {
+		if doc.Services[i].Kind == text.KindModel {
+			engines[doc.Services[i].Pool] = true
+		}
+	}
 	models := make(map[string][]string)
 	for i := range doc.Models {
 		m := &doc.Models[i]
@@ -216,8 +225,8 @@
 }
 
 // modelNames lists the names under which callers may ask for the models: each
-// model, and each of its adapters as "Model:Adapter". An engine that holds no
-// model names none; nil is kept for one that doesn't say what it holds.
+// model, and each of its adapters as "Model:Adapter". Nil stays nil, since it
+// means that the endpoint does not say.
 func modelNames(loaded []platformtypes.LoadedModel) []string {
 	if loaded == nil {
 		return nil
@@ -232,14 +241,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// enginePools returns the pools whose endpoints are model engines.
-func enginePools(doc *text.Document) map[string]bool {
-	pools := make(map[string]bool)
-	for i := range doc.Services {
-		if doc.Services[i].Kind == text.KindModel {
-			pools[doc.Services[i].Pool] = true
-		}
-	}
-	return pools
-}
