Add the demonstration and a trial of real routers under load

Cause: users need one command that shows the whole path, and the fair share had been measured without a network. Change: trial keeps a backlog for each organisation on a rig of real routers and measures gap, utilisation and control traffic; demo prints it with what each caller got. The load tool can keep a backlog and count tokens.

--- a/cmd/hyssopreach/main.go
+++ b/cmd/hyssopreach/main.go
@@ -5,10 +5,11 @@
 import (
 	"os"
 
+	"hyssopreach/internal/tool/demo"
 	"hyssopreach/internal/transport/command"
 )
 
 func main() {
 	os.Exit(command.Run("hyssopreach", "A router fleet that shares model capacity fairly among organisations.",
-		command.Commands(), os.Args[1:]))
+		append(command.Commands(), &demo.Command{}), os.Args[1:]))
 }
--- a/internal/tool/load/caller.go
+++ b/internal/tool/load/caller.go
@@ -45,11 +45,14 @@
 	directory *directory
 	random    *rand.Rand
 	report    *Report
+	// answering is called when an answer begins; nil for nobody.
+	answering func()
 }
 
 // run sends one request until it is answered or its resends are used up.
 func (c *caller) run(ctx context.Context) {
 	r := c.settings.Work.newRequest(c.random)
+	r.served = c.settings.Served
 	c.report.count(func(p *Report) { p.Requests++ })
 	began := time.Now()
 	last, neverRun := toldNothing, true
@@ -81,6 +84,9 @@
 	if response.StatusCode != http.StatusOK {
 		return c.refused(response)
 	}
+	if c.answering != nil {
+		c.answering()
+	}
 	err = r.check(response.Body)
 	switch {
 	case err == nil:
--- a/internal/tool/load/check.go
+++ b/internal/tool/load/check.go
@@ -85,6 +85,9 @@
 				return fmt.Errorf("%w: token %d is %s", errWrong, seen, line)
 			}
 			seen++
+			if r.served != nil {
+				r.served()
+			}
 		}
 	}
 }
--- a/internal/tool/load/request.go
+++ b/internal/tool/load/request.go
@@ -56,6 +56,8 @@
 	// tag and tokens tell what a chat must be answered.
 	tag    string
 	tokens int
+	// served is told of each streamed token; nil for nobody.
+	served func()
 }
 
 func (w *Work) newRequest(random *rand.Rand) *request {
--- a/internal/tool/load/run.go
+++ b/internal/tool/load/run.go
@@ -34,6 +34,14 @@
 	// PerSecond makes the loop open: requests come at this rate whether or
 	// not others have ended, and Callers is not used.
 	PerSecond float64
+	// Backlog keeps this number of requests waiting: a further one begins
+	// when an answer begins. Callers and PerSecond are not used.
+	Backlog int
+	// CutAtEnd gives up, when the context ends, on what is under way.
+	CutAtEnd bool
+	// Served is told of each streamed token that a caller receives; nil for
+	// nobody. It may be called from several goroutines.
+	Served func()
 	// Requests bounds the load; zero sets no bound but the context.
 	Requests int
 	// Resends is how often a request is sent again.
@@ -60,9 +68,12 @@
 		directories: make(map[string]*directory),
 	}
 	began := time.Now()
-	if settings.PerSecond > 0 {
+	switch {
+	case settings.Backlog > 0:
+		l.backlog(ctx)
+	case settings.PerSecond > 0:
 		l.open(ctx)
-	} else {
+	default:
 		l.closed(ctx)
 	}
 	l.report.Elapsed = time.Since(began)
@@ -100,7 +111,7 @@
 		c := l.caller(i)
 		group.Go(func() {
 			for ctx.Err() == nil && tickets.take() {
-				c.run(context.WithoutCancel(ctx))
+				c.run(l.lifetime(ctx))
 			}
 		})
 	}
@@ -121,13 +132,44 @@
 		c := l.caller(i)
 		slots <- struct{}{}
 		group.Go(func() {
-			c.run(context.WithoutCancel(ctx))
+			c.run(l.lifetime(ctx))
 			<-slots
 		})
 	}
 	group.Wait()
 }
 
+// backlog keeps a number of requests waiting.
+func (l *loop) backlog(ctx context.Context) {
+	var group sync.WaitGroup
+	tickets := newTickets(l.settings.Requests)
+	waiting := make(chan struct{}, l.settings.Backlog)
+	for i := 0; ; i++ {
+		select {
+		case waiting <- struct{}{}:
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil || !tickets.take() {
+			break
+		}
+		c := l.caller(i)
+		c.answering = sync.OnceFunc(func() { <-waiting })
+		group.Go(func() {
+			c.run(l.lifetime(ctx))
+			c.answering()
+		})
+	}
+	group.Wait()
+}
+
+// lifetime is the context of a request that begins now.
+func (l *loop) lifetime(ctx context.Context) context.Context {
+	if l.settings.CutAtEnd {
+		return ctx
+	}
+	return context.WithoutCancel(ctx)
+}
+
 // tickets hands out a bounded number of requests; zero sets no bound.
 type tickets struct {
 	mu        sync.Mutex
--- a/internal/tool/rig/rig.go
+++ b/internal/tool/rig/rig.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -52,6 +54,8 @@
 
 	settings  []*settings.Settings
 	published uint64
+
+	mu sync.Mutex // guards changes of Routers while others look at them
 }
 
 // Key returns the caller key of an organisation.
@@ -159,20 +163,38 @@
 	}
 	// A router that starts again keeps its caller address, as a VM does.
 	r.settings[i].CallerAddress, r.settings[i].OperatorAddress = started.CallerAddress(), started.OperatorAddress()
-	r.Routers[i] = started
+	r.set(i, started)
 	return nil
 }
 
+// Running returns the routers that are not stopped.
+func (r *Rig) Running() []*router.Router {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.Routers), func(one *router.Router) bool { return one == nil })
+}
+
+// CallerAddress is where the router with the index listens for callers, also
+// while it is stopped.
+func (r *Rig) CallerAddress(i int) netip.AddrPort { return r.settings[i].CallerAddress }
+
+func (r *Rig) set(i int, one *router.Router) *router.Router {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.Routers[i]
+	r.Routers[i] = one
+	return before
+}
+
 // Kill ends the router with the index at once, as a lost VM does.
 func (r *Rig) Kill(i int) {
-	r.Routers[i].Close()
-	r.Routers[i] = nil
+	r.set(i, nil).Close()
 }
 
 // Drain stops the router with the index as planned.
 func (r *Rig) Drain(ctx context.Context, i int) error {
 	err := r.Routers[i].Drain(ctx)
-	r.Routers[i] = nil
+	r.set(i, nil)
 	return err
 }
 
--- /dev/null
+++ b/internal/tool/trial/trial.go
@@ -0,0 +1,272 @@
+package trial
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"hyssopreach/internal/tool/ledger"
+	"hyssopreach/internal/tool/load"
+	"hyssopreach/internal/tool/rig"
+	"hyssopreach/internal/transport/peer"
+)
+
+// sampleInterval is the distance of the samples of service and of busy slots.
+const sampleInterval = 10 * time.Millisecond
+
+// Organisation is one organisation's load.
+type Organisation struct {
+	Name string
+	// Weight is that of the operators' text.
+	Weight float64
+	// Backlog is the number of its requests that are kept waiting.
+	Backlog int
+	// Tokens is the mean length of its answers.
+	Tokens int
+	// Routers are the indices of the routers that it calls.
+	Routers []int
+}
+
+// Fault is something done to the rig during a trial.
+type Fault struct {
+	// At and End are the instants of the fault and of its repair, counted
+	// from the begin of the measurement.
+	At, End time.Duration
+	Begin   func(ctx context.Context, r *rig.Rig) error
+	Repair  func(ctx context.Context, r *rig.Rig) error
+}
+
+// Options say how long to load and what to break.
+type Options struct {
+	Organisations []Organisation
+	// Warm is the time before the measurement begins.
+	Warm time.Duration
+	// Length is the time of the measurement.
+	Length time.Duration
+	// SlotsPerEngine is the batch of each engine.
+	SlotsPerEngine int
+	Fault          *Fault
+	// Settle is the time after the repair of a fault that is left out of the
+	// gap after it.
+	Settle time.Duration
+	Seed   uint64
+}
+
+// Outcome is what one organisation got.
+type Outcome struct {
+	Organisation Organisation
+	Report       *load.Report
+	// Tokens is the service received during the measurement.
+	Tokens int64
+}
+
+// Traffic is the control traffic of one router during the measurement.
+type Traffic struct {
+	Router string
+	// BytesPerSecond counts every byte that left, framing included.
+	BytesPerSecond float64
+	// ByKind are the messages' bytes a second by kind.
+	ByKind map[string]float64
+}
+
+// Result is what a trial measured.
+type Result struct {
+	Outcomes []Outcome
+	// Gap is the largest difference of weighted service, in tokens, that one
+	// organisation gained on another in any window.
+	Gap           float64
+	Ahead, Behind string
+	// GapAfter is the gap in the time after a fault has been repaired and has
+	// settled; zero without a fault.
+	GapAfter float64
+	// Utilisation is the busy share of slot-time while work waited.
+	Utilisation float64
+	// TokensPerSecond is the service of all organisations together.
+	TokensPerSecond float64
+	// LargestCost is the largest cost of one request, in tokens.
+	LargestCost int
+	Traffic     []Traffic
+	// FaultError is what went wrong in bringing about or repairing a fault.
+	FaultError error
+}
+
+// run is a trial under way.
+type run struct {
+	rig     *rig.Rig
+	options Options
+	ledger  *ledger.Ledger
+	usage   ledger.Utilisation
+	slots   int
+}
+
+// Run loads the rig and measures. The rig stays open.
+func Run(ctx context.Context, r *rig.Rig, o Options) Result {
+	t := &run{rig: r, options: o, ledger: newLedger(o.Organisations), slots: len(r.Platform.Engines) * o.SlotsPerEngine}
+	loading, stop := context.WithCancel(ctx)
+	defer stop()
+	result := Result{Outcomes: make([]Outcome, len(o.Organisations))}
+	var loads sync.WaitGroup
+	for i := range o.Organisations {
+		loads.Go(func() { result.Outcomes[i].Report = load.Run(loading, t.load(i)) })
+	}
+	t.sample(ctx, o.Warm)
+	t.measure(ctx, &result)
+	stop()
+	loads.Wait()
+	return result
+}
+
+func newLedger(organisations []Organisation) *ledger.Ledger {
+	names, weights := make([]string, len(organisations)), make([]float64, len(organisations))
+	for i, one := range organisations {
+		names[i], weights[i] = one.Name, one.Weight
+	}
+	return ledger.New(names, weights)
+}
+
+// load is the load of the organisation with the index.
+func (t *run) load(i int) *load.Settings {
+	one := t.options.Organisations[i]
+	s := &load.Settings{
+		Fixed: true, Keys: []string{rig.Key(one.Name)}, Backlog: one.Backlog, CutAtEnd: true,
+		Work:   load.Work{Kinds: []load.Kind{load.KindStream}, Model: rig.Model, Tokens: one.Tokens},
+		Served: func() { t.ledger.Add(i, 1) }, Resends: 3, Timeout: time.Minute,
+		Seed: t.options.Seed + uint64(i),
+	}
+	for _, index := range one.Routers {
+		s.Addresses = append(s.Addresses, t.rig.CallerAddress(index))
+	}
+	return s
+}
+
+// measure samples for the length of the trial and fills in the result.
+func (t *run) measure(ctx context.Context, result *Result) {
+	o := t.options
+	before, tokens := t.traffic(), t.received()
+	total := t.ledger.Total()
+	t.usage = ledger.Utilisation{}
+	t.ledger.Reset()
+	began := time.Now()
+	var faults sync.WaitGroup
+	if o.Fault != nil {
+		faults.Go(func() { result.FaultError = t.fault(ctx) })
+		t.sample(ctx, o.Fault.End+o.Settle)
+		result.Gap, result.Ahead, result.Behind = t.gap()
+		t.ledger.Reset()
+		t.sample(ctx, o.Length-o.Fault.End-o.Settle)
+		result.GapAfter, _, _ = t.gap()
+	} else {
+		t.sample(ctx, o.Length)
+		result.Gap, result.Ahead, result.Behind = t.gap()
+	}
+	faults.Wait()
+	elapsed := time.Since(began).Seconds()
+	result.Utilisation = t.usage.Share()
+	result.TokensPerSecond = float64(t.ledger.Total()-total) / elapsed
+	result.Traffic = difference(before, t.traffic(), elapsed)
+	for i, one := range o.Organisations {
+		result.Outcomes[i].Organisation = one
+		result.Outcomes[i].Tokens = t.ledger.Received(i) - tokens[i]
+		result.LargestCost = max(result.LargestCost, 2*one.Tokens-1)
+	}
+}
+
+func (t *run) received() []int64 {
+	all := make([]int64, len(t.options.Organisations))
+	for i := range all {
+		all[i] = t.ledger.Received(i)
+	}
+	return all
+}
+
+// gap is taken over all organisations, since each is kept waiting throughout.
+func (t *run) gap() (float64, string, string) {
+	all := make([]int, len(t.options.Organisations))
+	for i := range all {
+		all[i] = i
+	}
+	return t.ledger.Gap(all)
+}
+
+// fault brings the fault about and repairs it.
+func (t *run) fault(ctx context.Context) error {
+	f := t.options.Fault
+	pause(ctx, f.At)
+	if err := f.Begin(ctx, t.rig); err != nil {
+		return err
+	}
+	pause(ctx, f.End-f.At)
+	if f.Repair == nil {
+		return nil
+	}
+	return f.Repair(ctx, t.rig)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// sample notes service and busy slots until the time is over.
+func (t *run) sample(ctx context.Context, length time.Duration) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; <-ticker.C {
+		t.ledger.Sample()
+		busy := 0
+		for _, e := range t.rig.Platform.Engines {
+			running, _ := e.Busy()
+			busy += min(running, t.options.SlotsPerEngine)
+		}
+		t.usage.Note(time.Now(), busy, t.slots, t.waiting() > 0)
+	}
+}
+
+func (t *run) waiting() int {
+	waiting := 0
+	for _, one := range t.rig.Running() {
+		waiting += one.Waiting()
+	}
+	return waiting
+}
+
+// traffic reads the counters of control traffic of all running routers.
+func (t *run) traffic() map[string]map[string]int64 {
+	all := make(map[string]map[string]int64)
+	for _, one := range t.rig.Running() {
+		counters := make(map[string]int64)
+		one.Registry().Each(func(name string, metric any) {
+			if c, ok := metric.(metrics.Counter); ok {
+				counters[name] = c.Count()
+			}
+		})
+		all[string(one.Fleet().Self)] = counters
+	}
+	return all
+}
+
+func difference(before, after map[string]map[string]int64, seconds float64) []Traffic {
+	var all []Traffic
+	for _, router := range slices.Sorted(maps.Keys(after)) {
+		counters := after[router]
+		one := Traffic{Router: router, ByKind: make(map[string]float64)}
+		for name, count := range counters {
+			rate := float64(count-before[router][name]) / seconds
+			if name == peer.MetricControlBytesTotal {
+				one.BytesPerSecond = rate
+			}
+			if kind, ok := strings.CutPrefix(name, peer.MetricControlBytesPrefix); ok {
+				one.ByKind[kind] = rate
+			}
+		}
+		all = append(all, one)
+	}
+	return all
+}
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -131,6 +131,9 @@
 // Registry holds the router's metrics.
 func (r *Router) Registry() metrics.Registry { return r.options.Registry }
 
+// Waiting is the number of requests that wait here for a decision.
+func (r *Router) Waiting() int { return r.scheduling.Waiting() }
+
 // Fleet returns the fleet as the router sees it now.
 func (r *Router) Fleet() *view.Snapshot { return r.fleet.View() }
 
