--- /dev/null
+++ b/internal/protocol/claim/codec_test.go
@@ -0,0 +1,65 @@
+package claim
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/state/claim"
+)
+
+func sample() claim.Batch {
+	at := time.UnixMilli(1_700_000_000_123)
+	one := claim.Claim{ID: claim.ID{1}, Key: claim.DigestOf("o", "k"), BodyHash: 9, Holder: claim.Holder{Router: "a", Incarnation: 4}, KeyTime: at}
+	two := one
+	two.ID, two.KeyTime = claim.ID{2}, time.Time{}
+	return claim.Batch{FormatVersion: 1, Checkpoint: 7, Entries: []claim.Entry{
+		{Kind: claim.KindClaim, Claim: one},
+		{Kind: claim.KindCarry, Claim: two, Until: at, Sure: true},
+	}}
+}
+
+func TestBatchSurvivesItsEncoding(t *testing.T) {
+	is := is.New(t)
+	payload, err := Encode(sample())
+	is.NoErr(err)
+	got, err := Decode(payload)
+	is.NoErr(err)
+	is.Equal(got, sample())
+}
+
+func TestNewerVersionIsReportedWithoutEntries(t *testing.T) {
+	is := is.New(t)
+	b := sample()
+	b.FormatVersion = 2
+	payload, err := Encode(b)
+	is.NoErr(err)
+	got, err := Decode(payload)
+	is.NoErr(err)
+	is.Equal(got.FormatVersion, 2)
+	is.Equal(len(got.Entries), 0)
+}
+
+func FuzzDecode(f *testing.F) {
+	payload, _ := Encode(sample())
+	f.Add(payload)
+	f.Add([]byte{})
+	f.Add([]byte{8, 1, 18, 2, 40, 9})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		b, err := Decode(payload)
+		if err != nil {
+			if !errors.Is(err, ErrMalformed) {
+				t.Fatal(err)
+			}
+			return
+		}
+		if b.FormatVersion > claim.FormatVersion {
+			return
+		}
+		if _, err := Encode(b); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
