--- a/internal/coordination/claim/claimant.go
+++ b/internal/coordination/claim/claimant.go
@@ -76,6 +76,10 @@
 // never will.
 type Unsent struct{ ID claim.ID }
 
+// Disown says that a claim of this incarnation holds its key although its
+// request was given up unsent: a late append of it has landed.
+type Disown struct{ Claim claim.Claim }
+
 // Sent says that the request has gone to an endpoint; its claim stands.
 type Sent struct{ ID claim.ID }
 
@@ -88,6 +92,7 @@
 func (Begin) claimantInput()         {}
 func (Heard) claimantInput()         {}
 func (Unsent) claimantInput()        {}
+func (Disown) claimantInput()        {}
 func (Sent) claimantInput()          {}
 func (ViewChange) claimantInput()    {}
 func (ClaimantAlarm) claimantInput() {}
@@ -161,6 +166,12 @@
 		if a := c.attempts[in.ID]; a != nil && a.phase != phaseReleasing {
 			c.release(now, a)
 		}
+	case Disown:
+		if c.attempts[in.Claim.ID] == nil {
+			a := &attempt{claim: in.Claim}
+			c.attempts[in.Claim.ID] = a
+			c.release(now, a)
+		}
 	case Sent:
 		if a := c.attempts[in.ID]; a != nil && a.phase == phaseWon {
 			delete(c.attempts, in.ID)
--- a/internal/coordination/claim/due.go
+++ b/internal/coordination/claim/due.go
@@ -35,12 +35,22 @@
 	return q.heap[0].at
 }
 
+// dueHeap implements heap.Interface.
 type dueHeap []due
 
-func (h dueHeap) Len() int           { return len(h) }
+// Len implements heap.Interface.
+func (h dueHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
 func (h dueHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-func (h dueHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *dueHeap) Push(x any)        { *h = append(*h, x.(due)) }
+
+// Swap implements heap.Interface.
+func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *dueHeap) Push(x any) { *h = append(*h, x.(due)) }
+
+// Pop implements heap.Interface.
 func (h *dueHeap) Pop() any {
 	old := *h
 	d := old[len(old)-1]
