--- /dev/null
+++ b/internal/coordination/claim/claimant_test.go
@@ -0,0 +1,121 @@
+package claim
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/state/claim"
+	"hyssopreach/internal/state/view"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newClaimant() *Claimant {
+	c := NewClaimant(rand.New(rand.NewPCG(1, 1)))
+	c.Step(epoch, ViewChange{&view.Snapshot{Routers: []view.Router{{ID: "a"}, {ID: "b"}, {ID: "c"}}}})
+	return c
+}
+
+func beginOf(id byte, first bool) Begin {
+	return Begin{Claim: claim.Claim{ID: claim.ID{id}, Key: claim.DigestOf("o", "k")}, Deadline: epoch.Add(3 * time.Second), First: first}
+}
+
+func verdict(id byte, v claim.Verdict) Heard {
+	return Heard{Verdict{claim.Standing{Claim: claim.ID{id}, Verdict: v, Winner: claim.ID{9}, Holder: claim.Holder{Router: "b", Incarnation: 2}}}}
+}
+
+// pick returns the outputs of one type.
+func pick[T Output](outputs []Output) []T {
+	var picked []T
+	for _, o := range outputs {
+		if o, ok := o.(T); ok {
+			picked = append(picked, o)
+		}
+	}
+	return picked
+}
+
+func TestVerdictThatComesTwiceRunsOnce(t *testing.T) {
+	is := is.New(t)
+	c := newClaimant()
+	is.Equal(len(pick[SendAsk](c.Step(epoch, beginOf(1, false)))), 1)
+	is.Equal(len(pick[Run](c.Step(epoch, verdict(2, claim.VerdictWon)))), 0) // another's
+	is.Equal(len(pick[Run](c.Step(epoch, verdict(1, claim.VerdictWon)))), 1)
+	is.Equal(len(pick[Run](c.Step(epoch, verdict(1, claim.VerdictWon)))), 0)
+	c.Step(epoch, Sent{claim.ID{1}})
+	is.Equal(len(c.Step(epoch, verdict(1, claim.VerdictWon))), 0)
+	is.Equal(c.Len(), 0)
+}
+
+func TestVerdictAfterTheDeadlineReleases(t *testing.T) {
+	is := is.New(t)
+	c := newClaimant()
+	c.Step(epoch, beginOf(1, false))
+	late := c.Step(epoch.Add(3*time.Second), verdict(1, claim.VerdictWon))
+	is.Equal(len(pick[Run](late)), 0)
+	is.Equal(pick[Refuse](late), []Refuse{{claim.ID{1}, RefusalDeadline, OutcomeNotRun}})
+	is.True(pick[SendAsk](late)[0].Ask.Release)
+	is.Equal(len(pick[Run](c.Step(epoch, verdict(1, claim.VerdictWon)))), 0) // given up for good
+	c.Step(epoch, verdict(1, claim.VerdictReleased))
+	is.Equal(c.Len(), 0)
+}
+
+func TestDeadlineWithoutVerdictProvesNothingUnlessFirst(t *testing.T) {
+	for first, want := range map[bool]Outcome{true: OutcomeNotRun, false: OutcomeUnknown} {
+		is := is.New(t)
+		c := newClaimant()
+		c.Step(epoch, beginOf(1, first))
+		out := c.Step(epoch.Add(3*time.Second), ClaimantAlarm{})
+		is.Equal(pick[Refuse](out), []Refuse{{claim.ID{1}, RefusalDeadline, want}})
+		is.True(pick[SendAsk](out)[0].Ask.Release) // the claim may yet land
+	}
+}
+
+func TestAskGoesToTheNextWriterWithTheSameClaim(t *testing.T) {
+	is := is.New(t)
+	c := newClaimant()
+	asked := pick[SendAsk](c.Step(epoch, beginOf(1, false)))
+	for at := epoch; len(asked) < 5; {
+		at = at.Add(askInterval)
+		asked = append(asked, pick[SendAsk](c.Step(at, ClaimantAlarm{}))...)
+	}
+	is.Equal(asked[0].To, asked[1].To)
+	is.True(asked[2].To != asked[1].To)
+	is.True(asked[4].To != asked[2].To && asked[4].To != asked[0].To)
+	for _, a := range asked {
+		is.Equal(a.Ask.Claim.ID, claim.ID{1})
+	}
+}
+
+func TestVerdictsThatDoNotRun(t *testing.T) {
+	is := is.New(t)
+	c := newClaimant()
+	c.Step(epoch, beginOf(1, false))
+	is.Equal(pick[Join](c.Step(epoch, verdict(1, claim.VerdictHeld))), []Join{{claim.ID{1}, claim.ID{9}, claim.Holder{Router: "b", Incarnation: 2}}})
+	for v, want := range map[claim.Verdict]Refuse{
+		claim.VerdictMismatch: {claim.ID{2}, RefusalMismatch, OutcomeNotRun},
+		claim.VerdictExpired:  {claim.ID{2}, RefusalExpired, OutcomeUnknown},
+		claim.VerdictReleased: {claim.ID{2}, RefusalLost, OutcomeUnknown},
+	} {
+		c.Step(epoch, beginOf(2, false))
+		is.Equal(pick[Refuse](c.Step(epoch, verdict(2, v))), []Refuse{want})
+	}
+	c.Step(epoch, beginOf(3, false))
+	is.Equal(len(pick[SendAsk](c.Step(epoch, verdict(3, claim.VerdictBusy)))), 0)
+	is.Equal(len(pick[SendAsk](c.Step(epoch.Add(2*busyPause), ClaimantAlarm{}))), 1)
+}
+
+func TestUnsentClaimIsReleasedUntilThatIsKnown(t *testing.T) {
+	is := is.New(t)
+	c := newClaimant()
+	c.Step(epoch, beginOf(1, true))
+	c.Step(epoch, verdict(1, claim.VerdictWon))
+	is.True(pick[SendAsk](c.Step(epoch, Unsent{claim.ID{1}}))[0].Ask.Release)
+	is.True(pick[SendAsk](c.Step(epoch.Add(askInterval), ClaimantAlarm{}))[0].Ask.Release)
+	c.Step(epoch, verdict(1, claim.VerdictReleased))
+	is.Equal(c.Len(), 0)
+	is.True(pick[SendAsk](c.Step(epoch, Disown{claim.Claim{ID: claim.ID{1}}}))[0].Ask.Release)
+}
--- a/internal/tool/claims/caller.go
+++ b/internal/tool/claims/caller.go
@@ -40,7 +40,9 @@
 
 func (w *world) sendOnce(q *request, first bool) {
 	q.sends++
-	q.told = coordination.OutcomeUnknown
+	if !q.over {
+		q.told = coordination.OutcomeUnknown
+	}
 	c := &caller{request: q, router: w.routers[w.random.IntN(len(w.routers))], first: first}
 	c.router.later(w.spread(networkDelay), func() { c.router.arrive(c) })
 	w.clock.after(callerTimeout, func() {
@@ -53,6 +55,14 @@
 	})
 }
 
+// sendLate sends a request once more, long after its caller should have been
+// content.
+func (w *world) sendLate(q *request) {
+	if q.sends < w.options.Sends {
+		w.sendOnce(q, q.sends == 0)
+	}
+}
+
 func (w *world) sendAgain(q *request) {
 	w.clock.after(w.upTo(500*time.Millisecond), func() { w.sendRequest(q) })
 }
--- /dev/null
+++ b/internal/tool/claims/main_test.go
@@ -0,0 +1,17 @@
+package claims
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests, so that every run gives the
+// same verdict; the flag on the command line goes before it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/internal/tool/claims/options.go
+++ b/internal/tool/claims/options.go
@@ -33,6 +33,7 @@
 	messageSlow  probability
 	answerLost   probability
 	callerTwice  probability
+	callerLate   probability
 	unscheduled  probability
 	pauseEvery   time.Duration
 	restartEvery time.Duration
@@ -47,7 +48,7 @@
 	return faults{
 		appendLost: 0.05, appendLate: 0.05, readFailed: 0.02,
 		messageLost: 0.03, messageTwice: 0.03, messageSlow: 0.03,
-		answerLost: 0.10, callerTwice: 0.05, unscheduled: 0.03,
+		answerLost: 0.10, callerTwice: 0.05, callerLate: 0.10, unscheduled: 0.03,
 		pauseEvery: 7 * time.Second, restartEvery: 11 * time.Second,
 		cutEvery: 9 * time.Second, logEvery: 13 * time.Second,
 	}
@@ -63,7 +64,9 @@
 	queueMost      = 20 * time.Millisecond
 	workMost       = 400 * time.Millisecond
 	callerTimeout  = 4 * time.Second
-	requestTimeout = 6 * time.Second
+	callerLateMost = 90 * time.Second
+	requestLeast   = 500 * time.Millisecond
+	requestMost    = 6 * time.Second
 	viewDelay      = time.Second
 	joinPause      = 200 * time.Millisecond
 	pauseMost      = 9 * time.Second
--- a/internal/tool/claims/work.go
+++ b/internal/tool/claims/work.go
@@ -38,7 +38,7 @@
 	w := r.byKey[c.request.key]
 	switch {
 	case w == nil || w.stage == stageUnsent || w.stage == stageUnknown:
-		w = &work{request: c.request, begun: r.w.clock.now, deadline: r.w.clock.now.Add(requestTimeout)}
+		w = &work{request: c.request, begun: r.w.clock.now, deadline: r.w.clock.now.Add(requestLeast + r.w.upTo(requestMost))}
 		w.callers = append(w.callers, c)
 		r.byKey[c.request.key] = w
 		r.begin(w, c.first)
--- a/internal/tool/claims/world.go
+++ b/internal/tool/claims/world.go
@@ -59,7 +59,11 @@
 	for i := range w.options.Requests {
 		q := &request{key: claim.DigestOf("organisation", fmt.Sprint("key-", w.options.Seed, "-", i))}
 		w.requests = append(w.requests, q)
-		w.clock.at(epoch.Add(time.Duration(i)*gap), func() { w.sendRequest(q) })
+		start := epoch.Add(time.Duration(i) * gap)
+		w.clock.at(start, func() { w.sendRequest(q) })
+		if w.chance(w.faults.callerLate) {
+			w.clock.at(start.Add(w.upTo(callerLateMost)), func() { w.sendLate(q) })
+		}
 	}
 }
 
@@ -175,7 +179,9 @@
 	for _, q := range w.requests {
 		w.report.end(q)
 	}
-	w.report.AppendsPerSecond = float64(w.report.appendsWhileLoaded) / length.Seconds()
+	if length > 0 {
+		w.report.AppendsPerSecond = float64(w.report.appendsWhileLoaded) / length.Seconds()
+	}
 	w.report.History = w.history.operations()
 }
 
