--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -40,6 +41,9 @@
 	swept   time.Time
 	checked bool
 	claims  map[Digest]held
+	// order holds the keys as they were first claimed, so that what is
+	// derived from the fold does not depend on the order of a map.
+	order []Digest
 	// void are the claims that were released or lost. A late append of one
 	// of them changes nothing, although its key may be free by then.
 	void        map[ID]int64
@@ -131,10 +135,11 @@
 	return s
 }
 
-// Living returns the keys with a living claim.
+// Living returns the keys with a living claim, in the order of their claims.
+// A key that was released and claimed again may come twice.
 func (f *Fold) Living() []Digest {
 	keys := make([]Digest, 0, len(f.claims))
-	for d := range f.claims {
+	for _, d := range f.order {
 		if _, ok := f.living(d); ok {
 			keys = append(keys, d)
 		}
@@ -180,10 +185,10 @@
 	if c.KeyTime.After(born) {
 		born = c.KeyTime
 	}
-	f.claims[c.Key] = held{
+	f.insert(c.Key, held{
 		id: c.ID, bodyHash: c.BodyHash, holder: f.intern(c.Holder),
 		until: born.Add(KeyLife).UnixMilli(), sure: f.Complete(),
-	}
+	})
 }
 
 // release frees the key if the claim holds it.
@@ -211,7 +216,7 @@
 	}
 	h, ok := f.living(e.Claim.Key)
 	if !ok {
-		f.claims[e.Claim.Key] = add
+		f.insert(e.Claim.Key, add)
 		return
 	}
 	rest := h.without(add.id)
@@ -228,6 +233,13 @@
 	}
 }
 
+func (f *Fold) insert(d Digest, h held) {
+	if _, ok := f.claims[d]; !ok {
+		f.order = append(f.order, d)
+	}
+	f.claims[d] = h
+}
+
 func (f *Fold) avoid(id ID) { f.void[id] = f.clock.Add(KeyLife).UnixMilli() }
 
 // Void reports whether the claim was released or has lost.
@@ -316,6 +328,10 @@
 			delete(f.claims, d)
 		}
 	}
+	f.order = slices.DeleteFunc(f.order, func(d Digest) bool {
+		_, ok := f.claims[d]
+		return !ok
+	})
 	for id, until := range f.void {
 		if until <= limit {
 			delete(f.void, id)
--- a/internal/tool/claims/caller.go
+++ b/internal/tool/claims/caller.go
@@ -15,6 +15,8 @@
 	// told is what the caller knows in the end.
 	told coordination.Outcome
 	over bool
+	// open is the number of sends whose caller still waits.
+	open int
 }
 
 // caller is one send of a request.
@@ -40,6 +42,7 @@
 
 func (w *world) sendOnce(q *request, first bool) {
 	q.sends++
+	q.open++
 	if !q.over {
 		q.told = coordination.OutcomeUnknown
 	}
@@ -50,14 +53,20 @@
 			return
 		}
 		c.done = true
+		q.open--
 		c.router.later(w.spread(networkDelay), func() { c.router.abandon(c) })
 		w.sendAgain(q)
 	})
 }
 
 // sendLate sends a request once more, long after its caller should have been
-// content.
+// content. It waits for the sends under way, since a caller that says of one
+// that it is the first does not send another beside it.
 func (w *world) sendLate(q *request) {
+	if q.open > 0 {
+		w.clock.after(callerTimeout, func() { w.sendLate(q) })
+		return
+	}
 	if q.sends < w.options.Sends {
 		w.sendOnce(q, q.sends == 0)
 	}
@@ -78,6 +87,7 @@
 			return
 		}
 		c.done = true
+		c.request.open--
 		if o == coordination.OutcomeRan {
 			w.check(c.request.runs == 1, "answered without a run", c.request)
 			c.request.told, c.request.over = o, true
