--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -1,6 +1,6 @@
 // Command hyssopreach-measure measures the promises of the system, compares
 // with baselines on the same load in the same run, and checks the figures
-// against bounds that stand beside it. It exits with 1 when a figure misses its
+// against the bounds in the JSON files beside it. It exits with 1 when a figure misses its
 // bound.
 package main
 
@@ -22,7 +22,7 @@
 	flaggy.SetName("hyssopreach-measure")
 	flaggy.SetDescription("measures the promises of the system against bounds")
 	flaggy.SetVersion("1")
-	commands := []command{claimsCommand()}
+	commands := []command{fairnessCommand(), latencyCommand(), claimsCommand()}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
 	}
