Restate bids less often and remember how far a thin line had to bid

Cause: bids were the largest part of the control traffic, 98 a second and router at 76 endpoints: fat lines restated every silent bid every 2 s. Change: a line that is served elsewhere restates a silent bid after 10 s; a line that empties remembers half its width and uses it if it is behind.

--- a/internal/coordination/bidding/bidder.go
+++ b/internal/coordination/bidding/bidder.go
@@ -112,6 +112,9 @@
 	if l.queue.Len() == 0 {
 		l.grantedAt = now
 		l.widenAt = now.Add(widenEvery)
+		if !b.behind(now, l) {
+			l.width = 0
+		}
 	}
 	l.meter.costs.hint = r.Estimate
 	l.meter.waiting++
@@ -143,7 +146,7 @@
 	}
 	if i.line.queue.Len() == 0 {
 		i.line.emptyAt = now
-		i.line.width = 0
+		i.line.width /= 2
 	}
 }
 
--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -24,8 +24,10 @@
 	// strayEvery is the time without a grant after which a line that is not
 	// behind tries one more endpoint.
 	strayEvery = 250 * time.Millisecond
-	// resyncAfter is the silence after which a bid is stated afresh.
-	resyncAfter = 2 * time.Second
+	// resyncAfter is the silence after which a bid is stated afresh if the
+	// line is served nowhere, and servedResyncAfter if it is served elsewhere.
+	resyncAfter       = 2 * time.Second
+	servedResyncAfter = 10 * time.Second
 	// noEndpointGrace is how long a request waits for an endpoint to appear.
 	noEndpointGrace = 10 * time.Second
 )
@@ -111,7 +113,17 @@
 	if l.queue.first().urgency() > s.urgency {
 		return true
 	}
-	return now.Sub(s.heardAt) >= resyncAfter && now.Sub(s.toldAt) >= resyncAfter
+	silence := l.silence(now)
+	return now.Sub(s.heardAt) >= silence && now.Sub(s.toldAt) >= silence
+}
+
+// silence is how long a dispatcher may be silent before its bid is taken for
+// lost.
+func (l *line) silence(now time.Time) time.Duration {
+	if now.Sub(l.grantedAt) < resyncAfter {
+		return servedResyncAfter
+	}
+	return resyncAfter
 }
 
 // urgency is the request's urgency for a dispatcher; nested calls go before
@@ -128,7 +140,7 @@
 
 // tell builds the bid that states the line's present want.
 func (l *line) tell(now time.Time, s *standing) *schedule.Bid {
-	resync := s.told > 0 && now.Sub(s.heardAt) >= resyncAfter
+	resync := s.told > 0 && now.Sub(s.heardAt) >= l.silence(now)
 	s.told = min(l.queue.Len(), mostTold)
 	s.toldWith = s.received
 	s.toldAt = now
--- a/internal/coordination/bidding/spread.go
+++ b/internal/coordination/bidding/spread.go
@@ -152,9 +152,8 @@
 	if placed >= most {
 		return
 	}
-	behind := l.meter.Tag(now)+l.meter.estimate() < b.pool(l.key.pool).front(now)
 	switch {
-	case behind:
+	case b.behind(now, l):
 		l.width = min(2*max(placed, firstBids), most)
 	case now.Sub(l.grantedAt) >= strayEvery:
 		l.width = min(placed+1, most)
@@ -162,6 +161,11 @@
 	}
 }
 
+// behind reports whether organisations that are further on are being served.
+func (b *Bidder) behind(now time.Time, l *line) bool {
+	return l.meter.Tag(now)+l.meter.estimate() < b.pool(l.key.pool).front(now)
+}
+
 // rehome sends the line's bids to the dispatchers that have taken endpoints
 // over, and forgets the endpoints that can no longer serve it.
 func (b *Bidder) rehome(now time.Time, l *line) {
