Measure latency with the router as a process of its own

Cause: router, callers and stand-in shared one process, so the figures held each other's garbage collection, and half load meant half of the machine. Change: process.StartFleet runs routers as processes for both stop and latency; the router of the latency run has two processors.

--- a/internal/tool/process/router.go
+++ b/internal/tool/process/router.go
@@ -18,9 +18,9 @@
 // readyPause is the time between two looks at whether a router is ready.
 const readyPause = 20 * time.Millisecond
 
-// Build builds the router's program in the directory and returns its path. It
-// must be called from within the module.
-func Build(ctx context.Context, directory string) (string, error) {
+// build builds the router's program in the directory and returns its path. It
+// works only from within the module.
+func build(ctx context.Context, directory string) (string, error) {
 	binary := filepath.Join(directory, "hyssopreach")
 	output, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "hyssopreach/cmd/hyssopreach").CombinedOutput()
 	if err != nil {
@@ -36,9 +36,9 @@
 	log      *os.File
 }
 
-// Start starts a router with the settings and waits until it is ready. Its
+// start starts a router with the settings and waits until it is ready. Its
 // log lines go to a file in the directory.
-func Start(ctx context.Context, binary, directory string, s *settings.Settings) (*Router, error) {
+func start(ctx context.Context, binary, directory string, environment []string, s *settings.Settings) (*Router, error) {
 	data, err := json.Marshal(s)
 	if err != nil {
 		return nil, fmt.Errorf("write settings of %s: %w", s.Name, err)
@@ -55,6 +55,7 @@
 	command := exec.CommandContext(context.WithoutCancel(ctx), binary, "router", base+".json")
 	r := &Router{Settings: s, command: command, log: log}
 	r.command.Stdout, r.command.Stderr = log, log
+	r.command.Env = append(os.Environ(), environment...)
 	if err := r.command.Start(); err != nil {
 		_ = log.Close()
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
@@ -88,6 +89,11 @@
 	}
 }
 
+// Processor is the processor time that the process has used so far.
+func (r *Router) Processor() (time.Duration, error) {
+	return processorTime(r.command.Process.Pid)
+}
+
 // Kill ends the process as a lost VM ends, and waits.
 func (r *Router) Kill() error {
 	err := r.command.Process.Kill()
