--- a/cmd/hyssopreach-measure/latency.go
+++ b/cmd/hyssopreach-measure/latency.go
@@ -33,6 +33,7 @@
 	s.Duration(&o.CallTime, "c", "call-time", "time of a plain call")
 	s.UInt64(&o.Seed, "s", "seed", "random seed")
 	s.Int(&o.Processors, "p", "processors", "processors that the router may use")
+	s.String(&o.Profile, "f", "profile", "file for a processor profile of the router at half load")
 	s.String(&o.Binary, "b", "binary", "the router's program; built if not given")
 	return command{s, func() ([]string, error) {
 		o.Kind = load.Kind(kind)
--- a/internal/tool/latency/latency.go
+++ b/internal/tool/latency/latency.go
@@ -40,6 +40,9 @@
 	Processors int
 	// Binary is the router's program; empty builds it.
 	Binary string
+	// Profile is a file for a processor profile of the router at half load;
+	// empty writes none.
+	Profile string
 	// CallTime is the time of one call of the plain service.
 	CallTime time.Duration
 	Seed     uint64
@@ -126,12 +129,13 @@
 		report.Closed = append(report.Closed, c)
 		highest = max(highest, c.Routed.PerSecond())
 	}
+	profile := m.startProfile(ctx)
 	report.HalfLoad, err = m.compare(ctx, fmt.Sprintf("Kind=%s HalfLoad=%.0f", o.Kind, highest/2), 0, highest/2)
 	if err != nil {
 		return nil, err
 	}
 	report.HalfLoad.Print(w)
-	return report, nil
+	return report, <-profile
 }
 
 func startFleet(ctx context.Context, o Options) (*process.Fleet, error) {
--- /dev/null
+++ b/internal/tool/latency/profile.go
@@ -0,0 +1,49 @@
+package latency
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"hyssopreach/internal/transport/router"
+)
+
+// startProfile fetches a profile of the router over the half load in the
+// background. The channel gives its error, if any, once.
+func (m *measurement) startProfile(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	if m.options.Profile == "" {
+		done <- nil
+		return done
+	}
+	length := 2 * time.Duration(m.options.Rounds) * m.options.Slice
+	url := fmt.Sprintf("http://%s%s?seconds=%d", m.fleet.Settings[0].OperatorAddress, router.PathProfile,
+		max(1, int(length.Seconds())-1))
+	go func() { done <- fetch(ctx, url, m.options.Profile) }()
+	return done
+}
+
+// fetch writes what the address answers to a file.
+func fetch(ctx context.Context, url, name string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("fetch profile: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	file, err := os.Create(name)
+	if err != nil {
+		return fmt.Errorf("write profile: %w", err)
+	}
+	_, err = io.Copy(file, response.Body)
+	if closed := file.Close(); err == nil {
+		err = closed
+	}
+	return err
+}
--- a/internal/transport/router/operators.go
+++ b/internal/transport/router/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +17,10 @@
 	PathReady   = "/ready"
 	PathMetrics = "/metrics"
 	PathStatus  = "/status"
+	// PathProfile gives a profile of the processor time, by default of 30
+	// seconds, and PathAllocations one of all allocations so far.
+	PathProfile     = "/debug/profile"
+	PathAllocations = "/debug/allocations"
 )
 
 // Status is what a router says of itself to operators.
@@ -56,6 +61,8 @@
 		// An operator that has gone cannot be told anything more.
 		_ = json.NewEncoder(w).Encode(r.status())
 	})
+	mux.HandleFunc("GET "+PathProfile, pprof.Profile)
+	mux.Handle("GET "+PathAllocations, pprof.Handler("allocs"))
 	return mux
 }
 
