--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -198,10 +199,16 @@
 	}
 }
 
+// copyBuffers holds the buffers between endpoints and callers, which would
+// otherwise be most of the garbage.
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
 // copyAnswer holds back the head until the first bytes have come, so that an
 // answer that breaks before them can still be retried.
 func (r *Runner) copyAnswer(ctx context.Context, answer Answer, id schedule.RequestID, m *meter, out *begun) error {
-	buffer := make([]byte, copyBytes)
+	pooled := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(pooled)
+	buffer := pooled[:]
 	for {
 		n, err := answer.Read(buffer)
 		whole := errors.Is(err, io.EOF)
