--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -22,7 +22,13 @@
 	flaggy.SetName("hyssopreach-measure")
 	flaggy.SetDescription("measures the promises of the system against bounds")
 	flaggy.SetVersion("1")
-	commands := []command{fairnessCommand(), latencyCommand(), claimsCommand()}
+	commands := []command{
+		fairnessCommand(),
+		latencyCommand(),
+		claimsCommand(),
+		stopCommand(),
+		leavingCommand(),
+	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
 	}
