Measure scenes on real routers; deliver every kind of scheduler message

Found: the router kept a list of kinds for the scheduler, and the new kind Counters was not on it, so every router dropped what the others knew. Change: whatever package peer converts goes to the scheduler, no list. The subcommand scene runs scenes A and C on real routers over loopback.

--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -28,6 +28,7 @@
 		claimsCommand(),
 		stopCommand(),
 		leavingCommand(),
+		sceneCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
--- /dev/null
+++ b/cmd/hyssopreach-measure/scene.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/cespare/xxhash/v2"
+	"github.com/integrii/flaggy"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/standin/fleet"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/tool/rig"
+	"hyssopreach/internal/tool/trial"
+)
+
+const (
+	sceneSlots      = 8
+	sceneStep       = 10 * time.Millisecond // between two tokens of a stream
+	sceneMeanTokens = 100
+	sceneWarm       = 10 * time.Second
+	sceneEntryHold  = 2 * time.Second
+	sceneStart      = 30 * time.Second
+)
+
+// sceneOptions are the flags of the scene subcommand.
+type sceneOptions struct {
+	seed               uint64
+	routers, engines   int
+	seconds            int
+	policy, fault, log string
+}
+
+func sceneCommand() command {
+	s := flaggy.NewSubcommand("scene")
+	s.Description = "fairness gap, utilisation and control traffic of real routers on loopback, scenes A and C"
+	o := sceneOptions{seed: 1, routers: 7, engines: 12, seconds: 40, policy: "share"}
+	s.UInt64(&o.seed, "s", "seed", "random seed")
+	s.Int(&o.routers, "r", "routers", "number of routers")
+	s.Int(&o.engines, "e", "engines", "number of engines")
+	s.Int(&o.seconds, "t", "seconds", "length of the measurement")
+	s.String(&o.policy, "p", "policy", "share, fifo, random or router-queues; several with commas")
+	s.String(&o.fault, "f", "fault", "none, or "+strings.Join(faultNames(), ", "))
+	s.String(&o.log, "l", "log", "file for the routers' logs")
+	return command{s, func() ([]string, error) { return measureScene(o) }}
+}
+
+func measureScene(o sceneOptions) ([]string, error) {
+	b, err := readBounds()
+	if err != nil {
+		return nil, err
+	}
+	fmt.Printf("seed %d, %d routers, %d engines of %d slots, %d organisations, %d s\n",
+		o.seed, o.routers, o.engines, sceneSlots, len(sceneOrganisations(o.routers)), o.seconds)
+	var missed []string
+	gaps := make(map[string]float64)
+	for _, name := range strings.Split(o.policy, ",") {
+		result, err := runScene(o, name)
+		if err != nil {
+			return nil, fmt.Errorf("scene with policy %s: %w", name, err)
+		}
+		printScene(name, result)
+		gaps[name] = result.Gap
+		if name == "share" {
+			missed = append(missed, judgeScene(b.Fairness, o, result)...)
+		}
+	}
+	if queues, ok := gaps["router-queues"]; ok && gaps["share"] > b.Fairness.GapToRouterQueues*queues {
+		missed = append(missed, fmt.Sprintf("gap is %.2f of that of router-queues, bound %.2f", gaps["share"]/queues, b.Fairness.GapToRouterQueues))
+	}
+	return missed, nil
+}
+
+func judgeScene(b fairnessBounds, o sceneOptions, result *trial.Result) []string {
+	var missed []string
+	largest := float64(result.LargestCost)
+	if o.fault == "" {
+		if gap := result.Gap / largest; gap > b.GapInLargestCosts {
+			missed = append(missed, fmt.Sprintf("gap %.2f largest costs, bound %.2f", gap, b.GapInLargestCosts))
+		}
+	} else if bound := 2 * max(largest, float64(o.engines*sceneSlots)*largest); result.GapAfter > bound {
+		missed = append(missed, fmt.Sprintf("gap after the fault %.0f tokens, bound %.0f", result.GapAfter, bound))
+	}
+	if result.Utilisation < b.Utilisation {
+		missed = append(missed, fmt.Sprintf("utilisation %.4f, bound %.4f", result.Utilisation, b.Utilisation))
+	}
+	return missed
+}
+
+// sceneOrganisations are sixteen, of which three flood through two routers;
+// the others are spread unevenly, thin beside fat. A thin one has one to three
+// requests waiting: one more is kept than must wait, since a caller sends the
+// next when an answer begins, a moment after the request has left the queue.
+func sceneOrganisations(routers int) []trial.Organisation {
+	all := make([]trial.Organisation, 16)
+	for i := range all {
+		one := trial.Organisation{
+			Name: fmt.Sprintf("org-%02d", i+1), Weight: 1, Tokens: sceneMeanTokens, Backlog: 20, Routers: []int{i % routers},
+		}
+		switch {
+		case i < 3:
+			one.Backlog, one.Routers = 200, []int{0, 1 % routers}
+		case i < 9:
+			one.Backlog = 2 + i%3
+		case i < 12:
+			one.Routers = []int{2 % routers}
+		}
+		all[i] = one
+	}
+	return all
+}
+
+func runScene(o sceneOptions, name string) (*trial.Result, error) {
+	ctx := context.Background()
+	starting, cancel := context.WithTimeout(ctx, sceneStart)
+	defer cancel()
+	logger := &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	if o.log != "" {
+		file, err := os.Create(o.log)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = file.Close() }()
+		logger.Handler = logfmt.New(file)
+	}
+	domains := []string{"Kharagpur", "Kolkata", "Durgapur"}
+	platform := fleet.Default()
+	platform.Engine.MaxBatch, platform.Engine.StepTime, platform.Engine.StepTimePerRequest = sceneSlots, sceneStep, 0
+	r, err := rig.Start(starting, rig.Options{
+		Document: rig.Document(16, o.engines, 1, domains), Routers: o.routers, FailureDomains: domains,
+		Platform: platform, EntryHold: sceneEntryHold, Logger: logger, Scheduler: scenePolicy(o, name),
+	})
+	if err != nil {
+		return nil, err
+	}
+	result := trial.Run(ctx, r, trial.Options{
+		Organisations: sceneOrganisations(o.routers), Warm: sceneWarm, Length: time.Duration(o.seconds) * time.Second,
+		SlotsPerEngine: sceneSlots, Seed: o.seed, Fault: sceneFault(o.fault), Settle: 2 * time.Second,
+	})
+	return &result, r.Close()
+}
+
+// scenePolicy returns the constructor of the named policy; nil stands for the
+// router's own.
+func scenePolicy(o sceneOptions, name string) func(view.RouterID) schedule.Scheduler {
+	for _, p := range policies((sceneSlots + o.routers - 1) / o.routers) {
+		if p.name == name && name != "share" {
+			return func(id view.RouterID) schedule.Scheduler {
+				return p.make(rand.NewPCG(o.seed, xxhash.Sum64String(string(id))))
+			}
+		}
+	}
+	return nil
+}
+
+func printScene(name string, result *trial.Result) {
+	fmt.Printf("policy=%s gap=%.0f largest-cost=%d gap-in-largest-costs=%.2f ahead=%s behind=%s utilisation=%.4f tokens-per-second=%.0f gap-after-fault=%.0f\n",
+		name, result.Gap, result.LargestCost, result.Gap/float64(result.LargestCost), result.Ahead, result.Behind,
+		result.Utilisation, result.TokensPerSecond, result.GapAfter)
+	if result.FaultError != nil {
+		fmt.Printf("fault: %v\n", result.FaultError)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	for _, one := range result.Outcomes {
+		_, _ = fmt.Fprintf(t, "%s\twaiting %d\ttokens %d\tanswered %d\tcut %d\tlost %d\tunknown %d\twrong %d\trefused %v\n", one.Organisation.Name,
+			one.Organisation.Backlog, one.Tokens, one.Report.Answered, one.Report.Cut, one.Report.Lost, one.Report.Unknown, one.Report.Wrong, one.Report.Refused)
+	}
+	_ = t.Flush()
+	for _, one := range result.Traffic {
+		kinds := make([]string, 0, len(one.ByKind))
+		for kind, rate := range one.ByKind {
+			kinds = append(kinds, fmt.Sprintf("%s=%.0f", kind, rate))
+		}
+		sort.Strings(kinds)
+		fmt.Printf("control router=%s bytes-per-second=%.0f %s\n", one.Router, one.BytesPerSecond, strings.Join(kinds, " "))
+	}
+}
--- a/internal/transport/router/peers.go
+++ b/internal/transport/router/peers.go
@@ -23,7 +23,9 @@
 	links     *peer.Links
 	logger    log.Interface
 	receivers map[string]receiver
-	answers   func(ctx context.Context, q *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
+	// schedule takes the messages between schedulers, of whatever kind.
+	schedule func(schedule.Delivery)
+	answers  func(ctx context.Context, q *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
 }
 
 // On registers the receiver of a kind of message. All registrations happen
@@ -32,6 +34,10 @@
 
 // Receive hands a message to the component that registered for its kind.
 func (p *peers) Receive(from view.RouterID, incarnation uint64, m *wire.Message) {
+	if message, ok := wire.ToScheduler(m); ok {
+		p.schedule(schedule.Delivery{From: from, Message: message})
+		return
+	}
 	kind := peer.Kind(m)
 	if r, ok := p.receivers[kind]; ok {
 		r(from, incarnation, m)
@@ -86,20 +92,6 @@
 	p.Send(to, w)
 }
 
-// schedulerKinds are the messages between schedulers.
-var schedulerKinds = []string{"Bid", "Grant", "Return", "Renewal", "Report", "Tags", "Shortage"}
-
-// onScheduler hands the messages between schedulers to the given function.
-func (p *peers) onScheduler(deliver func(schedule.Delivery)) {
-	for _, kind := range schedulerKinds {
-		p.On(kind, func(from view.RouterID, _ uint64, w *wire.Message) {
-			if m, ok := wire.ToScheduler(w); ok {
-				deliver(schedule.Delivery{From: from, Message: m})
-			}
-		})
-	}
-}
-
 func configurationText(c revision.Configuration) *wire.ConfigurationText {
 	return &wire.ConfigurationText{Revision: c.Revision, Offset: c.Offset, Hash: c.Hash, Text: c.Text}
 }
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -94,7 +94,7 @@
 	r.peers = &peers{fleet: r.fleet, links: links, logger: o.Logger, receivers: make(map[string]receiver)}
 	r.client = endpoint.NewClient(o.Network.DialContext)
 	r.scheduling = execution.NewScheduling(o.Scheduler, r.peers, o.Logger)
-	r.peers.onScheduler(func(d schedule.Delivery) { r.scheduling.Input(d) })
+	r.peers.schedule = func(d schedule.Delivery) { r.scheduling.Input(d) }
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
