--- a/cmd/hyssopreach-measure/bounds.go
+++ b/cmd/hyssopreach-measure/bounds.go
@@ -12,6 +12,7 @@
 // bounds are the targets, as bounds.json states them.
 type bounds struct {
 	Fairness fairnessBounds
+	Urgent   urgentBounds
 	Latency  latencyBounds
 }
 
--- a/cmd/hyssopreach-measure/fairness.go
+++ b/cmd/hyssopreach-measure/fairness.go
@@ -135,8 +135,5 @@
 	if share.Utilisation < b.Utilisation {
 		miss("utilisation %.4f under %.4f", share.Utilisation, b.Utilisation)
 	}
-	if len(share.Faulty) > 0 {
-		miss("%d broken promises, first: %s", len(share.Faulty), share.Faulty[0])
-	}
-	return missed
+	return append(missed, broken(&share)...)
 }
--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -22,7 +22,11 @@
 	flaggy.SetName("hyssopreach-measure")
 	flaggy.SetDescription("measures fairness, utilisation and control traffic against bounds")
 	flaggy.SetVersion("1")
-	commands := []command{fairnessCommand(), latencyCommand()}
+	commands := []command{
+		fairnessCommand(),
+		urgentCommand(),
+		latencyCommand(),
+	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
 	}
--- a/internal/coordination/dispatch/endpoint.go
+++ b/internal/coordination/dispatch/endpoint.go
@@ -30,7 +30,9 @@
 	line  schedule.Line
 	given time.Time
 	until time.Time
-	began bool // its time to first token has been taken
+	// renewed grants were given by another dispatcher.
+	renewed bool
+	began   bool // its time to first token has been taken
 }
 
 // endpoint is the dispatcher of one endpoint.
@@ -86,7 +88,7 @@
 	for _, r := range m.Running {
 		g := e.grants[r.Grant]
 		if g == nil {
-			g = &grant{to: from, line: r.Line, given: now}
+			g = &grant{to: from, line: r.Line, given: now, renewed: true}
 			e.grants[r.Grant] = g
 			if r.Line.Exclusive {
 				e.exclusive = r.Grant
@@ -114,6 +116,9 @@
 	if m.FirstToken > 0 && !g.began {
 		e.limit.began(now, m.FirstToken, running)
 	}
+	if m.Result == schedule.ResultFinished && !g.renewed {
+		e.limit.travelled(now.Sub(g.given) - m.Elapsed)
+	}
 	e.limit.ended(now, m, running)
 }
 
--- a/internal/coordination/dispatch/limit.go
+++ b/internal/coordination/dispatch/limit.go
@@ -19,7 +19,10 @@
 	// sample, so that an old low value is forgotten in time.
 	baseRise = 0.01
 	// rateTime is the time over which the rate of completions is averaged.
-	rateTime = 5 * time.Second
+	rateTime = 2 * time.Second
+	// aheadTransits is the number of transits for which calls are handed out
+	// ahead, so that an endpoint has the next one when a slot frees.
+	aheadTransits = 3
 	// queueAllowed is the number of requests that may stand in the
 	// endpoint's own queue, so that it never runs dry.
 	queueAllowed = 1
@@ -39,6 +42,9 @@
 	latency float64 // seconds
 	rate    float64 // completions a second
 	ratedAt time.Time
+	// transit is the smoothed time in seconds that a grant and its return
+	// are on the way.
+	transit float64
 	memory  float64
 	// settledAt is the instant of the last change; loads measured before say
 	// nothing of the present limit.
@@ -52,7 +58,13 @@
 	if l.memory > memoryHigh && running > 0 {
 		return 0
 	}
-	return max(0, int(l.value)-running)
+	return max(0, l.whole()-running)
+}
+
+// whole is the limit with what is handed out ahead: about the completions of a
+// few transits, which is nothing for long calls.
+func (l *limit) whole() int {
+	return int(l.value + aheadTransits*l.rate*l.transit + 0.5*min(1, l.rate*l.transit))
 }
 
 // atLeast raises the limit to what the endpoint is known to run.
@@ -67,7 +79,7 @@
 	l.latency += latencyWeight * (seconds - l.latency)
 	l.base = min(seconds, l.base+baseRise*(seconds-l.base))
 	queued := l.rate * max(0, l.latency-l.base)
-	saturated := running >= int(l.value)
+	saturated := running >= l.whole()
 	switch {
 	case queued > 2*queueAllowed+1:
 		l.probing = false
@@ -89,12 +101,17 @@
 		l.set(now, min(l.value, float64(running)))
 	case schedule.ResultFinished:
 		l.completed(now)
-		if r.FirstToken == 0 {
-			l.value = l.probe.sample(l.value, r.Elapsed, running)
+		if r.FirstToken == 0 && running >= l.whole() {
+			l.value = l.probe.sample(l.value, r.Elapsed)
 		}
 	}
 }
 
+// travelled takes the time that a grant was out beyond the call itself.
+func (l *limit) travelled(d time.Duration) {
+	l.transit += latencyWeight * (max(0, d.Seconds()) - l.transit)
+}
+
 func (l *limit) completed(now time.Time) {
 	if l.ratedAt.IsZero() {
 		l.ratedAt = now
@@ -114,7 +131,7 @@
 	case report.Queued > queueAllowed:
 		l.probing = false
 		l.set(now, float64(report.Running+queueAllowed))
-	case report.Queued == 0 && running >= int(l.value) && 4*report.Running >= 3*running:
+	case report.Queued == 0 && running >= l.whole() && 4*report.Running >= 3*running:
 		step := 1.0
 		if l.probing {
 			step = max(1, l.value/2)
--- a/internal/coordination/dispatch/probe.go
+++ b/internal/coordination/dispatch/probe.go
@@ -3,12 +3,19 @@
 import "time"
 
 const (
-	// probeSamples is the least number of calls in one round of a probe.
-	probeSamples = 48
-	// probeRounds is the number of calls per slot in one round.
-	probeRounds = 6
-	// probeRest is the number of rounds between two probes that failed.
-	probeRest = 4
+	// firstSamples is the least number of calls in a round while the search
+	// takes large steps, and fineSamples that with small ones.
+	firstSamples = 16
+	fineSamples  = 400
+	// callsPerSlot is the least number of calls for each slot in a round.
+	callsPerSlot = 4
+	// restRounds is the number of rounds between two probes that failed.
+	restRounds = 4
+	// A higher limit is kept if calls lengthen by less than this part of what
+	// mere queueing would do, and a lower one if they shorten by more.
+	firstHigher = 0.5
+	fineHigher  = 0.7
+	fineLower   = 0.9
 )
 
 // probe finds the number of calls that an endpoint runs at once before they
@@ -17,21 +24,23 @@
 type probe struct {
 	settled  float64 // the limit to go back to
 	mean     float64 // seconds a call took at the settled limit
+	fine     bool    // the first sign of queueing has been seen
 	rest     int
 	downward bool
 	sum      float64
 	count    int
 }
 
-// sample takes a whole call that ran while the given number was out, and
+// sample takes a whole call that ended while the endpoint was kept full, and
 // returns the limit to use from now on.
-func (p *probe) sample(limit float64, elapsed time.Duration, running int) float64 {
-	if running < int(limit) {
-		return limit
-	}
+func (p *probe) sample(limit float64, elapsed time.Duration) float64 {
 	p.sum += elapsed.Seconds()
 	p.count++
-	if p.count < max(probeSamples, probeRounds*int(limit)) {
+	samples := firstSamples
+	if p.fine {
+		samples = fineSamples
+	}
+	if p.count < max(samples, callsPerSlot*int(limit)) {
 		return limit
 	}
 	mean := p.sum / float64(p.count)
@@ -49,23 +58,37 @@
 		}
 		return p.step(limit)
 	}
-	change := (limit - p.settled) / p.settled
-	slower := (mean - p.mean) / p.mean
-	// Half of the proportional effect tells queueing from running.
-	queued := slower/change > 0.5
-	if queued != p.downward {
-		// Higher and only queueing, or lower and losing service.
+	effect := (mean - p.mean) / p.mean / ((limit - p.settled) / p.settled)
+	if !p.better(effect) {
+		p.fine = true
 		p.downward = !p.downward
-		p.rest = probeRest
+		p.rest = restRounds
 		return p.settled
 	}
 	p.settled, p.mean = limit, mean
 	return p.step(limit)
 }
 
+// better reports whether the new limit is to be kept, given the part of
+// queueing in the change of the time of a call.
+func (p *probe) better(effect float64) bool {
+	switch {
+	case !p.fine:
+		return effect < firstHigher
+	case p.downward:
+		return effect > fineLower
+	default:
+		return effect < fineHigher
+	}
+}
+
 func (p *probe) step(limit float64) float64 {
-	if p.downward {
+	switch {
+	case !p.fine:
+		return limit + max(1, float64(int(limit/2)))
+	case p.downward:
 		return max(1, limit-max(1, float64(int(limit/8))))
+	default:
+		return limit + max(1, float64(int(limit/8)))
 	}
-	return limit + max(1, float64(int(limit/4)))
 }
