Follow the service with words about counters, not the clock

Cause: with calls of 5 ms organisations that connect to two routers were served in bursts: each router learnt of the other's part every 250 ms. Ruled out: the urgency told in bids, and organisations at one router, whose urgent calls were hardly ever late. Change: words to dispatchers, and to the holder while an organisation is shared, go out at the time in which it receives the cost of a request, 10 to 250 ms.

--- a/internal/coordination/bidding/bidder.go
+++ b/internal/coordination/bidding/bidder.go
@@ -17,8 +17,8 @@
 	// patience is how long a request that may not wait is kept while bids
 	// are out.
 	patience = 50 * time.Millisecond
-	// busyTick and idleTick are the distances of ticks with and without
-	// waiting work.
+	// busyTick is the greatest distance of ticks while work waits, and
+	// idleTick that of ticks without.
 	busyTick = 20 * time.Millisecond
 	idleTick = 250 * time.Millisecond
 	// emptyLineLifetime is how long a line without work is remembered.
@@ -62,7 +62,9 @@
 	meterOrder  []*meter
 	pools       map[string]*pool
 	running     running
-	out         []schedule.Output
+	// tick is the distance of ticks while work waits.
+	tick time.Duration
+	out  []schedule.Output
 }
 
 // New returns a bidder that knows no endpoints until the first Change.
@@ -83,6 +85,7 @@
 		meters:   map[meterKey]*meter{},
 		pools:    map[string]*pool{},
 		running:  newRunning(),
+		tick:     busyTick,
 	}
 }
 
@@ -250,7 +253,7 @@
 // is nothing to wait for.
 func (b *Bidder) Due(now time.Time) time.Time {
 	if first := b.store.deadlines.first(); len(b.store.byID) > 0 {
-		next := now.Add(busyTick)
+		next := now.Add(b.tick)
 		if first != nil && first.deadline.Before(next) {
 			next = first.deadline
 		}
--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -14,15 +14,14 @@
 	// reportEvery is the longest time for which a change goes unreported to
 	// the holder, and the distance of repeated reports while work waits.
 	reportEvery = time.Second
-	// sharedReportEvery is the same while other routers have work of the
-	// organisation too.
-	sharedReportEvery = 250 * time.Millisecond
-	// counterEvery is the least distance of words to dispatchers about a
-	// counter that is not where they take it to be by counterParts of an
-	// estimate, and counterLatest the greatest distance.
-	counterEvery  = 100 * time.Millisecond
+	// shortestQuantum and longestQuantum bound the time in which an
+	// organisation receives the cost of a request. It is the distance of words
+	// about its counter to dispatchers, and to the holder while other routers
+	// have work of the organisation too, so that these follow the service.
+	shortestQuantum = 10 * time.Millisecond
+	longestQuantum  = 250 * time.Millisecond
+	// counterLatest is the greatest distance of words to dispatchers.
 	counterLatest = time.Second
-	counterParts  = 2
 	// idleAfter is how long nothing must wait before an organisation is
 	// reported as idle.
 	idleAfter = 500 * time.Millisecond
@@ -73,7 +72,7 @@
 	}
 	every := reportEvery
 	if m.shared {
-		every = sharedReportEvery
+		every = m.quantum()
 	}
 	return (waits || m.Total() != m.Acknowledged()) && now.Sub(r.at) >= every
 }
@@ -156,7 +155,17 @@
 	age := now.Sub(m.told.at)
 	taken := m.told.tag + m.told.rate*min(age, counterLatest).Seconds()
 	off := math.Abs(m.Tag(now) - taken)
-	return age >= counterLatest || age >= counterEvery && off > m.estimate()/counterParts
+	return age >= counterLatest || age >= m.quantum() && off > m.estimate()/2
+}
+
+// quantum is the time in which the organisation receives the cost of a request.
+func (m *meter) quantum() time.Duration {
+	rate := m.Rate()
+	if rate <= 0 {
+		return longestQuantum
+	}
+	d := time.Duration(m.estimate() / rate * float64(time.Second))
+	return min(max(d, shortestQuantum), longestQuantum)
 }
 
 // tellCounters tells the dispatchers at which lines bid of counters that have
@@ -168,8 +177,12 @@
 	}
 	var order []to
 	words := map[to]*schedule.Counters{}
+	b.tick = busyTick
 	for _, m := range b.meterOrder {
 		m.Measure(now)
+		if m.waiting > 0 {
+			b.tick = min(b.tick, m.quantum())
+		}
 		if !m.moved(now) {
 			continue
 		}
