Let other routers' service grow with the own one between reports

Cause: between two reports an organisation at two routers was counted as if the other router went on at its old rate, while both are served in the same bursts. Change: a meter lets the others' part grow in proportion to its own service since the last answer; words go out every 5 ms at the most often, 10 before.

--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -18,7 +18,7 @@
 	// organisation receives the cost of a request. It is the distance of words
 	// about its counter to dispatchers, and to the holder while other routers
 	// have work of the organisation too, so that these follow the service.
-	shortestQuantum = 10 * time.Millisecond
+	shortestQuantum = 5 * time.Millisecond
 	longestQuantum  = 250 * time.Millisecond
 	// counterLatest is the greatest distance of words to dispatchers.
 	counterLatest = time.Second
--- a/internal/state/account/meter.go
+++ b/internal/state/account/meter.go
@@ -84,6 +84,11 @@
 // Tag is the organisation's counter as this router knows it.
 func (m *Meter) Tag(now time.Time) float64 {
 	growth := grown(m.others.rate, m.others.at, now)
+	if m.own.rate > 0 {
+		// The others compete with the same counter, so they are served when
+		// this router is.
+		growth = min(m.others.rate/m.own.rate*(m.total-m.acknowledged), m.others.rate*extrapolateFor.Seconds())
+	}
 	return m.othersSettled + growth + m.total + m.othersReserved + m.reserved
 }
 
