--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -24,6 +24,7 @@
 	flaggy.SetVersion("1")
 	commands := []command{
 		fairnessCommand(),
+		urgentCommand(),
 		latencyCommand(),
 		claimsCommand(),
 		stopCommand(),
