Claim non-idempotent requests in the router and keep their answers

Cause: requests that are not idempotent were refused, since nothing kept a resent one from running again. Change: the claimant and the writers run in each router over the platform's log and the links of peers. A request joins the running attempt or the kept answer of its key at its own router, and through any other router by the rpc Answer at the claim's holder. Answers are bounded in bytes and time; what ran stays known for the life of its key. Work that was sent runs on when its caller leaves, also in a planned stop. The setting LogRetention states how long the platform's log keeps a record; the header X-First-Send lets a refusal without a claim say that nothing ran, which a resent key cannot prove.

--- a/internal/protocol/caller/path.go
+++ b/internal/protocol/caller/path.go
@@ -13,6 +13,10 @@
 	// HeaderIdempotencyKey names a request, so that sending it again does not
 	// run it again. It is required for requests that are not idempotent.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderFirstSend is "true" on the first send of a request, while no other
+	// send with its key is under way. Only then can a refusal without a claim
+	// prove that the request did not run.
+	HeaderFirstSend = "X-First-Send"
 	// HeaderDeadline is the instant, in RFC 3339 form, after which the caller
 	// has no use for the answer.
 	HeaderDeadline = "X-Deadline"
--- /dev/null
+++ b/internal/protocol/peer/conversion_claim_test.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	coordination "hyssopreach/internal/coordination/claim"
+	"hyssopreach/internal/state/claim"
+)
+
+func TestClaimMessagesSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	at := time.UnixMilli(1_700_000_000_123)
+	ask := coordination.Ask{
+		Claim: claim.Claim{
+			ID: claim.ID{1}, Key: claim.DigestOf("o", "k"), BodyHash: 5, KeyTime: at,
+			Holder: claim.Holder{Router: "a", Incarnation: 3},
+		},
+		Release: true, Deadline: at,
+	}
+	got, err := ToClaimAsk("a", FromClaimAsk(&ask))
+	is.NoErr(err)
+	is.Equal(got, ask)
+	for _, s := range []claim.Standing{
+		{Claim: claim.ID{1}, Verdict: claim.VerdictHeld, Winner: claim.ID{2}, Holder: claim.Holder{Router: "b", Incarnation: 4}, Until: at},
+		{Claim: claim.ID{1}, Verdict: claim.VerdictReleased},
+	} {
+		v, err := ToClaimVerdict(FromClaimVerdict(&coordination.Verdict{Standing: s}))
+		is.NoErr(err)
+		is.Equal(v.Standing, s)
+	}
+}
+
+func TestMalformedClaimMessagesAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := ToClaimAsk("a", &ClaimAsk{Key: []byte{1}, Claim: make([]byte, 16)})
+	is.True(err != nil)
+	_, err = ToClaimAsk("a", nil)
+	is.True(err != nil)
+	_, err = ToClaimVerdict(&ClaimVerdict{Claim: make([]byte, 16), Verdict: 200})
+	is.True(err != nil)
+}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -36,6 +36,10 @@
 	// EntryHold is how long callers may keep an answer that names routers.
 	// A planned stop takes at least that long. Default: 10 s.
 	EntryHold Duration
+	// LogRetention is how long the platform's log keeps a record, as its
+	// operators state it. What must last longer is appended again in time.
+	// Default: 24 h.
+	LogRetention Duration
 	// Limits bound what callers can make the router hold.
 	Limits Limits
 }
@@ -57,6 +61,7 @@
 // The defaults of settings that the file leaves out.
 const (
 	DefaultEntryHold       = 10 * time.Second
+	DefaultLogRetention    = 24 * time.Hour
 	DefaultBodyBytes       = 4 << 20
 	DefaultHeaderBytes     = 32 << 10
 	DefaultWaitingBytes    = 256 << 20
@@ -67,6 +72,8 @@
 const (
 	minEntryHold = time.Second
 	maxEntryHold = 10 * time.Minute
+	minRetention = time.Minute
+	maxRetention = 365 * 24 * time.Hour
 	minBodyBytes = 1 << 10
 	minHeader    = 4 << 10
 	maxHeader    = 1 << 20
@@ -98,7 +105,8 @@
 // problem.Problems and tells everything that is wrong.
 func Parse(data []byte) (*Settings, error) {
 	s := &Settings{
-		EntryHold: Duration(DefaultEntryHold),
+		EntryHold:    Duration(DefaultEntryHold),
+		LogRetention: Duration(DefaultLogRetention),
 		Limits: Limits{
 			BodyBytes:       DefaultBodyBytes,
 			HeaderBytes:     DefaultHeaderBytes,
@@ -137,6 +145,9 @@
 	if hold := time.Duration(s.EntryHold); hold < minEntryHold || hold > maxEntryHold {
 		c.problems.Add("EntryHold", s.EntryHold.String(), minEntryHold.String()+" to "+maxEntryHold.String())
 	}
+	if kept := time.Duration(s.LogRetention); kept < minRetention || kept > maxRetention {
+		c.problems.Add("LogRetention", s.LogRetention.String(), minRetention.String()+" to "+maxRetention.String())
+	}
 	c.limits()
 }
 
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -23,8 +23,9 @@
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
-	r.components = append(r.components, r.members, configurations, endpoints)
-	r.watchers = append(r.watchers, endpoints)
+	r.claims = startClaims(r)
+	r.components = append(r.components, r.members, configurations, endpoints, r.claims)
+	r.watchers = append(r.watchers, endpoints, r.claims)
 }
 
 // random returns a source of its own for each state machine.
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -64,6 +64,7 @@
 	callers    *http.Server
 	operators  *http.Server
 	members    *members
+	claims     *claims
 	components []component
 	watchers   []execution.Watcher
 	serving    sync.WaitGroup
@@ -98,7 +99,8 @@
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
-	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, idempotentOnly{runner}, o.Registry, o.Logger)
+	r.claims.executor = runner
+	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
 		return nil, errors.Join(fmt.Errorf("start router %s: %w", r.self.ID, err), listeners.close())
 	}
@@ -171,6 +173,7 @@
 		r.Close()
 		return fmt.Errorf("drain router %s: %w", r.self.ID, err)
 	}
+	r.claims.wait(ctx)
 	log.Info("DrainFinished")
 	r.members.leave()
 	r.Close()
