--- a/internal/coordination/bidding/bidder.go
+++ b/internal/coordination/bidding/bidder.go
@@ -112,8 +112,11 @@
 	if l.queue.Len() == 0 {
 		l.grantedAt = now
 		l.widenAt = now.Add(widenEvery)
+		if !b.behind(now, l) {
+			l.width = 0
+		}
 	}
-	l.meter.hint = r.Estimate
+	l.meter.costs.hint = r.Estimate
 	l.meter.waiting++
 	b.store.add(i)
 	b.shed(now, i)
@@ -143,7 +146,7 @@
 	}
 	if i.line.queue.Len() == 0 {
 		i.line.emptyAt = now
-		i.line.width = 0
+		i.line.width /= 2
 	}
 }
 
@@ -197,6 +200,7 @@
 		b.widen(now, l)
 		b.spread(now, l)
 	}
+	b.tellCounters(now)
 	b.report(now)
 	b.running.renew(b, now)
 	b.forget(now)
--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -24,13 +24,10 @@
 	// strayEvery is the time without a grant after which a line that is not
 	// behind tries one more endpoint.
 	strayEvery = 250 * time.Millisecond
-	// resyncAfter is the silence after which a bid is stated afresh.
-	resyncAfter = 2 * time.Second
-	// tagEvery is the least time between two bids that only bring a new tag.
-	tagEvery = time.Second
-	// tagQuanta is the number of estimates by which a tag must have risen to
-	// be told by itself.
-	tagQuanta = 4
+	// resyncAfter is the silence after which a bid is stated afresh if the
+	// line is served nowhere, and servedResyncAfter if it is served elsewhere.
+	resyncAfter       = 2 * time.Second
+	servedResyncAfter = 10 * time.Second
 	// noEndpointGrace is how long a request waits for an endpoint to appear.
 	noEndpointGrace = 10 * time.Second
 )
@@ -69,7 +66,6 @@
 	received uint64
 	told     int // waiting requests told
 	toldAt   time.Time
-	toldTag  float64
 	urgency  int
 	toldWith uint64 // value of received when last told
 	heardAt  time.Time
@@ -117,11 +113,17 @@
 	if l.queue.first().urgency() > s.urgency {
 		return true
 	}
-	if now.Sub(s.heardAt) >= resyncAfter && now.Sub(s.toldAt) >= resyncAfter {
-		return true
+	silence := l.silence(now)
+	return now.Sub(s.heardAt) >= silence && now.Sub(s.toldAt) >= silence
+}
+
+// silence is how long a dispatcher may be silent before its bid is taken for
+// lost.
+func (l *line) silence(now time.Time) time.Duration {
+	if now.Sub(l.grantedAt) < resyncAfter {
+		return servedResyncAfter
 	}
-	rise := l.meter.Tag() - s.toldTag
-	return rise > tagQuanta*l.meter.estimate() && now.Sub(s.toldAt) >= tagEvery
+	return resyncAfter
 }
 
 // urgency is the request's urgency for a dispatcher; nested calls go before
@@ -138,11 +140,10 @@
 
 // tell builds the bid that states the line's present want.
 func (l *line) tell(now time.Time, s *standing) *schedule.Bid {
-	resync := s.told > 0 && now.Sub(s.heardAt) >= resyncAfter
+	resync := s.told > 0 && now.Sub(s.heardAt) >= l.silence(now)
 	s.told = min(l.queue.Len(), mostTold)
 	s.toldWith = s.received
 	s.toldAt = now
-	s.toldTag = l.meter.Tag()
 	s.urgency = 0
 	if first := l.queue.first(); first != nil {
 		s.urgency = first.urgency()
@@ -152,6 +153,6 @@
 	}
 	return &schedule.Bid{
 		Endpoint: s.endpoint, Line: l.key.line, Waiting: s.told, Received: s.received,
-		Resync: resync, Urgency: s.urgency, Tag: s.toldTag, Estimate: l.meter.estimate(),
+		Resync: resync, Urgency: s.urgency, Tag: l.meter.Tag(now), Rate: l.meter.Rate(), Reserve: l.meter.reserve(),
 	}
 }
