Hold back requests that crash endpoints in the router

Cause: the table of suspects was not asked by anyone. Change: the runner asks a gate before a call waits, again right before it is sent, and tells it how the try ended; evidence leaves for the peers before the caller is answered. Polls of endpoints clear what a cut connection made look like a crash. A try that fails on the caller's side now ends as cancelled; it counted as an endpoint's failure before. Conclusion: the bound of two holds on the whole path in this test.

--- /dev/null
+++ b/internal/protocol/peer/conversion_suspect.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"hyssopreach/internal/coordination/suspect"
+	"hyssopreach/internal/state/view"
+)
+
+// FromSuspect returns the wire form of a message about suspects; nil if it has
+// none.
+func FromSuspect(m suspect.Message) *Message {
+	switch m := m.(type) {
+	case suspect.News:
+		return &Message{Kind: &Message_SuspectNews{SuspectNews: &SuspectNews{Suspects: fromEvidence(m.Evidence)}}}
+	case suspect.Ask:
+		return &Message{Kind: &Message_SuspectAsk{SuspectAsk: &SuspectAsk{
+			Fingerprint: uint64(m.Fingerprint), UntilUnixMillis: toMillis(m.Until),
+		}}}
+	case suspect.Permit:
+		return &Message{Kind: &Message_SuspectPermit{SuspectPermit: &SuspectPermit{
+			Fingerprint: uint64(m.Fingerprint), Granted: m.Granted, Suspects: fromEvidence(m.Evidence),
+		}}}
+	case suspect.Done:
+		return &Message{Kind: &Message_SuspectDone{SuspectDone: &SuspectDone{Fingerprint: uint64(m.Fingerprint)}}}
+	}
+	return nil
+}
+
+// ToSuspect returns the message about suspects that a peer sent; false if it
+// is of another kind.
+func ToSuspect(m *Message) (suspect.Message, bool) {
+	switch k := m.GetKind().(type) {
+	case *Message_SuspectNews:
+		return suspect.News{Evidence: toEvidence(k.SuspectNews.GetSuspects())}, true
+	case *Message_SuspectAsk:
+		return suspect.Ask{
+			Fingerprint: suspect.Fingerprint(k.SuspectAsk.GetFingerprint()),
+			Until:       fromMillis(k.SuspectAsk.GetUntilUnixMillis()),
+		}, true
+	case *Message_SuspectPermit:
+		return suspect.Permit{
+			Fingerprint: suspect.Fingerprint(k.SuspectPermit.GetFingerprint()),
+			Granted:     k.SuspectPermit.GetGranted(), Evidence: toEvidence(k.SuspectPermit.GetSuspects()),
+		}, true
+	case *Message_SuspectDone:
+		return suspect.Done{Fingerprint: suspect.Fingerprint(k.SuspectDone.GetFingerprint())}, true
+	}
+	return nil, false
+}
+
+func fromEvidence(all []suspect.Evidence) []*Suspect {
+	var suspects []*Suspect
+	for i := range all {
+		e := &all[i]
+		suspects = append(suspects, &Suspect{
+			Fingerprint: uint64(e.Fingerprint), Endpoint: string(e.Endpoint), Cleared: e.Cleared,
+			AtUnixMillis: toMillis(e.At), UntilUnixMillis: toMillis(e.Until),
+		})
+	}
+	return suspects
+}
+
+func toEvidence(suspects []*Suspect) []suspect.Evidence {
+	var all []suspect.Evidence
+	for _, s := range suspects {
+		all = append(all, suspect.Evidence{
+			Fingerprint: suspect.Fingerprint(s.GetFingerprint()), Endpoint: view.EndpointID(s.GetEndpoint()),
+			Cleared: s.GetCleared(), At: fromMillis(s.GetAtUnixMillis()), Until: fromMillis(s.GetUntilUnixMillis()),
+		})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/protocol/peer/conversion_suspect_test.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/coordination/suspect"
+)
+
+func TestSuspectMessagesSurviveTheWire(t *testing.T) {
+	is := is.New(t)
+	at := time.UnixMilli(1_700_000_000_123)
+	evidence := []suspect.Evidence{{Fingerprint: 1, Endpoint: "e", Cleared: true, At: at, Until: at.Add(time.Minute)}}
+	for _, m := range []suspect.Message{
+		suspect.News{Evidence: evidence},
+		suspect.Ask{Fingerprint: 1, Until: at},
+		suspect.Permit{Fingerprint: 1, Granted: true, Evidence: evidence},
+		suspect.Done{Fingerprint: 1},
+	} {
+		got, ok := ToSuspect(FromSuspect(m))
+		is.True(ok)
+		is.Equal(got, m)
+	}
+	_, ok := ToSuspect(&Message{})
+	is.True(!ok)
+}
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -35,6 +35,9 @@
 	Body   []byte
 	// Exclusive is set for a request suspected of crashing endpoints.
 	Exclusive bool
+	// Fingerprint stands for the organisation and the body; zero until it is
+	// needed.
+	Fingerprint uint64
 }
 
 // Attempt is one try to run a call at one endpoint.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -36,12 +36,47 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Err }
 
+// sinkError says that the caller's side of a call failed, not the endpoint.
+type sinkError struct{ Err error }
+
+// Error describes the failure.
+func (e *sinkError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *sinkError) Unwrap() error { return e.Err }
+
 // Watcher is told of every attempt, before it is sent and after it has ended.
 type Watcher interface {
 	AttemptStarted(a *Attempt)
 	AttemptEnded(a *Attempt, result schedule.Result, err error)
 }
 
+// Gate keeps requests that crash endpoints from running like others. Its
+// methods are called for every try.
+type Gate interface {
+	// Admit waits until the call may run and tells whether it must run alone.
+	// The error is a *caller.Problem or the context's.
+	Admit(ctx context.Context, c *Call) (alone bool, err error)
+	// Holds reports whether an admission still holds; it is asked right
+	// before the call is sent.
+	Holds(c *Call, alone bool) bool
+	// Over says that an admitted try has ended; the endpoint is empty if
+	// nothing was sent.
+	Over(c *Call, endpoint view.EndpointID, result schedule.Result)
+}
+
+// openGate admits every call.
+type openGate struct{}
+
+// Admit admits the call.
+func (openGate) Admit(context.Context, *Call) (bool, error) { return false, nil }
+
+// Holds always does.
+func (openGate) Holds(*Call, bool) bool { return true }
+
+// Over does nothing.
+func (openGate) Over(*Call, view.EndpointID, schedule.Result) {}
+
 // Views returns the fleet as it is known now.
 type Views interface {
 	View() *view.Snapshot
@@ -53,6 +88,7 @@
 	Backend    Backend
 	Views      Views
 	Watchers   []Watcher
+	Gate       Gate
 	Logger     log.Interface
 
 	budget *budget
@@ -62,7 +98,7 @@
 func NewRunner(scheduling *Scheduling, backend Backend, views Views, logger log.Interface, watchers ...Watcher) *Runner {
 	return &Runner{
 		Scheduling: scheduling, Backend: backend, Views: views, Watchers: watchers,
-		Logger: logger, budget: newBudget(),
+		Gate: openGate{}, Logger: logger, budget: newBudget(),
 	}
 }
 
@@ -76,11 +112,12 @@
 	out := &begun{Sink: sink}
 	sent := false
 	for tries := 1; ; tries++ {
-		start, err := r.Scheduling.Wait(ctx, request(c))
+		start, err := r.admit(ctx, c)
 		if err != nil {
 			return refusal(c, err, sent)
 		}
 		result, err := r.attempt(ctx, c, start, out)
+		r.Gate.Over(c, start.Endpoint, result)
 		if err == nil {
 			return nil
 		}
@@ -97,6 +134,28 @@
 	}
 }
 
+// admit waits until the call may run and has a place to run. What is learnt
+// about the call while it waits for the place makes it wait anew.
+func (r *Runner) admit(ctx context.Context, c *Call) (schedule.Start, error) {
+	for {
+		alone, err := r.Gate.Admit(ctx, c)
+		if err != nil {
+			return schedule.Start{}, err
+		}
+		c.Exclusive = alone
+		start, err := r.Scheduling.Wait(ctx, request(c))
+		if err != nil {
+			r.Gate.Over(c, "", schedule.ResultNotSent)
+			return schedule.Start{}, err
+		}
+		if r.Gate.Holds(c, alone) {
+			return start, nil
+		}
+		r.Scheduling.Input(schedule.Completion{ID: start.ID, Result: schedule.ResultNotSent})
+		r.Gate.Over(c, "", schedule.ResultNotSent)
+	}
+}
+
 // mayRetry allows a further attempt only where it is surely safe: nothing was
 // sent, or the request is idempotent.
 func (r *Runner) mayRetry(c *Call, result schedule.Result, tries int) bool {
@@ -179,7 +238,8 @@
 		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered that it is unavailable", a.Endpoint.ID)
 	}
 	if err := r.copyAnswer(ctx, answer, id, m, out); err != nil {
-		if ctx.Err() != nil {
+		var gone *sinkError
+		if ctx.Err() != nil || errors.As(err, &gone) {
 			return schedule.ResultCancelled, fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
 		}
 		return schedule.ResultBroken, fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
@@ -210,7 +270,7 @@
 		}
 		if !out.started {
 			if err := out.Begin(answer.Status(), answer.Header()); err != nil {
-				return fmt.Errorf("begin the answer to the caller: %w", err)
+				return &sinkError{fmt.Errorf("begin the answer to the caller: %w", err)}
 			}
 		}
 		if n > 0 {
@@ -219,7 +279,7 @@
 				r.Scheduling.Input(p)
 			}
 			if _, err := out.Write(buffer[:n]); err != nil {
-				return fmt.Errorf("write the answer to the caller: %w", err)
+				return &sinkError{fmt.Errorf("write the answer to the caller: %w", err)}
 			}
 		}
 		if whole {
@@ -233,6 +293,10 @@
 
 // refusal describes a call that ended while it waited.
 func refusal(c *Call, err error, sent bool) *caller.Problem {
+	var told *caller.Problem
+	if errors.As(err, &told) {
+		return told
+	}
 	now := time.Now()
 	p := &caller.Problem{
 		Title: "The request was refused", Status: http.StatusServiceUnavailable, Detail: err.Error(),
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -22,9 +22,10 @@
 	configurations := startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
+	r.suspects = startSuspects(r)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
 	r.claims = startClaims(r)
-	r.components = append(r.components, r.members, configurations, endpoints, r.claims)
+	r.components = append(r.components, r.members, configurations, r.suspects, endpoints, r.claims)
 	r.watchers = append(r.watchers, endpoints, r.claims)
 }
 
--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -46,6 +46,7 @@
 	cancel     context.CancelFunc
 	calls      sync.WaitGroup
 	polls      chan struct{}
+	suspects   *suspects
 }
 
 func startEndpoints(r *Router, list *platform.VMList) *endpoints {
@@ -53,6 +54,7 @@
 	e := &endpoints{
 		client: r.client, list: list, peers: r.peers, fleet: r.fleet, scheduling: r.scheduling,
 		logger: r.options.Logger, ctx: ctx, cancel: cancel, polls: make(chan struct{}, maxPolls),
+		suspects: r.suspects,
 	}
 	table := endpoint.New(random(r.options.Incarnation, "endpoint"))
 	e.driver = driver.New(table.Step, endpoint.Input(endpoint.Tick{}), e.apply)
@@ -139,6 +141,7 @@
 }
 
 func (e *endpoints) ask(ctx context.Context, o endpoint.Poll) {
+	asked := time.Now()
 	var load platformtypes.Load
 	var err error
 	if o.Engine {
@@ -152,6 +155,7 @@
 		}
 		return
 	}
+	e.suspects.alive(endpoint.NewID(o.Key, load.Started), asked)
 	e.driver.Input(endpoint.Report{Key: o.Key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
 	if o.Engine {
 		e.scheduling.Input(schedule.Load{
--- a/internal/transport/router/router_test.go
+++ b/internal/transport/router/router_test.go
@@ -24,13 +24,18 @@
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func startRig(t *testing.T, routers int) *rig.Rig {
+	t.Helper()
+	return startRigOn(t, routers, fleet.Default())
+}
+
+func startRigOn(t *testing.T, routers int, platform fleet.Settings) *rig.Rig {
 	t.Helper()
 	domains := []string{"Kharagpur", "Kolkata", "Durgapur"}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	r, err := rig.Start(ctx, rig.Options{
 		Document: rig.Document(4, 3, 1, domains), Routers: routers, FailureDomains: domains,
-		Platform: fleet.Default(), EntryHold: time.Second, Logger: &log.Logger{Handler: discard.New()},
+		Platform: platform, EntryHold: time.Second, Logger: &log.Logger{Handler: discard.New()},
 	})
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/transport/router/suspects_test.go
@@ -0,0 +1,66 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/standin/fleet"
+	"hyssopreach/internal/tool/rig"
+	"hyssopreach/internal/transport/router"
+)
+
+func crashes(r *rig.Rig) int {
+	n := 0
+	for _, e := range r.Platform.Engines {
+		n += e.Crashes()
+	}
+	return n
+}
+
+// TestKillerRequestCrashesTwoEndpointsAtMost resends a request that crashes
+// every engine that runs it through all routers, beside innocent work.
+func TestKillerRequestCrashesTwoEndpointsAtMost(t *testing.T) {
+	is := is.New(t)
+	platform := fleet.Default()
+	platform.Engine.KillOn, platform.Engine.RestartAfter = "poison", 100*time.Millisecond
+	r := startRigOn(t, 3, platform)
+	kill := chatBody("poison", false)
+	ctx, stop := context.WithCancel(context.Background())
+	var innocents sync.WaitGroup
+	for i := range 3 {
+		innocents.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				url := "http://" + r.Routers[i].CallerAddress().String() + caller.PathChatCompletions
+				call(t, http.MethodPost, url, "org-02", chatBody(fmt.Sprint("innocent ", i, " ", n%5), false))
+			}
+		})
+	}
+	var last caller.Problem
+	for send := range 9 {
+		url := "http://" + r.Routers[send%3].CallerAddress().String() + caller.PathChatCompletions
+		status, body := call(t, http.MethodPost, url, "org-01", kill,
+			caller.HeaderDeadline, time.Now().Add(5*time.Second).Format(time.RFC3339Nano))
+		is.True(status != http.StatusOK)
+		last = caller.Problem{}
+		is.NoErr(json.Unmarshal([]byte(body), &last))
+		is.True(last.NotRun != caller.NotRunTrue) // it did run
+	}
+	is.True(crashes(r) >= 1 && crashes(r) <= 2)
+	is.Equal(last.NotRun, caller.NotRunFalse)
+	is.Equal(last.Status, http.StatusUnprocessableEntity)
+	stop()
+	innocents.Wait()
+	await(t, r, func(one *router.Router) bool {
+		url := "http://" + one.CallerAddress().String() + caller.PathChatCompletions
+		status, _ := call(t, http.MethodPost, url, "org-02", chatBody("innocent 1 1", false))
+		return status == http.StatusOK // who ran beside it is cleared
+	})
+}
