--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -24,10 +24,12 @@
 	flaggy.SetVersion("1")
 	commands := []command{
 		fairnessCommand(),
+		urgentCommand(),
 		latencyCommand(),
 		claimsCommand(),
 		stopCommand(),
 		leavingCommand(),
+		sceneCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
