--- a/internal/tool/rig/rig.go
+++ b/internal/tool/rig/rig.go
@@ -37,6 +37,8 @@
 	Platform fleet.Settings
 	// Scheduler makes the scheduler of each router; nil means the default.
 	Scheduler func(id view.RouterID) schedule.Scheduler
+	// Network makes the network of each router; nil means the host's.
+	Network func(local netip.Addr) router.Network
 	// EntryHold is how long entry answers hold.
 	EntryHold time.Duration
 	Logger    log.Interface
@@ -146,8 +148,12 @@
 // StartRouter starts the router with the index, with empty state.
 func (r *Rig) StartRouter(ctx context.Context, i int) error {
 	s := *r.settings[i]
+	network := router.NewNetwork
+	if r.options.Network != nil {
+		network = r.options.Network
+	}
 	o := router.Options{
-		Settings: &s, Incarnation: uint64(time.Now().UnixNano()), Network: router.NewNetwork(s.PeerAddress.Addr()),
+		Settings: &s, Incarnation: uint64(time.Now().UnixNano()), Network: network(s.PeerAddress.Addr()),
 		Logger: r.options.Logger, Registry: metrics.NewRegistry(),
 	}
 	if r.options.Scheduler != nil {
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -259,7 +260,10 @@
 // failure describes a call whose last attempt failed before an answer began.
 func failure(c *Call, err error, sent bool) *caller.Problem {
 	status := http.StatusBadGateway
-	if errors.Is(err, context.DeadlineExceeded) {
+	// A dial that times out ends, by chance, with a context's error or with
+	// one of the socket; both say that they are timeouts.
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
 		status = http.StatusGatewayTimeout
 	}
 	return &caller.Problem{
--- /dev/null
+++ b/internal/transport/router/rehearsal_test.go
@@ -0,0 +1,240 @@
+package router_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/standin/fleet"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/tool/rig"
+	"hyssopreach/internal/transport/router"
+)
+
+// cutNetwork loses the packets that come from one address for real: the host
+// drops them before the router's sockets, by a filter on each socket.
+type cutNetwork struct {
+	router.Network
+
+	mu      sync.Mutex
+	address string                  // guarded by mu
+	cut     bool                    // guarded by mu
+	conns   map[net.Conn]struct{}   // guarded by mu
+	dialing map[syscall.RawConn]any // guarded by mu; not connected yet
+}
+
+func newCutNetwork(local netip.Addr) *cutNetwork {
+	n := &cutNetwork{
+		Network: router.NewNetwork(local),
+		conns:   make(map[net.Conn]struct{}), dialing: make(map[syscall.RawConn]any),
+	}
+	router.OnDial(n.Network, func(address string, raw syscall.RawConn) error {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.cut && address == n.address {
+			return filter(raw, true)
+		}
+		return nil
+	})
+	return n
+}
+
+func (n *cutNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := n.Network.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[conn] = struct{}{}
+	return conn, nil
+}
+
+// set cuts the address off, or mends it.
+func (n *cutNetwork) set(address string, cut bool) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.address, n.cut = address, cut
+	for conn := range n.conns {
+		if conn.RemoteAddr().String() != address {
+			continue
+		}
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		if err != nil {
+			return err
+		}
+		if err := filter(raw, cut); err != nil && !strings.Contains(err.Error(), "closed") {
+			return err
+		}
+	}
+	return nil
+}
+
+// filter makes the host drop all packets that arrive for the socket.
+func filter(raw syscall.RawConn, drop bool) error {
+	const (
+		attachFilter = 26 // SO_ATTACH_FILTER
+		detachFilter = 27 // SO_DETACH_FILTER
+	)
+	option, program := detachFilter, []syscall.SockFilter{{Code: syscall.BPF_RET | syscall.BPF_K, K: 0}}
+	if drop {
+		option = attachFilter
+	}
+	arguments := syscall.SockFprog{Len: 1, Filter: &program[0]}
+	var code syscall.Errno
+	err := raw.Control(func(fd uintptr) {
+		_, _, code = syscall.Syscall6(syscall.SYS_SETSOCKOPT, fd, syscall.SOL_SOCKET, uintptr(option),
+			uintptr(unsafe.Pointer(&arguments)), unsafe.Sizeof(arguments), 0)
+	})
+	if err != nil {
+		return err
+	}
+	if code != 0 && drop {
+		return fmt.Errorf("filter a socket: %w", code)
+	}
+	return nil
+}
+
+// recorder keeps log lines without what differs from run to run.
+type recorder struct {
+	mu    sync.Mutex
+	lines map[string]struct{} // guarded by mu
+}
+
+// varying matches identifiers, addresses, instants and numbers.
+var varying = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}|#[0-9a-z]+|[0-9]+(\.[0-9]+)?(µs|ms|s)?`)
+
+// HandleLog keeps one line.
+func (r *recorder) HandleLog(e *log.Entry) error {
+	fields := make([]string, 0, len(e.Fields))
+	for _, name := range slices.Sorted(maps.Keys(e.Fields)) {
+		value := fmt.Sprint(e.Fields[name])
+		if name == "RequestID" || name == "Request" || name == "Attempt" {
+			value = "id"
+		}
+		fields = append(fields, name+"="+varying.ReplaceAllString(value, "#"))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lines != nil {
+		r.lines[e.Message+" "+strings.Join(fields, " ")] = struct{}{}
+	}
+	return nil
+}
+
+// take returns the lines since the last take, each once and sorted.
+func (r *recorder) take() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lines := slices.Sorted(maps.Keys(r.lines))
+	r.lines = make(map[string]struct{})
+	return lines
+}
+
+// observed is what operators and callers see of a cut.
+type observed struct{ lines, answers []string }
+
+// observe calls a service before, during and after its endpoint is cut off,
+// by a rehearsal or for real.
+func observe(t *testing.T, rehearsed text.Rehearsal, real bool) observed {
+	t.Helper()
+	is := is.New(t)
+	lines := &recorder{}
+	var network *cutNetwork
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := rig.Start(ctx, rig.Options{
+		Document: rig.Document(2, 1, 1, []string{"Durgapur"}), Routers: 1, FailureDomains: []string{"Kolkata"},
+		Platform: fleet.Default(), EntryHold: time.Second, Logger: &log.Logger{Handler: lines, Level: log.InfoLevel},
+		Network: func(local netip.Addr) router.Network {
+			network = newCutNetwork(local)
+			return network
+		},
+	})
+	is.NoErr(err)
+	defer func() {
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+		is.NoErr(r.Close())
+	}()
+	url := "http://" + r.Routers[0].CallerAddress().String() + caller.PathServices + rig.PlainService + "/assets/tile"
+	get := func(path string, header ...string) string {
+		status, body := call(t, http.MethodGet, url+path, "org-01", "", header...)
+		return describe(status, body)
+	}
+	is.Equal(get("-0"), "200")
+	lines.take()
+
+	board := r.Document.Pools[1].Endpoints[0]
+	next := *r.Document
+	until := time.Now().Add(6 * time.Second)
+	if !real {
+		rehearsed.Name, rehearsed.From, rehearsed.Until = "monthly", time.Now().Add(-time.Second), until
+		next.Rehearsals = []text.Rehearsal{rehearsed}
+	}
+	is.NoErr(r.Publish(&next))
+	is.NoErr(r.Await(ctx, func(one *router.Router) bool { return one.Fleet().Revision == 2 }))
+	if real {
+		is.NoErr(network.set(board.Address.String(), true))
+	}
+	var seen observed
+	for i := range 3 {
+		deadline := time.Now().Add(1300 * time.Millisecond).UTC().Format(time.RFC3339Nano)
+		seen.answers = append(seen.answers, get(fmt.Sprint("-", i+1), caller.HeaderDeadline, deadline))
+	}
+	seen.lines = lines.take()
+	time.Sleep(time.Until(until))
+	if real {
+		is.NoErr(network.set(board.Address.String(), false))
+	}
+	for get("-9") != "200" {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return seen
+}
+
+// describe returns an answer without what differs from run to run.
+func describe(status int, body string) string {
+	var p caller.Problem
+	if status == http.StatusOK || json.Unmarshal([]byte(body), &p) != nil {
+		return fmt.Sprint(status)
+	}
+	return fmt.Sprint(status, " ", p.Title, " ", p.NotRun, " ", p.Step, " ", varying.ReplaceAllString(p.Detail, "#"))
+}
+
+// TestRehearsalLooksLikeACut compares what is seen of a rehearsal with what is
+// seen when the host really drops the packets.
+func TestRehearsalLooksLikeACut(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		rehearsal text.Rehearsal
+	}{
+		{"Endpoint", text.Rehearsal{Endpoint: "vm-board-01/board-01"}},
+		{"FailureDomain", text.Rehearsal{FailureDomain: "Durgapur"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			rehearsed := observe(t, test.rehearsal, false)
+			cut := observe(t, test.rehearsal, true)
+			t.Log("answers:", strings.Join(cut.answers, " | "))
+			t.Log("lines:\n" + strings.Join(cut.lines, "\n"))
+			is.Equal(rehearsed.answers, cut.answers)
+			is.Equal(rehearsed.lines, cut.lines)
+		})
+	}
+}
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -20,6 +20,7 @@
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 	"hyssopreach/internal/transport/peer"
+	"hyssopreach/internal/transport/rehearsal"
 )
 
 const (
@@ -64,6 +65,7 @@
 	callers    *http.Server
 	operators  *http.Server
 	members    *members
+	guard      *rehearsal.Guard
 	components []component
 	serving    sync.WaitGroup
 	callerAt   netip.AddrPort
@@ -84,8 +86,12 @@
 		o.Scheduler = defaultScheduler(o.Incarnation)
 	}
 	r := &Router{options: o}
+	r.guard = rehearsal.New(o.Network, rehearsal.Place{FailureDomain: o.Settings.FailureDomain, Router: o.Settings.Name},
+		rehearsal.Limits{DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout})
+	o.Network, r.options.Network = r.guard, r.guard
 	listeners, err := r.listen(ctx)
 	if err != nil {
+		r.guard.Close()
 		return nil, err
 	}
 	r.fleet = newFleet(r.self)
@@ -94,6 +100,12 @@
 	r.client = endpoint.NewClient(o.Network.DialContext)
 	r.scheduling = execution.NewScheduling(o.Scheduler, r.peers, o.Logger)
 	r.peers.onScheduler(func(d schedule.Delivery) { r.scheduling.Input(d) })
+	r.fleet.watch(func(s *view.Snapshot) {
+		r.guard.SetRouters(s.Routers)
+		if index := r.fleet.Index(); index != nil {
+			r.guard.SetText(index.Document())
+		}
+	})
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger)
@@ -189,6 +201,7 @@
 		r.scheduling.Close()
 		r.peers.links.Close()
 		_ = r.client.Close()
+		r.guard.Close()
 		r.options.Logger.WithField("Router", r.self.ID).Info("RouterStopped")
 	})
 }
