--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -18,7 +18,7 @@
 	s, o := r.options.Settings, r.options
 	r.members = startMembers(
 		membership.Options{Self: r.self, Seeds: s.Peers, Random: random(o.Incarnation, "membership")},
-		r.fleet, r.peers, platform.NewVMList(s.VMListAddress, o.Network.DialContext), o.Logger)
+		r.fleet, r.peers, o.Logger)
 	configurations := startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -38,6 +38,7 @@
 	driver     *driver.Driver[endpoint.Input, endpoint.Output]
 	client     *client.Client
 	list       *platform.VMList
+	members    *members
 	peers      *peers
 	fleet      *fleet
 	scheduling *execution.Scheduling
@@ -51,7 +52,7 @@
 func startEndpoints(r *Router, list *platform.VMList) *endpoints {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &endpoints{
-		client: r.client, list: list, peers: r.peers, fleet: r.fleet, scheduling: r.scheduling,
+		client: r.client, list: list, members: r.members, peers: r.peers, fleet: r.fleet, scheduling: r.scheduling,
 		logger: r.options.Logger, ctx: ctx, cancel: cancel, polls: make(chan struct{}, maxPolls),
 	}
 	table := endpoint.New(random(r.options.Incarnation, "endpoint"))
@@ -176,6 +177,7 @@
 		in.VMs = append(in.VMs, endpoint.VM{Name: vm.Name, Leaving: vm.Leaving})
 	}
 	e.driver.Input(in)
+	e.members.listed(&list)
 }
 
 // AttemptStarted does nothing; only ends tell about an endpoint's health.
--- a/internal/transport/router/membership.go
+++ b/internal/transport/router/membership.go
@@ -1,64 +1,49 @@
 package router
 
 import (
-	"context"
-	"math/rand/v2"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"hyssopreach/internal/coordination/membership"
 	wire "hyssopreach/internal/protocol/peer"
+	types "hyssopreach/internal/protocol/platform"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/driver"
-	"hyssopreach/internal/transport/platform"
 )
 
-const (
-	// listInterval is the time between two reads of the VM list. It is long,
-	// since the list only confirms what heartbeats tell sooner.
-	listInterval = 30 * time.Second
-	// listTimeout bounds one read of the VM list.
-	listTimeout = 5 * time.Second
-	// goodbyePause is the time given to the last heartbeats of a planned stop.
-	goodbyePause = 100 * time.Millisecond
-)
+// goodbyePause is the time given to the last heartbeats of a planned stop.
+const goodbyePause = 100 * time.Millisecond
 
 // members runs the membership table of a router.
 type members struct {
 	driver *driver.Driver[membership.Input, membership.Output]
 	fleet  *fleet
 	peers  *peers
-	vms    *platform.VMList
 	logger log.Interface
-	cancel context.CancelFunc
-	ended  sync.WaitGroup
 }
 
-func startMembers(o membership.Options, f *fleet, p *peers, vms *platform.VMList, logger log.Interface) *members {
-	ctx, cancel := context.WithCancel(context.Background())
-	m := &members{fleet: f, peers: p, vms: vms, logger: logger, cancel: cancel}
+func startMembers(o membership.Options, f *fleet, p *peers, logger log.Interface) *members {
+	m := &members{fleet: f, peers: p, logger: logger}
 	table := membership.New(o)
 	m.driver = driver.New(table.Step, membership.Input(membership.Alarm{}), m.apply)
 	p.On("Heartbeat", m.receive)
 	p.links.OnRefused(m.refused)
 	m.driver.Input(membership.Alarm{})
-	m.ended.Add(1)
-	go func() {
-		defer m.ended.Done()
-		m.readList(ctx)
-	}()
 	return m
 }
 
 // Close stops the table and waits.
-func (m *members) Close() {
-	m.cancel()
-	m.driver.Close()
-	m.ended.Wait()
-	_ = m.vms.Close()
+func (m *members) Close() { m.driver.Close() }
+
+// listed takes a VM list that was read.
+func (m *members) listed(list *types.VMList) {
+	vms := make([]membership.VM, len(list.VMs))
+	for i, vm := range list.VMs {
+		vms[i] = membership.VM{Name: vm.Name, Leaving: vm.Leaving}
+	}
+	m.driver.Input(membership.Listed{VMs: vms})
 }
 
 // drain tells the fleet that this router takes no new callers.
@@ -103,32 +88,3 @@
 		driver.LogDecision(m.logger, out.Event, out.Fields)
 	}
 }
-
-// readList reads the VM list now and then; a list that cannot be read leaves
-// the table with what it knows.
-func (m *members) readList(ctx context.Context) {
-	for ctx.Err() == nil {
-		attempt, cancel := context.WithTimeout(ctx, listTimeout)
-		list, err := m.vms.VMs(attempt)
-		cancel()
-		if err != nil {
-			m.logger.WithField("Error", err).Info("VMListUnavailable")
-		} else {
-			vms := make([]membership.VM, len(list.VMs))
-			for i, vm := range list.VMs {
-				vms[i] = membership.VM{Name: vm.Name, Leaving: vm.Leaving}
-			}
-			m.driver.Input(membership.Listed{VMs: vms})
-		}
-		sleep(ctx, listInterval/2+rand.N(listInterval))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/transport/router/rehearsal_test.go
+++ b/internal/transport/router/rehearsal_test.go
@@ -27,27 +27,22 @@
 	"hyssopreach/internal/transport/router"
 )
 
-// cutNetwork loses the packets that come from one address for real: the host
+// cutNetwork loses the packets that come from some addresses for real: the host
 // drops them before the router's sockets, by a filter on each socket.
 type cutNetwork struct {
 	router.Network
 
-	mu      sync.Mutex
-	address string                  // guarded by mu
-	cut     bool                    // guarded by mu
-	conns   map[net.Conn]struct{}   // guarded by mu
-	dialing map[syscall.RawConn]any // guarded by mu; not connected yet
+	mu    sync.Mutex
+	cut   map[string]bool       // guarded by mu
+	conns map[net.Conn]struct{} // guarded by mu
 }
 
 func newCutNetwork(local netip.Addr) *cutNetwork {
-	n := &cutNetwork{
-		Network: router.NewNetwork(local),
-		conns:   make(map[net.Conn]struct{}), dialing: make(map[syscall.RawConn]any),
-	}
+	n := &cutNetwork{Network: router.NewNetwork(local), conns: make(map[net.Conn]struct{})}
 	router.OnDial(n.Network, func(address string, raw syscall.RawConn) error {
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		if n.cut && address == n.address {
+		if n.cut[address] {
 			return filter(raw, true)
 		}
 		return nil
@@ -66,15 +61,13 @@
 	return conn, nil
 }
 
-// set cuts the address off, or mends it.
-func (n *cutNetwork) set(address string, cut bool) error {
+// set cuts the addresses off, and mends all others.
+func (n *cutNetwork) set(addresses map[string]bool) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.address, n.cut = address, cut
+	n.cut = addresses
 	for conn := range n.conns {
-		if conn.RemoteAddr().String() != address {
-			continue
-		}
+		cut := addresses[conn.RemoteAddr().String()]
 		raw, err := conn.(*net.TCPConn).SyscallConn()
 		if err != nil {
 			return err
@@ -177,10 +170,14 @@
 		status, body := call(t, http.MethodGet, url+path, "org-01", "", header...)
 		return describe(status, body)
 	}
-	is.Equal(get("-0"), "200")
+	await200 := func(path string) {
+		for get(path) != "200" {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	await200("-0")
 	lines.take()
 
-	board := r.Document.Pools[1].Endpoints[0]
 	next := *r.Document
 	until := time.Now().Add(6 * time.Second)
 	if !real {
@@ -190,7 +187,7 @@
 	is.NoErr(r.Publish(&next))
 	is.NoErr(r.Await(ctx, func(one *router.Router) bool { return one.Fleet().Revision == 2 }))
 	if real {
-		is.NoErr(network.set(board.Address.String(), true))
+		is.NoErr(network.set(cutAddresses(r.Document, rehearsed)))
 	}
 	var seen observed
 	for i := range 3 {
@@ -200,14 +197,25 @@
 	seen.lines = lines.take()
 	time.Sleep(time.Until(until))
 	if real {
-		is.NoErr(network.set(board.Address.String(), false))
-	}
-	for get("-9") != "200" {
-		time.Sleep(10 * time.Millisecond)
+		is.NoErr(network.set(nil))
 	}
+	await200("-9")
 	return seen
 }
 
+// cutAddresses are the endpoints that the rehearsal names.
+func cutAddresses(doc *text.Document, r text.Rehearsal) map[string]bool {
+	addresses := make(map[string]bool)
+	for i := range doc.Pools {
+		for j := range doc.Pools[i].Endpoints {
+			if e := &doc.Pools[i].Endpoints[j]; e.Key() == r.Endpoint || e.FailureDomain == r.FailureDomain {
+				addresses[e.Address.String()] = true
+			}
+		}
+	}
+	return addresses
+}
+
 // describe returns an answer without what differs from run to run.
 func describe(status int, body string) string {
 	var p caller.Problem
