--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -184,9 +184,11 @@
 func (e *endpoints) AttemptStarted(*execution.Attempt) {}
 
 // AttemptEnded tells the table how an endpoint did. An attempt that its caller
-// gave up says nothing of the endpoint.
+// gave up, or gave too little time, says nothing of the endpoint; one that
+// found nobody within the time of a dial does.
 func (e *endpoints) AttemptEnded(a *execution.Attempt, result schedule.Result, err error) {
-	if errors.Is(err, context.Canceled) {
+	cut := result == schedule.ResultBroken && errors.Is(err, context.DeadlineExceeded)
+	if cut || errors.Is(err, context.Canceled) {
 		return
 	}
 	switch result {
--- a/internal/transport/router/rehearsal_test.go
+++ b/internal/transport/router/rehearsal_test.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net"
 	"net/http"
-	"net/netip"
 	"regexp"
 	"slices"
 	"strings"
@@ -37,8 +36,8 @@
 	conns map[net.Conn]struct{} // guarded by mu
 }
 
-func newCutNetwork(local netip.Addr) *cutNetwork {
-	n := &cutNetwork{Network: router.NewNetwork(local), conns: make(map[net.Conn]struct{})}
+func newCutNetwork(host router.Network) *cutNetwork {
+	n := &cutNetwork{Network: host, conns: make(map[net.Conn]struct{})}
 	router.OnDial(n.Network, func(address string, raw syscall.RawConn) error {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -155,8 +154,8 @@
 	r, err := rig.Start(ctx, rig.Options{
 		Document: rig.Document(2, 1, 1, []string{"Durgapur"}), Routers: 1, FailureDomains: []string{"Kolkata"},
 		Platform: fleet.Default(), EntryHold: time.Second, Logger: &log.Logger{Handler: lines, Level: log.InfoLevel},
-		Network: func(local netip.Addr) router.Network {
-			network = newCutNetwork(local)
+		Network: func(_ int, host router.Network) router.Network {
+			network = newCutNetwork(host)
 			return network
 		},
 	})
