--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -54,23 +54,24 @@
 
 // Router is one running router.
 type Router struct {
-	options    Options
-	self       view.Router
-	fleet      *fleet
-	peers      *peers
-	server     *peer.Server
-	client     *endpoint.Client
-	scheduling *execution.Scheduling
-	entry      *entry.Handler
-	callers    *http.Server
-	operators  *http.Server
-	members    *members
-	guard      *rehearsal.Guard
-	components []component
-	watchers   []execution.Watcher
-	serving    sync.WaitGroup
-	callerAt   netip.AddrPort
-	operatorAt netip.AddrPort
+	options        Options
+	self           view.Router
+	fleet          *fleet
+	peers          *peers
+	server         *peer.Server
+	client         *endpoint.Client
+	scheduling     *execution.Scheduling
+	entry          *entry.Handler
+	callers        *http.Server
+	operators      *http.Server
+	members        *members
+	guard          *rehearsal.Guard
+	configurations *configurations
+	components     []component
+	watchers       []execution.Watcher
+	serving        sync.WaitGroup
+	callerAt       netip.AddrPort
+	operatorAt     netip.AddrPort
 
 	closing sync.Once
 }
@@ -100,7 +101,7 @@
 	r.peers = &peers{fleet: r.fleet, links: links, logger: o.Logger, receivers: make(map[string]receiver)}
 	r.client = endpoint.NewClient(o.Network.DialContext)
 	r.scheduling = execution.NewScheduling(o.Scheduler, r.peers, o.Logger)
-	r.peers.onScheduler(func(d schedule.Delivery) { r.scheduling.Input(d) })
+	r.peers.schedule = func(d schedule.Delivery) { r.scheduling.Input(d) }
 	r.fleet.watch(func(s *view.Snapshot) {
 		r.guard.SetRouters(s.Routers)
 		if index := r.fleet.Index(); index != nil {
