Add the operators' commands check, publish and show

Cause: operators drive the system by publishing a text, and must learn truly what became of it, also when the log loses an answer. Change: package transport/publication appends under a PublishID and reads on until its own record's fate is known; the commands give each fate an exit code of its own. Routers answer /fleet with what every router has in force, asked for at that moment by an offer of revision 0, and /text with the text.

--- a/internal/transport/command/command.go
+++ b/internal/transport/command/command.go
@@ -20,6 +20,14 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line or its input is wrong.
 	ExitUsage = 2
+	// ExitInvalid means that a text has faults or was refused.
+	ExitInvalid = 3
+	// ExitLostRace means that another text came into force first.
+	ExitLostRace = 4
+	// ExitUnknown means that it could not be learnt what became of a text.
+	ExitUnknown = 5
+	// ExitNotEverywhere means that some routers do not have a text in force.
+	ExitNotEverywhere = 6
 )
 
 // Environment is what a command may use of its process.
@@ -52,7 +60,7 @@
 
 // Commands returns the commands of the router binary.
 func Commands() []Command {
-	return []Command{&routerCommand{}}
+	return []Command{&routerCommand{}, &checkCommand{}, &publishCommand{}, &showCommand{}}
 }
 
 // Run parses the arguments and runs the command that they name. It returns
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -19,11 +19,11 @@
 	r.members = startMembers(
 		membership.Options{Self: r.self, Seeds: s.Peers, Random: random(o.Incarnation, "membership")},
 		r.fleet, r.peers, o.Logger)
-	configurations := startConfigurations(
+	r.configurations = startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
-	r.components = append(r.components, r.members, configurations, endpoints)
+	r.components = append(r.components, r.members, r.configurations, endpoints)
 	r.watchers = append(r.watchers, endpoints)
 }
 
--- a/internal/transport/router/configuration.go
+++ b/internal/transport/router/configuration.go
@@ -37,12 +37,16 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	changed chan struct{} // holds a token while a new view has not been taken
+
+	mu    sync.Mutex
+	heard map[view.RouterID]heard // guarded by mu
 }
 
 func startConfigurations(o configuration.Options, l *platform.Log, f *fleet, p *peers, logger log.Interface) *configurations {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &configurations{
 		log: l, fleet: f, peers: p, logger: logger, ctx: ctx, cancel: cancel, changed: make(chan struct{}, 1),
+		heard: make(map[view.RouterID]heard),
 	}
 	spreader := configuration.New(o)
 	c.driver = driver.New(spreader.Step, configuration.Input(configuration.Alarm{}), c.apply)
@@ -82,10 +86,9 @@
 
 func (c *configurations) offered(from view.RouterID, _ uint64, w *wire.Message) {
 	offer := w.GetConfigurationOffer()
-	c.driver.Input(configuration.Offered{
-		From:    from,
-		Version: revision.Version{Revision: offer.Revision, Offset: offer.Offset, Hash: offer.Hash},
-	})
+	version := revision.Version{Revision: offer.Revision, Offset: offer.Offset, Hash: offer.Hash}
+	c.remember(from, version)
+	c.driver.Input(configuration.Offered{From: from, Version: version})
 }
 
 func (c *configurations) apply(out configuration.Output) {
--- a/internal/transport/router/fleet.go
+++ b/internal/transport/router/fleet.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"hyssopreach/internal/state/revision"
 	"hyssopreach/internal/state/text"
@@ -19,6 +20,7 @@
 	routers   []view.Router            // guarded by mu
 	endpoints []view.Endpoint          // guarded by mu
 	inForce   revision.Configuration   // guarded by mu
+	inForceAt time.Time                // guarded by mu
 	watchers  []func(s *view.Snapshot) // guarded by mu
 
 	snapshot atomic.Pointer[view.Snapshot]
@@ -64,11 +66,18 @@
 func (f *fleet) setConfiguration(c revision.Configuration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.inForce = c
+	f.inForce, f.inForceAt = c, time.Now()
 	f.index.Store(text.NewIndex(c.Document))
 	f.publish()
 }
 
+// inForceSince returns since when the text has been in force here.
+func (f *fleet) inForceSince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inForceAt
+}
+
 func (f *fleet) configuration() revision.Configuration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/transport/router/operators.go
+++ b/internal/transport/router/operators.go
@@ -16,6 +16,10 @@
 	PathReady   = "/ready"
 	PathMetrics = "/metrics"
 	PathStatus  = "/status"
+	// PathFleet tells which revision each router of the fleet has in force.
+	PathFleet = "/fleet"
+	// PathText is the operators' text in force.
+	PathText = "/text"
 )
 
 // Status is what a router says of itself to operators.
@@ -28,6 +32,8 @@
 	Revision uint64
 	Offset   uint64
 	Hash     uint64
+	// InForceSince is since when the text has been in force here.
+	InForceSince time.Time
 	// Waiting is the number of requests without a decision.
 	Waiting   int
 	Routers   []view.Router
@@ -56,6 +62,14 @@
 		// An operator that has gone cannot be told anything more.
 		_ = json.NewEncoder(w).Encode(r.status())
 	})
+	mux.HandleFunc("GET "+PathFleet, func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(r.fleetStatus(request.Context()))
+	})
+	mux.HandleFunc("GET "+PathText, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write(r.fleet.configuration().Text)
+	})
 	return mux
 }
 
@@ -73,7 +87,8 @@
 	v, c := r.fleet.View(), r.fleet.configuration()
 	return Status{
 		Router: r.self.ID, Incarnation: r.self.Incarnation, Draining: r.draining(), Now: time.Now().UTC(),
-		Revision: c.Revision, Offset: c.Offset, Hash: c.Hash, Waiting: r.scheduling.Waiting(),
+		Revision: c.Revision, Offset: c.Offset, Hash: c.Hash,
+		InForceSince: r.fleet.inForceSince().UTC(), Waiting: r.scheduling.Waiting(),
 		Routers: v.Routers, Endpoints: v.Endpoints,
 	}
 }
