--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,3 +44,13 @@
 func defaultScheduler(seed uint64) schedule.Scheduler {
 	return share.New(share.Options{Source: rand.NewPCG(seed, 0)})
 }
+
+// sleep waits until the time is over or the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
