--- a/internal/transport/command/operators_test.go
+++ b/internal/transport/command/operators_test.go
@@ -80,6 +80,9 @@
 	_, code = run(t, publish(document(9)))
 	is.Equal(code, ExitInvalid)
 	said, code = run(t, &showCommand{operator: operator})
+	for code == ExitNotEverywhere { // a router that is slow to answer
+		said, code = run(t, &showCommand{operator: operator})
+	}
 	is.Equal(code, ExitDone)
 	is.True(strings.Contains(said, "revision 2 is in force since"))
 	is.Equal(strings.Count(said, "in force"), 4) // the heading and three routers
--- a/internal/transport/router/revisions.go
+++ b/internal/transport/router/revisions.go
@@ -12,9 +12,12 @@
 const (
 	// answerWait bounds the wait for the routers that are asked what they
 	// have in force.
-	answerWait = time.Second
+	answerWait = 2 * time.Second
 	// answerPoll is the time between two looks at who has answered.
 	answerPoll = 20 * time.Millisecond
+	// askInterval is the time after which the silent are asked again, since
+	// an offer may be lost.
+	askInterval = 250 * time.Millisecond
 )
 
 // FleetStatus tells what is in force on each router, as one router hears it.
@@ -69,12 +72,12 @@
 	return c.heard[id]
 }
 
-// ask sends each router the lowest offer there is, which everyone who has
-// anything in force answers with an offer of its own.
-func (c *configurations) ask(routers []view.Router) {
+// ask sends the lowest offer there is to each router that has not answered,
+// and everyone who has anything in force answers with an offer of its own.
+func (c *configurations) ask(routers []MemberRevision) {
 	for i := range routers {
-		if routers[i].ID != c.fleet.self {
-			c.peers.Send(routers[i].ID, &wire.Message{Kind: &wire.Message_ConfigurationOffer{ConfigurationOffer: &wire.ConfigurationOffer{}}})
+		if !routers[i].Answered {
+			c.peers.Send(routers[i].Router, &wire.Message{Kind: &wire.Message_ConfigurationOffer{ConfigurationOffer: &wire.ConfigurationOffer{}}})
 		}
 	}
 }
@@ -83,7 +86,7 @@
 func (r *Router) fleetStatus(ctx context.Context) FleetStatus {
 	routers := r.fleet.View().Routers
 	asked := time.Now()
-	r.configurations.ask(routers)
+	askAt := asked
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	poll := time.NewTicker(answerPoll)
@@ -93,6 +96,10 @@
 		if whole || ctx.Err() != nil {
 			return status
 		}
+		if now := time.Now(); !now.Before(askAt) {
+			askAt = now.Add(askInterval)
+			r.configurations.ask(status.Routers)
+		}
 		select {
 		case <-ctx.Done():
 		case <-poll.C:
