Repeat claims as of the start of a pass, not as they stand now

A pass lists a held key; the holder is released before the pass reaches the key, and another claim lost to it in between. The pass left the key out, so a writer that loaded it and replayed the records let the loser win, while the writer that saw all held it void: two runs of one key. Reproduced on the real fold by TestPassRepeatsTheStateOfItsStart (Won where Released is right, before; passes after). Change: an Item keeps the state in which it was listed, and Carry repeats that. Conclusion: loaded and whole folds agree; fold_test's random histories never had a record between a pass's start and its end.

--- a/internal/coordination/claim/carry.go
+++ b/internal/coordination/claim/carry.go
@@ -68,9 +68,7 @@
 		s.last, s.items = s.items[:n], s.items[n:]
 	}
 	for _, i := range s.last {
-		if e, ok := w.fold.Carry(i); ok {
-			b.Entries = append(b.Entries, e)
-		}
+		b.Entries = append(b.Entries, w.fold.Carry(i))
 	}
 	b.Series = &claim.Series{From: s.From}
 	if len(s.last) == 0 {
--- a/internal/state/claim/fold_test.go
+++ b/internal/state/claim/fold_test.go
@@ -114,9 +114,7 @@
 	var batches []Batch
 	series := Series{From: f.Next(), Clock: f.Clock(), BarredUntil: f.BarredUntil()}
 	for _, i := range f.Items() {
-		if e, ok := f.Carry(i); ok {
-			batches = append(batches, Batch{FormatVersion: 1, Entries: []Entry{e}, Series: &Series{From: series.From}})
-		}
+		batches = append(batches, Batch{FormatVersion: 1, Entries: []Entry{f.Carry(i)}, Series: &Series{From: series.From}})
 	}
 	series.Final = true
 	return append(batches, Batch{FormatVersion: 1, Series: &series})
--- a/internal/state/claim/series.go
+++ b/internal/state/claim/series.go
@@ -17,11 +17,11 @@
 	BarredUntil time.Time
 }
 
-// Item names one entry of a fold's state: a key, or a void claim if the key
-// is zero.
+// Item is one entry of a fold's state as it stood when it was listed: a key
+// with the claim that holds it, or a void claim if the key is zero.
 type Item struct {
-	Key  Digest
-	Void ID
+	key  Digest
+	held held
 }
 
 // Items returns what makes up the fold's state, in the order of the log. A
@@ -29,37 +29,31 @@
 func (f *Fold) Items() []Item {
 	items := make([]Item, 0, len(f.keys)+len(f.voids))
 	for _, d := range f.keys {
-		if _, ok := f.living(d); ok {
-			items = append(items, Item{Key: d})
+		if h, ok := f.living(d); ok {
+			items = append(items, Item{key: d, held: h})
 		}
 	}
 	for _, id := range f.voids {
 		if f.Void(id) {
-			items = append(items, Item{Void: id})
+			items = append(items, Item{held: held{id: id, until: f.void[id]}})
 		}
 	}
 	return items
 }
 
-// Carry returns the entry that repeats an item, as it stands now. An item
-// that has changed since it was listed needs no care: whatever changed it
-// stands in the log after the start of the pass, and is applied after it.
-func (f *Fold) Carry(i Item) (Entry, bool) {
-	if i.Key == (Digest{}) {
-		if !f.Void(i.Void) {
-			return Entry{}, false
-		}
-		return Entry{Kind: KindVoid, Claim: Claim{ID: i.Void}, Until: time.UnixMilli(f.void[i.Void])}, true
-	}
-	h, ok := f.living(i.Key)
-	if !ok {
-		return Entry{}, false
+// Carry returns the entry that repeats an item. It repeats the state in which
+// the pass began and no later one, because a fold that loads the pass applies
+// every record after that start: a claim that lost there to one released since
+// would win if the released one were left out.
+func (f *Fold) Carry(i Item) Entry {
+	if i.key == (Digest{}) {
+		return Entry{Kind: KindVoid, Claim: Claim{ID: i.held.id}, Until: time.UnixMilli(i.held.until)}
 	}
 	return Entry{
 		Kind:  KindCarry,
-		Until: time.UnixMilli(h.until),
-		Claim: Claim{ID: h.id, Key: i.Key, BodyHash: h.bodyHash, Holder: f.holders[h.holder]},
-	}, true
+		Until: time.UnixMilli(i.held.until),
+		Claim: Claim{ID: i.held.id, Key: i.key, BodyHash: i.held.bodyHash, Holder: f.holders[i.held.holder]},
+	}
 }
 
 // loading collects what a fold needs to learn the state before its start.
--- /dev/null
+++ b/internal/state/claim/series_test.go
@@ -0,0 +1,48 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A claim that loses while a pass is under way, to a claim that is released
+// before the pass reaches its key, must lose for a fold that loads the pass
+// too.
+func TestPassRepeatsTheStateOfItsStart(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	key := DigestOf("organisation", "key")
+	first := Claim{ID: ID{1}, Key: key, Holder: Holder{"a", 1}}
+	second := Claim{ID: ID{2}, Key: key, Holder: Holder{"b", 1}}
+	record := func(offset uint64, kind Kind, c Claim) Record {
+		return Record{Offset: offset, Appended: at, Batch: Batch{
+			FormatVersion: FormatVersion, Entries: []Entry{{Kind: kind, Claim: c}},
+		}}
+	}
+
+	whole := NewFold(0)
+	_, err := whole.Apply(record(0, KindClaim, first))
+	is.NoErr(err)
+	items, clock := whole.Items(), whole.Clock()
+	later := []Record{record(1, KindClaim, second), record(2, KindRelease, first)}
+	for _, r := range later {
+		_, err = whole.Apply(r)
+		is.NoErr(err)
+	}
+	end := Record{Offset: 3, Appended: at, Batch: Batch{
+		FormatVersion: FormatVersion, Series: &Series{From: 1, Final: true, Clock: clock},
+	}}
+	for _, i := range items {
+		end.Batch.Entries = append(end.Batch.Entries, whole.Carry(i))
+	}
+	loaded := NewFold(1)
+	for _, r := range append(later, end) {
+		_, err = loaded.Apply(r)
+		is.NoErr(err)
+	}
+	is.True(loaded.Loaded())
+	is.Equal(whole.Standing(&second).Verdict, VerdictReleased)
+	is.Equal(loaded.Standing(&second).Verdict, VerdictReleased)
+}
