Add leases in the log and the planner of placement

Change: the fold of the stream Leases, whose offsets are fencing numbers, and a pure planner per pool: copies follow a smoothed demand with hysteresis, at most two engines load at once, versions roll out one by one, and the last copy of a model with work is never unloaded. A new holder waits out the old one's orders and puts right what engines that ignore fencing numbers have obeyed. Conclusion: not wired yet.

--- /dev/null
+++ b/internal/coordination/placement/placement_test.go
@@ -0,0 +1,346 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/state/lease"
+	"hyssopreach/internal/state/view"
+)
+
+// fakeEngine obeys orders at once, apart from loading, which takes loadTime.
+type fakeEngine struct {
+	Engine
+	fencing uint64
+	loading []Loaded
+	readyAt time.Time
+}
+
+const loadTime = 5 * time.Second
+
+func (e *fakeEngine) obey(now time.Time, o Order) bool {
+	if e.ChecksFencing && o.Fencing < e.fencing {
+		return false
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	var kept []Loaded
+	for _, m := range o.Models {
+		if slices.ContainsFunc(e.Loaded, func(l Loaded) bool { return sameModel(l, m) }) {
+			kept = append(kept, m)
+		}
+	}
+	e.Loaded, e.loading, e.readyAt = kept, o.Models, now.Add(loadTime)
+	return true
+}
+
+// pool is a pool of engines under several planners, with a fake log. Time
+// moves in ticks.
+type pool struct {
+	now      time.Time
+	log      []Record
+	logDown  bool
+	planners []*Planner
+	paused   map[int]time.Time
+	engines  []*fakeEngine
+	models   []Model
+	waiting  map[string]int
+	inbox    [][]Input
+	// late holds orders of paused planners, which arrive after the pause.
+	late     map[int][]Order
+	stranded []string
+	refused  int
+	orders   int
+}
+
+const tick = 100 * time.Millisecond
+
+func newPool(planners int, engines ...*fakeEngine) *pool {
+	p := &pool{
+		now: time.Unix(1e6, 0), paused: map[int]time.Time{}, engines: engines,
+		waiting: map[string]int{}, late: map[int][]Order{}, inbox: make([][]Input, planners),
+	}
+	for i := range planners {
+		p.planners = append(p.planners, New("p", lease.Holder{Router: fmt.Sprint("r", i), Incarnation: 1}))
+	}
+	return p
+}
+
+func (p *pool) own(i int, owned bool) { p.inbox[i] = append(p.inbox[i], Own{owned}) }
+
+func (p *pool) run(d time.Duration) {
+	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(tick) {
+		for _, e := range p.engines {
+			if e.loading != nil && !p.now.Before(e.readyAt) {
+				e.Loaded, e.loading = e.loading, nil
+			}
+		}
+		for i := range p.planners {
+			if p.now.Before(p.paused[i]) {
+				continue
+			}
+			for _, o := range p.late[i] {
+				p.obey(o)
+			}
+			p.late[i] = nil
+			p.tick(i)
+		}
+		for name, n := range p.waiting {
+			if n > 0 && !slices.ContainsFunc(p.engines, func(e *fakeEngine) bool { return holds(&e.Engine, name) }) {
+				p.stranded = append(p.stranded, name)
+			}
+		}
+	}
+}
+
+func (p *pool) tick(i int) {
+	in := append(p.inbox[i], Configured{p.models}, Alarm{})
+	p.inbox[i] = nil
+	for _, name := range slices.Sorted(mapsKeys(p.waiting)) {
+		in = append(in, Demand{From: "r0", Model: name, Waiting: p.waiting[name]})
+	}
+	for len(in) > 0 {
+		next := in[0]
+		in = in[1:]
+		for _, o := range append([]Output(nil), p.planners[i].Step(p.now, next)...) {
+			in = append(in, p.perform(i, o)...)
+		}
+	}
+}
+
+func (p *pool) perform(i int, o Output) []Input {
+	switch o := o.(type) {
+	case Append:
+		if !p.logDown {
+			p.log = append(p.log, Record{Offset: uint64(len(p.log)), Appended: p.now, Record: o.Record})
+		}
+		p.inbox[i] = append(p.inbox[i], AppendEnded{})
+	case Read:
+		if p.logDown {
+			p.inbox[i] = append(p.inbox[i], ReadFailed{})
+			return nil
+		}
+		p.inbox[i] = append(p.inbox[i], Records{slices.Clone(p.log[o.From:]), uint64(len(p.log))})
+	case Survey:
+		var all []Engine
+		for _, e := range p.engines {
+			one := e.Engine
+			one.Loaded, one.MeasuredAt = slices.Clone(e.Loaded), p.now
+			all = append(all, one)
+		}
+		return []Input{Reported{all}}
+	case Order:
+		if p.now.Before(p.paused[i]) {
+			p.late[i] = append(p.late[i], o)
+			return nil
+		}
+		p.obey(o)
+	}
+	return nil
+}
+
+func (p *pool) obey(o Order) {
+	p.orders++
+	for _, e := range p.engines {
+		if e.ID == o.Engine && !e.obey(p.now, o) {
+			p.refused++
+		}
+	}
+}
+
+func mapsKeys(m map[string]int) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func engineOf(i, slots int, models ...string) *fakeEngine {
+	e := &fakeEngine{Engine: Engine{ID: view.EndpointID(fmt.Sprint("e", i)), Slots: slots}}
+	for _, m := range models {
+		e.Loaded = append(e.Loaded, Loaded{Name: m, Version: "1"})
+	}
+	return e
+}
+
+func modelsOf(names ...string) []Model {
+	var all []Model
+	for _, n := range names {
+		all = append(all, Model{Name: n, Version: "1", MinReplicas: 1})
+	}
+	return all
+}
+
+func (p *pool) count(model, version string) int {
+	n := 0
+	for _, e := range p.engines {
+		if slices.ContainsFunc(e.Loaded, func(m Loaded) bool { return m.Name == model && m.Version == version }) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestCopiesFollowDemandWithoutStranding(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, engineOf(0, 1, "a"), engineOf(1, 1, "a"), engineOf(2, 1, "a"), engineOf(3, 1, "b"))
+	p.models = modelsOf("a", "b")
+	p.own(0, true)
+	p.waiting = map[string]int{"a": 2, "b": 60}
+	p.run(3 * time.Minute)
+	is.Equal(p.count("b", "1"), 3)
+	is.Equal(p.count("a", "1"), 1)
+	before := p.orders
+	for i := range 60 { // demand that wavers moves nothing
+		p.waiting["a"], p.waiting["b"] = 2+i%2, 60-10*(i%3)
+		p.run(3 * time.Second)
+	}
+	is.Equal(p.orders, before)
+	is.Equal(len(p.stranded), 0)
+}
+
+func TestMissingModelIsLoadedAndFreeSlotsAreUsed(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, engineOf(0, 2), engineOf(1, 2))
+	p.models = modelsOf("a", "b")
+	p.own(0, true)
+	p.run(time.Minute)
+	is.Equal(p.count("a", "1"), 1) // as the text asks, and no more without demand
+	is.Equal(p.count("b", "1"), 1)
+	p.waiting["a"] = 20
+	p.run(time.Minute)
+	is.Equal(p.count("a", "1"), 2)
+}
+
+func TestNewVersionRollsOutOneByOne(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, engineOf(0, 1, "a"), engineOf(1, 1, "a"), engineOf(2, 1, "a"))
+	p.models = modelsOf("a")
+	p.models[0].Version = "2"
+	p.own(0, true)
+	p.waiting["a"] = 5
+	for range 60 {
+		p.run(time.Second)
+		is.True(p.count("a", "1")+p.count("a", "2") >= 2)
+	}
+	is.Equal(p.count("a", "2"), 3)
+}
+
+func TestLastCopyWithWorkStays(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, engineOf(0, 1, "a"))
+	p.models = modelsOf("a", "b")
+	p.models[0].Version = "2"
+	p.own(0, true)
+	p.waiting = map[string]int{"a": 1, "b": 50}
+	p.run(2 * time.Minute)
+	is.True(!slices.Contains(p.stranded, "a"))
+	is.Equal(p.count("a", "1"), 1)
+	p.waiting["a"] = 0
+	p.run(2 * time.Minute)
+	is.Equal(p.count("a", "2"), 1)
+}
+
+func TestSecondPlannerWaitsForTheLease(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2, engineOf(0, 1, "a"))
+	p.own(0, true)
+	p.run(5 * time.Second)
+	is.True(p.planners[0].Holds(p.now))
+	p.own(1, true) // both believe they own the pool
+	for range 300 {
+		p.run(tick)
+		is.True(!p.planners[1].Holds(p.now))
+	}
+	p.own(0, false) // the lease is given up
+	p.run(time.Second)
+	is.True(!p.planners[0].Holds(p.now))
+	p.run(orderLife + renewEvery + time.Second)
+	is.True(p.planners[1].Holds(p.now))
+}
+
+func TestLogOutageEndsTheLeaseAndPlacementRests(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2, engineOf(0, 1, "a"), engineOf(1, 1, "b"))
+	p.models = modelsOf("a", "b")
+	p.own(0, true)
+	p.own(1, true)
+	p.run(20 * time.Second)
+	p.logDown = true
+	p.run(lease.Life)
+	is.True(!p.planners[0].Holds(p.now))
+	is.True(!p.planners[1].Holds(p.now))
+	before := p.orders
+	p.waiting = map[string]int{"a": 1, "b": 50}
+	p.run(time.Minute)
+	is.Equal(p.orders, before)
+	p.logDown = false
+	p.run(20 * time.Second)
+	is.True(p.planners[0].Holds(p.now) != p.planners[1].Holds(p.now))
+}
+
+// TestLateOrderOfPausedPlanner pauses a planner between deciding on an order
+// and sending it, until another planner holds the lease.
+func TestLateOrderOfPausedPlanner(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		is := is.New(t)
+		p := newPool(2, engineOf(0, 1, "a"), engineOf(1, 1, "b"))
+		for _, e := range p.engines {
+			e.ChecksFencing = checks
+		}
+		p.models = modelsOf("a", "b")
+		p.own(0, true)
+		p.run(10 * time.Second)
+		old := p.planners[0].holder.fencing
+		p.paused[0] = p.now.Add(40 * time.Second)
+		p.late[0] = []Order{{Engine: "e0", Fencing: old, Models: []Loaded{{Name: "x", Version: "1"}}}}
+		p.own(1, true)
+		p.run(30 * time.Second)
+		is.True(p.planners[1].Holds(p.now))
+		p.models[0].Version = "2" // makes the new holder order the engine
+		p.run(9 * time.Second)
+		is.Equal(p.count("a", "2"), 1)
+		p.run(2 * time.Second) // the late order arrives
+		is.Equal(p.refused > 0, checks)
+		is.True(!p.planners[0].Holds(p.now))
+		p.run(15 * time.Second)
+		is.Equal(p.count("a", "2"), 1) // put right in either case
+	}
+}
+
+// TestAtMostOnePlannerHolds pauses planners and takes the log down at random.
+func TestAtMostOnePlannerHolds(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		p := newPool(3, engineOf(0, 1, "a"))
+		for i := range p.planners {
+			p.own(i, true)
+		}
+		for range 400 {
+			p.run(5 * tick)
+			switch random.IntN(20) {
+			case 0:
+				p.paused[random.IntN(3)] = p.now.Add(time.Duration(random.IntN(20)) * time.Second)
+			case 1:
+				p.logDown = !p.logDown
+			case 2:
+				p.own(random.IntN(3), random.IntN(3) > 0)
+			}
+			holding := 0
+			for i := range p.planners {
+				if p.planners[i].Holds(p.now) {
+					holding++
+				}
+			}
+			is.True(holding <= 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/placement/planner.go
@@ -0,0 +1,211 @@
+package placement
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"hyssopreach/internal/state/lease"
+	"hyssopreach/internal/state/view"
+)
+
+const (
+	// planEvery is the time between two rounds of a holder.
+	planEvery = 2 * time.Second
+	// reportLife is the age from which a report of an engine is not acted on.
+	reportLife = 10 * time.Second
+	// demandLife is how long the demand told by a router counts.
+	demandLife = 20 * time.Second
+	// restateEvery is the time after which an order that was not carried out
+	// is given again. Until then the engine is taken to be loading.
+	restateEvery = time.Minute
+	// smoothing is the weight of a round's demand in the mean over rounds.
+	smoothing = 0.2
+	// maxLoading bounds the engines that load at once, so that the weight
+	// store is never asked for more than it can give soon.
+	maxLoading = 2
+	// settle is the least time between two changes of one engine, not
+	// counting what the text asks for.
+	settle = 30 * time.Second
+	// swapRatio is how much more demand per copy a model must have than the
+	// one that makes room for it.
+	swapRatio = 2.0
+	// patience is the number of rounds in a row in which a swap must be due.
+	patience = 3
+)
+
+// told is the demand that one router has told.
+type told struct {
+	waiting, running int
+	at               time.Time
+}
+
+// order is the last order given to an engine.
+type order struct {
+	models []Loaded
+	at     time.Time
+	// done is set once the engine has reported what was ordered.
+	done bool
+}
+
+// swap is a change that demand asks for.
+type swap struct {
+	engine view.EndpointID
+	in     string
+	out    string
+}
+
+// Planner decides for one pool. It is not safe for concurrent use.
+type Planner struct {
+	holder  *holder
+	models  []Model
+	engines []Engine
+	demand  map[string]map[view.RouterID]told
+	mean    map[string]float64
+	ordered map[view.EndpointID]*order
+	due     swap
+	rounds  int
+	planAt  time.Time
+	wakeAt  time.Time
+	out     []Output
+}
+
+// New returns the planner of a pool at one incarnation of a router.
+func New(pool string, self lease.Holder) *Planner {
+	return &Planner{
+		holder: newHolder(pool, self), demand: map[string]map[view.RouterID]told{},
+		mean: map[string]float64{}, ordered: map[view.EndpointID]*order{},
+	}
+}
+
+// Step takes one input at the given instant and returns what is to be done,
+// in order. The returned slice is valid until the next Step.
+func (p *Planner) Step(now time.Time, in Input) []Output {
+	p.out = p.out[:0]
+	h := p.holder
+	switch in := in.(type) {
+	case Own:
+		h.owned = in.Owned
+	case Configured:
+		p.models = in.Models
+	case Demand:
+		p.tell(now, in)
+	case Reported:
+		p.engines = in.Engines
+		p.round(now)
+	case Records:
+		p.out = append(p.out, h.records(now, in)...)
+	case Gone:
+		h.gone(now, in.Oldest)
+	case ReadFailed:
+		h.reading = false
+		h.readAt = now.Add(readRetry)
+	case AppendEnded:
+		h.appending = false
+	case Alarm:
+		p.wakeAt = time.Time{}
+	}
+	p.out = append(p.out, h.proceed(now)...)
+	if h.holds(now) && !now.Before(p.planAt) {
+		p.planAt = now.Add(planEvery)
+		p.out = append(p.out, Survey{})
+	}
+	p.wake(now)
+	return p.out
+}
+
+// Holds reports whether orders may be given now.
+func (p *Planner) Holds(now time.Time) bool { return p.holder.holds(now) }
+
+func (p *Planner) wake(now time.Time) {
+	at := p.holder.nextAt(now)
+	if p.holder.holds(now) && p.planAt.After(now) && (at.IsZero() || p.planAt.Before(at)) {
+		at = p.planAt
+	}
+	if !at.IsZero() && !at.Equal(p.wakeAt) {
+		p.wakeAt = at
+		p.out = append(p.out, Wake{at})
+	}
+}
+
+func (p *Planner) tell(now time.Time, in Demand) {
+	name, _, _ := strings.Cut(in.Model, ":")
+	byRouter := p.demand[name]
+	if byRouter == nil {
+		byRouter = map[view.RouterID]told{}
+		p.demand[name] = byRouter
+	}
+	byRouter[in.From] = told{in.Waiting, in.Running, now}
+}
+
+// load returns the requests that wait for a model, and those that wait or run.
+func (p *Planner) load(now time.Time, model string) (waiting, all int) {
+	for router, t := range p.demand[model] {
+		if now.Sub(t.at) > demandLife {
+			delete(p.demand[model], router)
+			continue
+		}
+		waiting += t.waiting
+		all += t.waiting + t.running
+	}
+	return waiting, all
+}
+
+// round gives the orders of one round. Every engine with a fresh report gets
+// the order that it should have; changes are made a few at a time.
+func (p *Planner) round(now time.Time) {
+	if !p.holder.holds(now) {
+		p.ordered = map[view.EndpointID]*order{}
+		return
+	}
+	for i := range p.models {
+		name := p.models[i].Name
+		_, all := p.load(now, name)
+		p.mean[name] += smoothing * (float64(all) - p.mean[name])
+	}
+	plan := p.newPlan(now)
+	plan.restate()
+	plan.update()
+	plan.replicate()
+	plan.followDemand()
+}
+
+// give orders an engine to hold the models.
+func (p *Planner) give(now time.Time, e *Engine, models []Loaded, reason string, fields ...string) {
+	p.ordered[e.ID] = &order{models: models, at: now}
+	notAfter := now.Add(orderLife)
+	if p.holder.mayOrderUntil.Before(notAfter) {
+		notAfter = p.holder.mayOrderUntil
+	}
+	p.out = append(p.out, Order{Engine: e.ID, Fencing: p.holder.fencing, Models: models, NotAfter: notAfter})
+	p.out = append(p.out, Decision{"ModelsPlaced", append([]string{
+		"Pool", p.holder.pool, "Endpoint", string(e.ID), "Reason", reason,
+		"Models", names(models), "Fencing", strconv.FormatUint(p.holder.fencing, 10),
+	}, fields...)})
+}
+
+func names(models []Loaded) string {
+	all := make([]string, len(models))
+	for i := range models {
+		all[i] = models[i].Name + "@" + models[i].Version
+	}
+	return strings.Join(all, ",")
+}
+
+func sameModel(a, b Loaded) bool {
+	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// sameModels compares without regard to order.
+func sameModels(a, b []Loaded) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, m := range a {
+		if !slices.ContainsFunc(b, func(o Loaded) bool { return sameModel(m, o) }) {
+			return false
+		}
+	}
+	return true
+}
