Place models by demand in the router

Change: each router tells the pool's owner what waits and runs; the owner takes the lease, surveys the engines and gives orders. What an order unloads is withdrawn from every router first, and the order is given once the engine has nothing running or 30 s have passed. An engine that says that it does not hold the model has not run the call, so an idempotent one goes elsewhere.

--- a/internal/coordination/placement/message.go
+++ b/internal/coordination/placement/message.go
@@ -32,6 +32,8 @@
 	ChecksFencing bool
 	Leaving       bool
 	Loaded        []Loaded
+	// Running is the number of requests that it runs.
+	Running int
 	// MeasuredAt is the instant of the report; an old one is not acted on.
 	MeasuredAt time.Time
 }
@@ -110,6 +112,14 @@
 // Survey asks for fresh reports of the pool's engines.
 type Survey struct{}
 
+// Withdraw asks every router to send an engine no more work for the models, up
+// to the instant. Without models it takes an earlier one back.
+type Withdraw struct {
+	Engine view.EndpointID
+	Models []string
+	Until  time.Time
+}
+
 // Order asks for an order to be given to an engine. It must not be sent after
 // NotAfter.
 type Order struct {
@@ -132,6 +142,7 @@
 func (Append) placementOutput()   {}
 func (Read) placementOutput()     {}
 func (Survey) placementOutput()   {}
+func (Withdraw) placementOutput() {}
 func (Order) placementOutput()    {}
 func (Wake) placementOutput()     {}
 func (Decision) placementOutput() {}
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -98,7 +98,7 @@
 }
 
 func (p *pool) tick(i int) {
-	in := append(p.inbox[i], Configured{p.models}, Alarm{})
+	in := slices.Concat(p.inbox[i], []Input{Configured{p.models}, Alarm{}})
 	p.inbox[i] = nil
 	for _, name := range slices.Sorted(mapsKeys(p.waiting)) {
 		in = append(in, Demand{From: "r0", Model: name, Waiting: p.waiting[name]})
--- a/internal/coordination/placement/plan.go
+++ b/internal/coordination/placement/plan.go
@@ -35,7 +35,16 @@
 			continue
 		}
 		switch {
+		case !last.given && l.wouldStrand(e, last.models):
+			l.ordered[e.ID] = nil
+			l.out = append(l.out, Withdraw{Engine: e.ID})
+		case !last.given:
+			l.busy[e] = true
+			l.drained(l.now, e, last)
 		case sameModels(e.Loaded, last.models):
+			if !last.done {
+				l.out = append(l.out, Withdraw{Engine: e.ID})
+			}
 			last.done = true
 		case !last.done && l.now.Sub(last.at) < restateEvery:
 			l.busy[e] = true // it is loading
--- a/internal/coordination/placement/planner.go
+++ b/internal/coordination/placement/planner.go
@@ -20,6 +20,14 @@
 	// restateEvery is the time after which an order that was not carried out
 	// is given again. Until then the engine is taken to be loading.
 	restateEvery = time.Minute
+	// withdrawDelay is the time in which every router has heard of a
+	// withdrawal.
+	withdrawDelay = time.Second
+	// maxDrain is how long an order waits for the engine's requests to end.
+	maxDrain = 30 * time.Second
+	// withdrawLife bounds a withdrawal, for the case that its planner is
+	// lost before it can take it back.
+	withdrawLife = maxDrain + restateEvery
 	// smoothing is the weight of a round's demand in the mean over rounds.
 	smoothing = 0.2
 	// maxLoading bounds the engines that load at once, so that the weight
@@ -45,16 +53,17 @@
 type order struct {
 	models []Loaded
 	at     time.Time
+	// given is set once the order has been sent; before that, the engine
+	// gets no new work for what the order unloads.
+	given  bool
+	reason []string
 	// done is set once the engine has reported what was ordered.
 	done bool
 }
 
-// swap is a change that demand asks for.
-type swap struct {
-	engine view.EndpointID
-	in     string
-	out    string
-}
+// swap is a change that demand asks for: a copy of one model in place of one
+// of another.
+type swap struct{ in, out string }
 
 // Planner decides for one pool. It is not safe for concurrent use.
 type Planner struct {
@@ -171,18 +180,47 @@
 	plan.followDemand()
 }
 
-// give orders an engine to hold the models.
+// give orders an engine to hold the models. An order that unloads something
+// is announced to the routers first, and given once that work has ended.
 func (p *Planner) give(now time.Time, e *Engine, models []Loaded, reason string, fields ...string) {
-	p.ordered[e.ID] = &order{models: models, at: now}
+	o := &order{models: models, at: now, reason: append([]string{"Reason", reason}, fields...)}
+	p.ordered[e.ID] = o
+	var lost []string
+	for _, held := range e.Loaded {
+		if !slices.ContainsFunc(models, func(m Loaded) bool { return sameModel(m, held) }) {
+			lost = append(lost, held.Name)
+		}
+	}
+	if len(lost) == 0 {
+		p.send(now, e.ID, o)
+		return
+	}
+	p.out = append(p.out, Withdraw{Engine: e.ID, Models: lost, Until: now.Add(withdrawLife)})
+	p.out = append(p.out, Decision{"ModelsWithdrawn", append([]string{
+		"Pool", p.holder.pool, "Endpoint", string(e.ID), "Models", strings.Join(lost, ","),
+	}, o.reason...)})
+}
+
+// drained gives an announced order once the engine runs nothing, or has had
+// its time.
+func (p *Planner) drained(now time.Time, e *Engine, o *order) {
+	quiet := e.Running == 0 && e.MeasuredAt.After(o.at.Add(withdrawDelay))
+	if quiet || now.Sub(o.at) >= maxDrain {
+		p.send(now, e.ID, o)
+	}
+}
+
+func (p *Planner) send(now time.Time, engine view.EndpointID, o *order) {
+	o.given, o.at = true, now
 	notAfter := now.Add(orderLife)
 	if p.holder.mayOrderUntil.Before(notAfter) {
 		notAfter = p.holder.mayOrderUntil
 	}
-	p.out = append(p.out, Order{Engine: e.ID, Fencing: p.holder.fencing, Models: models, NotAfter: notAfter})
+	p.out = append(p.out, Order{Engine: engine, Fencing: p.holder.fencing, Models: o.models, NotAfter: notAfter})
 	p.out = append(p.out, Decision{"ModelsPlaced", append([]string{
-		"Pool", p.holder.pool, "Endpoint", string(e.ID), "Reason", reason,
-		"Models", names(models), "Fencing", strconv.FormatUint(p.holder.fencing, 10),
-	}, fields...)})
+		"Pool", p.holder.pool, "Endpoint", string(engine), "Models", names(o.models),
+		"Fencing", strconv.FormatUint(p.holder.fencing, 10),
+	}, o.reason...)})
 }
 
 func names(models []Loaded) string {
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -234,7 +234,7 @@
 		return sendResult(ctx, err), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
 	}
 	defer func() { _ = answer.Close() }()
-	if answer.Status() == http.StatusServiceUnavailable && a.Call.Class.Idempotent {
+	if a.Call.Class.Idempotent && rejects(a.Call, answer.Status()) {
 		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered that it is unavailable", a.Endpoint.ID)
 	}
 	if err := r.copyAnswer(ctx, answer, id, m, out); err != nil {
@@ -247,6 +247,12 @@
 	return schedule.ResultFinished, nil
 }
 
+// rejects reports whether a status says that the endpoint did not run the
+// call: it is full, or an engine that no longer holds the model.
+func rejects(c *Call, status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusNotFound && c.Service.Kind == text.KindModel
+}
+
 func sendResult(ctx context.Context, err error) schedule.Result {
 	switch {
 	case notSent(err):
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -25,8 +25,10 @@
 	r.suspects = startSuspects(r)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
 	r.claims = startClaims(r)
-	r.components = append(r.components, r.members, configurations, r.suspects, endpoints, r.claims)
-	r.watchers = append(r.watchers, endpoints, r.claims)
+	r.demand = newDemand(r.suspects)
+	placements := startPlacements(r, r.demand)
+	r.components = append(r.components, r.members, configurations, r.suspects, endpoints, r.claims, placements)
+	r.watchers = append(r.watchers, endpoints, r.claims, r.demand)
 }
 
 // random returns a source of its own for each state machine.
--- a/internal/transport/router/fleet.go
+++ b/internal/transport/router/fleet.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"hyssopreach/internal/state/revision"
 	"hyssopreach/internal/state/text"
@@ -20,6 +21,8 @@
 	endpoints []view.Endpoint          // guarded by mu
 	inForce   revision.Configuration   // guarded by mu
 	watchers  []func(s *view.Snapshot) // guarded by mu
+	// withdrawn are the models for which an endpoint gets no new work.
+	withdrawn map[view.EndpointID]withdrawal // guarded by mu
 
 	snapshot atomic.Pointer[view.Snapshot]
 	index    atomic.Pointer[text.Index]
@@ -78,7 +81,7 @@
 // publish requires that mu is held.
 func (f *fleet) publish() {
 	s := &view.Snapshot{
-		Self: f.self, Routers: f.routers, Endpoints: f.endpoints,
+		Self: f.self, Routers: f.routers, Endpoints: f.withoutWithdrawn(time.Now()),
 		Organisations: organisations(f.inForce.Document), Revision: f.inForce.Revision,
 	}
 	f.snapshot.Store(s)
@@ -106,3 +109,57 @@
 	}
 	return byName
 }
+
+// withdrawal keeps an endpoint from new work for some models up to an instant.
+type withdrawal struct {
+	models []string
+	until  time.Time
+}
+
+// withdraw sets for which models an endpoint gets no new work; none ends an
+// earlier withdrawal.
+func (f *fleet) withdraw(id view.EndpointID, models []string, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.withdrawn, id)
+	if len(models) > 0 {
+		if f.withdrawn == nil {
+			f.withdrawn = map[view.EndpointID]withdrawal{}
+		}
+		f.withdrawn[id] = withdrawal{models, until}
+	}
+	f.publish()
+}
+
+// expire ends the withdrawals whose time has passed.
+func (f *fleet) expire(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.withdrawn {
+		if !now.Before(w.until) {
+			f.publish()
+			return
+		}
+	}
+}
+
+// withoutWithdrawn returns the endpoints without the models that have been
+// withdrawn. It requires that mu is held.
+func (f *fleet) withoutWithdrawn(now time.Time) []view.Endpoint {
+	if len(f.withdrawn) == 0 {
+		return f.endpoints
+	}
+	all := slices.Clone(f.endpoints)
+	for i := range all {
+		w, ok := f.withdrawn[all[i].ID]
+		if !ok || !now.Before(w.until) {
+			delete(f.withdrawn, all[i].ID)
+			continue
+		}
+		all[i].Models = slices.DeleteFunc(slices.Clone(all[i].Models), func(name string) bool {
+			base, _, _ := strings.Cut(name, ":")
+			return slices.Contains(w.models, base)
+		})
+	}
+	return all
+}
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -66,6 +66,7 @@
 	members    *members
 	claims     *claims
 	suspects   *suspects
+	demand     *demand
 	components []component
 	watchers   []execution.Watcher
 	serving    sync.WaitGroup
@@ -100,7 +101,7 @@
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
-	runner.Gate = r.suspects
+	runner.Gate = r.demand
 	r.claims.executor = runner
 	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
