--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -67,6 +67,7 @@
 	members        *members
 	claims         *claims
 	suspects       *suspects
+	demand         *demand
 	guard          *rehearsal.Guard
 	configurations *configurations
 	components     []component
@@ -113,7 +114,7 @@
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
-	runner.Gate = r.suspects
+	runner.Gate = r.demand
 	r.claims.executor = runner
 	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
