Write log lines behind requests; collect garbage less often

Cause: the log library writes every key of a line on its own, a system call each, while requests wait for the one lock; and with a small heap garbage was collected many times a second. Change: lines go through a bounded buffer that is written every 50 ms and whole at a planned stop (a killed router loses its last 50 ms of lines). The heap may grow to five times what is live, under a limit on the process's memory. settings.Default holds the defaults once for Parse and the tools, which broke when a setting was added; a router process that ends at its start is reported with its last lines instead of awaited.

--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -22,7 +22,9 @@
 	flaggy.SetName("hyssopreach-measure")
 	flaggy.SetDescription("measures the promises of the system against bounds")
 	flaggy.SetVersion("1")
-	commands := []command{claimsCommand(), fairnessCommand(), latencyCommand(), leavingCommand(), stopCommand()}
+	commands := []command{
+		claimsCommand(), fairnessCommand(), latencyCommand(), leavingCommand(), sceneCommand(), stopCommand(), urgentCommand(),
+	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
 	}
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -36,6 +36,10 @@
 	// EntryHold is how long callers may keep an answer that names routers.
 	// A planned stop takes at least that long. Default: 10 s.
 	EntryHold Duration
+	// LogRetention is how long the platform's log keeps a record, as its
+	// operators state it. What must last longer is appended again in time.
+	// Default: 24 h.
+	LogRetention Duration
 	// Limits bound what callers can make the router hold.
 	Limits Limits
 }
@@ -57,6 +61,7 @@
 // The defaults of settings that the file leaves out.
 const (
 	DefaultEntryHold       = 10 * time.Second
+	DefaultLogRetention    = 24 * time.Hour
 	DefaultBodyBytes       = 4 << 20
 	DefaultHeaderBytes     = 32 << 10
 	DefaultWaitingBytes    = 256 << 20
@@ -67,6 +72,8 @@
 const (
 	minEntryHold = time.Second
 	maxEntryHold = 10 * time.Minute
+	minRetention = time.Minute
+	maxRetention = 365 * 24 * time.Hour
 	minBodyBytes = 1 << 10
 	minHeader    = 4 << 10
 	maxHeader    = 1 << 20
@@ -94,11 +101,11 @@
 // Allowed tells people how a duration is written.
 func (d Duration) Allowed() string { return `a duration such as "30s" or "1m30s"` }
 
-// Parse reads and judges a settings file. The error is of type
-// problem.Problems and tells everything that is wrong.
-func Parse(data []byte) (*Settings, error) {
-	s := &Settings{
-		EntryHold: Duration(DefaultEntryHold),
+// Default returns settings in which all is set that a file may leave out.
+func Default() *Settings {
+	return &Settings{
+		EntryHold:    Duration(DefaultEntryHold),
+		LogRetention: Duration(DefaultLogRetention),
 		Limits: Limits{
 			BodyBytes:       DefaultBodyBytes,
 			HeaderBytes:     DefaultHeaderBytes,
@@ -106,6 +113,12 @@
 			KeptAnswerBytes: DefaultKeptAnswerBytes,
 		},
 	}
+}
+
+// Parse reads and judges a settings file. The error is of type
+// problem.Problems and tells everything that is wrong.
+func Parse(data []byte) (*Settings, error) {
+	s := Default()
 	ps := problem.Decode(data, MaxBytes, s)
 	c := checker{settings: s, problems: &ps}
 	c.check()
@@ -137,6 +150,9 @@
 	if hold := time.Duration(s.EntryHold); hold < minEntryHold || hold > maxEntryHold {
 		c.problems.Add("EntryHold", s.EntryHold.String(), minEntryHold.String()+" to "+maxEntryHold.String())
 	}
+	if kept := time.Duration(s.LogRetention); kept < minRetention || kept > maxRetention {
+		c.problems.Add("LogRetention", s.LogRetention.String(), minRetention.String()+" to "+maxRetention.String())
+	}
 	c.limits()
 }
 
--- a/internal/tool/process/fleet.go
+++ b/internal/tool/process/fleet.go
@@ -121,14 +121,9 @@
 // newSettings are those of a router on IP numbers of its own.
 func (f *Fleet) newSettings(number int) (*settings.Settings, error) {
 	domains := f.options.FailureDomains
-	s := &settings.Settings{
-		Name: view.RouterID(fmt.Sprintf("router-%02d", number+1)), FailureDomain: domains[number%len(domains)],
-		EntryHold: settings.Duration(f.options.EntryHold),
-		Limits: settings.Limits{
-			BodyBytes: settings.DefaultBodyBytes, HeaderBytes: settings.DefaultHeaderBytes,
-			WaitingBytes: settings.DefaultWaitingBytes, KeptAnswerBytes: settings.DefaultKeptAnswerBytes,
-		},
-	}
+	s := settings.Default()
+	s.Name, s.FailureDomain = view.RouterID(fmt.Sprintf("router-%02d", number+1)), domains[number%len(domains)]
+	s.EntryHold = settings.Duration(f.options.EntryHold)
 	for _, address := range []*netip.AddrPort{&s.PeerAddress, &s.CallerAddress, &s.OperatorAddress} {
 		found, err := loopback.Address()
 		if err != nil {
--- a/internal/tool/process/router.go
+++ b/internal/tool/process/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -34,6 +35,9 @@
 	Settings *settings.Settings
 	command  *exec.Cmd
 	log      *os.File
+	// exited is closed once the process has ended, and ended is its error.
+	exited chan struct{}
+	ended  error
 }
 
 // start starts a router with the settings and waits until it is ready. Its
@@ -53,13 +57,18 @@
 	}
 	// The process outlives the context, which bounds only its start.
 	command := exec.CommandContext(context.WithoutCancel(ctx), binary, "router", base+".json")
-	r := &Router{Settings: s, command: command, log: log}
+	r := &Router{Settings: s, command: command, log: log, exited: make(chan struct{})}
 	r.command.Stdout, r.command.Stderr = log, log
 	r.command.Env = append(os.Environ(), environment...)
 	if err := r.command.Start(); err != nil {
 		_ = log.Close()
 		return nil, fmt.Errorf("start %s: %w", s.Name, err)
 	}
+	go func() {
+		r.ended = r.command.Wait()
+		_ = r.log.Close()
+		close(r.exited)
+	}()
 	if err := r.awaitReady(ctx); err != nil {
 		_ = r.Kill()
 		return nil, err
@@ -82,6 +91,8 @@
 			}
 		}
 		select {
+		case <-r.exited:
+			return fmt.Errorf("start %s: %w: %s", r.Settings.Name, r.ended, r.lastLines())
 		case <-ctx.Done():
 			return fmt.Errorf("wait for %s: %w", r.Settings.Name, ctx.Err())
 		case <-time.After(readyPause):
@@ -94,12 +105,23 @@
 	return processorTime(r.command.Process.Pid)
 }
 
+// lastLines are the end of the router's log.
+func (r *Router) lastLines() []byte {
+	const length = 500
+	data, err := os.ReadFile(r.log.Name())
+	if err != nil {
+		return nil
+	}
+	return data[max(0, len(data)-length):]
+}
+
 // Kill ends the process as a lost VM ends, and waits.
 func (r *Router) Kill() error {
 	err := r.command.Process.Kill()
-	// A killed process always reports an error.
-	_ = r.command.Wait()
-	_ = r.log.Close()
+	if errors.Is(err, os.ErrProcessDone) {
+		err = nil
+	}
+	<-r.exited
 	return err
 }
 
@@ -109,10 +131,9 @@
 	if err := r.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return fmt.Errorf("stop %s: %w", r.Settings.Name, err)
 	}
-	err := r.command.Wait()
-	_ = r.log.Close()
-	if err != nil {
-		return fmt.Errorf("stop %s: %w", r.Settings.Name, err)
+	<-r.exited
+	if r.ended != nil {
+		return fmt.Errorf("stop %s: %w", r.Settings.Name, r.ended)
 	}
 	return nil
 }
--- a/internal/transport/command/router.go
+++ b/internal/transport/command/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/apex/log"
@@ -12,12 +13,26 @@
 	"github.com/rcrowley/go-metrics"
 
 	"hyssopreach/internal/state/settings"
+	"hyssopreach/internal/transport/logline"
 	"hyssopreach/internal/transport/router"
 )
 
 // drainTimeout bounds a planned stop; the platform takes the VM away after it.
 const drainTimeout = 10 * time.Minute
 
+// collectPercent lets the heap grow to five times what is live before garbage
+// is collected. What is live is small, and bounded by the settings' limits.
+const collectPercent = 400
+
+// memoryMargin is the memory beside the bodies that callers make a router hold,
+// in bytes.
+const memoryMargin = 128 << 20
+
+// memoryLimit is the memory above which garbage is collected more often.
+func memoryLimit(l *settings.Limits) int64 {
+	return l.WaitingBytes + l.KeptAnswerBytes + memoryMargin
+}
+
 // routerCommand runs the daemon.
 type routerCommand struct {
 	settingsFile string
@@ -41,7 +56,11 @@
 	if err != nil {
 		return &ExitError{ExitUsage, fmt.Errorf("settings %s: %w", c.settingsFile, err)}
 	}
-	logger := &log.Logger{Handler: logfmt.New(e.Err), Level: log.InfoLevel}
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(memoryLimit(&parsed.Limits))
+	lines := logline.NewWriter(e.Err)
+	defer func() { _ = lines.Close() }()
+	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
 	r, err := router.Start(ctx, router.Options{
 		Settings: parsed, Incarnation: uint64(time.Now().UnixNano()),
 		Network: router.NewNetwork(parsed.PeerAddress.Addr()), Logger: logger, Registry: metrics.NewRegistry(),
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -20,6 +20,7 @@
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 	"hyssopreach/internal/transport/peer"
+	"hyssopreach/internal/transport/rehearsal"
 )
 
 const (
@@ -53,22 +54,27 @@
 
 // Router is one running router.
 type Router struct {
-	options    Options
-	self       view.Router
-	fleet      *fleet
-	peers      *peers
-	server     *peer.Server
-	client     *endpoint.Client
-	scheduling *execution.Scheduling
-	entry      *entry.Handler
-	callers    *http.Server
-	operators  *http.Server
-	members    *members
-	components []component
-	watchers   []execution.Watcher
-	serving    sync.WaitGroup
-	callerAt   netip.AddrPort
-	operatorAt netip.AddrPort
+	options        Options
+	self           view.Router
+	fleet          *fleet
+	peers          *peers
+	server         *peer.Server
+	client         *endpoint.Client
+	scheduling     *execution.Scheduling
+	entry          *entry.Handler
+	callers        *http.Server
+	operators      *http.Server
+	members        *members
+	claims         *claims
+	suspects       *suspects
+	demand         *demand
+	guard          *rehearsal.Guard
+	configurations *configurations
+	components     []component
+	watchers       []execution.Watcher
+	serving        sync.WaitGroup
+	callerAt       netip.AddrPort
+	operatorAt     netip.AddrPort
 
 	closing sync.Once
 }
@@ -85,8 +91,12 @@
 		o.Scheduler = defaultScheduler(o.Incarnation)
 	}
 	r := &Router{options: o}
+	r.guard = rehearsal.New(o.Network, rehearsal.Place{FailureDomain: o.Settings.FailureDomain, Router: o.Settings.Name},
+		rehearsal.Limits{DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout})
+	o.Network, r.options.Network = r.guard, r.guard
 	listeners, err := r.listen(ctx)
 	if err != nil {
+		r.guard.Close()
 		return nil, err
 	}
 	r.fleet = newFleet(r.self)
@@ -94,11 +104,19 @@
 	r.peers = &peers{fleet: r.fleet, links: links, logger: o.Logger, receivers: make(map[string]receiver)}
 	r.client = endpoint.NewClient(o.Network.DialContext)
 	r.scheduling = execution.NewScheduling(o.Scheduler, r.peers, o.Logger)
-	r.peers.onScheduler(func(d schedule.Delivery) { r.scheduling.Input(d) })
+	r.peers.schedule = func(d schedule.Delivery) { r.scheduling.Input(d) }
+	r.fleet.watch(func(s *view.Snapshot) {
+		r.guard.SetRouters(s.Routers)
+		if index := r.fleet.Index(); index != nil {
+			r.guard.SetText(index.Document())
+		}
+	})
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
-	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, idempotentOnly{runner}, o.Registry, o.Logger)
+	runner.Gate = r.demand
+	r.claims.executor = runner
+	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
 		return nil, errors.Join(fmt.Errorf("start router %s: %w", r.self.ID, err), listeners.close())
 	}
@@ -174,6 +192,7 @@
 		r.Close()
 		return fmt.Errorf("drain router %s: %w", r.self.ID, err)
 	}
+	r.claims.wait(ctx)
 	log.Info("DrainFinished")
 	r.members.leave()
 	r.Close()
@@ -193,6 +212,7 @@
 		r.scheduling.Close()
 		r.peers.links.Close()
 		_ = r.client.Close()
+		r.guard.Close()
 		r.options.Logger.WithField("Router", r.self.ID).Info("RouterStopped")
 	})
 }
