--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -22,9 +24,11 @@
 	r.configurations = startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
+	r.suspects = startSuspects(r)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
-	r.components = append(r.components, r.members, r.configurations, endpoints)
-	r.watchers = append(r.watchers, endpoints)
+	r.claims = startClaims(r)
+	r.components = append(r.components, r.members, r.configurations, r.suspects, endpoints, r.claims)
+	r.watchers = append(r.watchers, endpoints, r.claims)
 }
 
 // random returns a source of its own for each state machine.
@@ -40,3 +44,13 @@
 func defaultScheduler(seed uint64) schedule.Scheduler {
 	return share.New(share.Options{Source: rand.NewPCG(seed, 0)})
 }
+
+// sleep waits for the given time, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/transport/router/endpoints.go
+++ b/internal/transport/router/endpoints.go
@@ -47,6 +47,7 @@
 	cancel     context.CancelFunc
 	calls      sync.WaitGroup
 	polls      chan struct{}
+	suspects   *suspects
 }
 
 func startEndpoints(r *Router, list *platform.VMList) *endpoints {
@@ -54,6 +55,7 @@
 	e := &endpoints{
 		client: r.client, list: list, members: r.members, peers: r.peers, fleet: r.fleet, scheduling: r.scheduling,
 		logger: r.options.Logger, ctx: ctx, cancel: cancel, polls: make(chan struct{}, maxPolls),
+		suspects: r.suspects,
 	}
 	table := endpoint.New(random(r.options.Incarnation, "endpoint"))
 	e.driver = driver.New(table.Step, endpoint.Input(endpoint.Tick{}), e.apply)
@@ -140,6 +142,7 @@
 }
 
 func (e *endpoints) ask(ctx context.Context, o endpoint.Poll) {
+	asked := time.Now()
 	var load platformtypes.Load
 	var err error
 	if o.Engine {
@@ -153,6 +156,7 @@
 		}
 		return
 	}
+	e.suspects.alive(endpoint.NewID(o.Key, load.Started), asked)
 	e.driver.Input(endpoint.Report{Key: o.Key, Started: load.Started, Leaving: load.Leaving, Models: modelNames(load.Models)})
 	if o.Engine {
 		e.scheduling.Input(schedule.Load{
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -66,6 +66,8 @@
 	operators      *http.Server
 	members        *members
 	guard          *rehearsal.Guard
+	claims         *claims
+	suspects       *suspects
 	configurations *configurations
 	components     []component
 	watchers       []execution.Watcher
@@ -111,7 +113,9 @@
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
-	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, idempotentOnly{runner}, o.Registry, o.Logger)
+	runner.Gate = r.suspects
+	r.claims.executor = runner
+	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
 		return nil, errors.Join(fmt.Errorf("start router %s: %w", r.self.ID, err), listeners.close())
 	}
@@ -187,6 +191,7 @@
 		r.Close()
 		return fmt.Errorf("drain router %s: %w", r.self.ID, err)
 	}
+	r.claims.wait(ctx)
 	log.Info("DrainFinished")
 	r.members.leave()
 	r.Close()
