Judge the gap only where both organisations had work waiting throughout

Cause: the real scenes counted against organisations whose line ran empty for moments, because their caller sends the next request only when an answer begins. Logged tags showed it: their counters fell behind while they had nothing waiting, and caught up later. Change: routers count, for each organisation, how many requests wait and how often none was left; the ledger's windows end there.

--- a/cmd/hyssopreach-measure/scene.go
+++ b/cmd/hyssopreach-measure/scene.go
@@ -69,7 +69,7 @@
 			return nil, fmt.Errorf("scene with policy %s: %w", name, err)
 		}
 		printScene(name, result)
-		gaps[name] = result.Gap
+		gaps[name] = result.Gap.Service
 		if name == "share" {
 			missed = append(missed, judgeScene(b.Fairness, o, result)...)
 		}
@@ -84,11 +84,11 @@
 	var missed []string
 	largest := float64(result.LargestCost)
 	if o.fault == "" {
-		if gap := result.Gap / largest; gap > b.GapInLargestCosts {
+		if gap := result.Gap.Service / largest; gap > b.GapInLargestCosts {
 			missed = append(missed, fmt.Sprintf("gap %.2f largest costs, bound %.2f", gap, b.GapInLargestCosts))
 		}
-	} else if bound := 2 * max(largest, float64(o.engines*sceneSlots)*largest); result.GapAfter > bound {
-		missed = append(missed, fmt.Sprintf("gap after the fault %.0f tokens, bound %.0f", result.GapAfter, bound))
+	} else if bound := 2 * max(largest, float64(o.engines*sceneSlots)*largest); result.GapAfter.Service > bound {
+		missed = append(missed, fmt.Sprintf("gap after the fault %.0f tokens, bound %.0f", result.GapAfter.Service, bound))
 	}
 	if result.Utilisation < b.Utilisation {
 		missed = append(missed, fmt.Sprintf("utilisation %.4f, bound %.4f", result.Utilisation, b.Utilisation))
@@ -98,7 +98,7 @@
 
 // sceneOrganisations are sixteen, of which three flood through two routers;
 // the others are spread unevenly, thin beside fat. A thin one has one to three
-// requests waiting: one more is kept than must wait, since a caller sends the
+// requests waiting: two more are kept than must wait, since a caller sends the
 // next when an answer begins, a moment after the request has left the queue.
 func sceneOrganisations(routers int) []trial.Organisation {
 	all := make([]trial.Organisation, 16)
@@ -110,7 +110,7 @@
 		case i < 3:
 			one.Backlog, one.Routers = 200, []int{0, 1 % routers}
 		case i < 9:
-			one.Backlog = 2 + i%3
+			one.Backlog = 3 + i%3
 		case i < 12:
 			one.Routers = []int{2 % routers}
 		}
@@ -164,15 +164,15 @@
 
 func printScene(name string, result *trial.Result) {
 	fmt.Printf("policy=%s gap=%.0f largest-cost=%d gap-in-largest-costs=%.2f ahead=%s behind=%s utilisation=%.4f tokens-per-second=%.0f gap-after-fault=%.0f\n",
-		name, result.Gap, result.LargestCost, result.Gap/float64(result.LargestCost), result.Ahead, result.Behind,
-		result.Utilisation, result.TokensPerSecond, result.GapAfter)
+		name, result.Gap.Service, result.LargestCost, result.Gap.Service/float64(result.LargestCost), result.Gap.Ahead, result.Gap.Behind,
+		result.Utilisation, result.TokensPerSecond, result.GapAfter.Service)
 	if result.FaultError != nil {
 		fmt.Printf("fault: %v\n", result.FaultError)
 	}
 	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	for _, one := range result.Outcomes {
-		_, _ = fmt.Fprintf(t, "%s\twaiting %d\ttokens %d\tanswered %d\tcut %d\tlost %d\tunknown %d\twrong %d\trefused %v\n", one.Organisation.Name,
-			one.Organisation.Backlog, one.Tokens, one.Report.Answered, one.Report.Cut, one.Report.Lost, one.Report.Unknown, one.Report.Wrong, one.Report.Refused)
+	for i, one := range result.Outcomes {
+		_, _ = fmt.Fprintf(t, "%s\twaiting %d\tthroughout %.2f\ttokens %d\tanswered %d\tcut %d\tlost %d\tunknown %d\twrong %d\trefused %v\n", one.Organisation.Name,
+			one.Organisation.Backlog, result.Waited[i], one.Tokens, one.Report.Answered, one.Report.Cut, one.Report.Lost, one.Report.Unknown, one.Report.Wrong, one.Report.Refused)
 	}
 	_ = t.Flush()
 	for _, one := range result.Traffic {
--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -197,7 +197,7 @@
 func (p printer) summary(result *trial.Result) {
 	p.line("")
 	p.line("fairness gap: %.0f tokens (%.1f x the largest cost of %d; %s ahead of %s)",
-		result.Gap, result.Gap/float64(result.LargestCost), result.LargestCost, result.Ahead, result.Behind)
+		result.Gap.Service, result.Gap.Service/float64(result.LargestCost), result.LargestCost, result.Gap.Ahead, result.Gap.Behind)
 	p.line("utilisation of slots while work waits: %.2f%%", 100*result.Utilisation)
 	p.line("tokens a second: %.0f", result.TokensPerSecond)
 	for _, one := range result.Traffic {
--- a/internal/tool/ledger/ledger.go
+++ b/internal/tool/ledger/ledger.go
@@ -1,37 +1,42 @@
 package ledger
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 )
 
 // Ledger counts service for a fixed set of organisations. Add may be called
-// from several goroutines.
+// from several goroutines, the other methods from one.
 type Ledger struct {
 	names    []string
 	weights  []float64
 	received []atomic.Int64
+	// pairs holds, for each pair of organisations, the window in which both
+	// have had work waiting until now.
+	pairs [][]window
+	gap   Gap
+}
 
-	mu      sync.Mutex
-	lowest  [][]float64 // guarded by mu; of the difference of each pair
-	highest [][]float64 // guarded by mu
-	samples int         // guarded by mu
+// window is the range of the difference of weighted service of a pair.
+type window struct {
+	open            bool
+	lowest, highest float64
 }
 
-// New returns a ledger for the organisations with the given weights.
-func New(names []string, weights []float64) *Ledger {
-	l := &Ledger{names: names, weights: weights, received: make([]atomic.Int64, len(names))}
-	l.lowest, l.highest = matrix(len(names)), matrix(len(names))
-	return l
+// Gap is the largest difference of weighted service that one organisation
+// gained on another in any window in which both had work waiting throughout.
+type Gap struct {
+	Service       float64
+	Ahead, Behind string
 }
 
-func matrix(n int) [][]float64 {
-	m := make([][]float64, n)
-	for i := range m {
-		m[i] = make([]float64, n)
+// New returns a ledger for the organisations with the given weights.
+func New(names []string, weights []float64) *Ledger {
+	l := &Ledger{names: names, weights: weights, received: make([]atomic.Int64, len(names)), pairs: make([][]window, len(names))}
+	for i := range l.pairs {
+		l.pairs[i] = make([]window, i)
 	}
-	return m
+	return l
 }
 
 // Add counts service received by the organisation with the index.
@@ -49,53 +54,49 @@
 	return total
 }
 
-// Sample notes the present differences of weighted service. The fairness gap
-// is taken over all windows between two samples.
-func (l *Ledger) Sample() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for i := range l.names {
-		for j := range i {
-			d := float64(l.Received(i))/l.weights[i] - float64(l.Received(j))/l.weights[j]
-			if l.samples == 0 {
-				l.lowest[i][j], l.highest[i][j] = d, d
-			}
-			l.lowest[i][j] = min(l.lowest[i][j], d)
-			l.highest[i][j] = max(l.highest[i][j], d)
+// Sample notes the present differences of weighted service. Waited tells, for
+// each organisation, whether it had work waiting throughout since the last
+// sample; otherwise the windows with it end here.
+func (l *Ledger) Sample(waited []bool) {
+	now := make([]float64, len(l.names))
+	for i := range now {
+		now[i] = float64(l.Received(i)) / l.weights[i]
+	}
+	for i := range l.pairs {
+		for j := range l.pairs[i] {
+			l.pairs[i][j].note(now[i]-now[j], waited[i] && waited[j])
+			l.compare(i, j)
 		}
 	}
-	l.samples++
 }
 
-// Reset forgets the samples, so that a new phase can be judged by itself.
-func (l *Ledger) Reset() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.samples = 0
+func (w *window) note(difference float64, goes bool) {
+	if !goes || !w.open {
+		*w = window{goes, difference, difference}
+		return
+	}
+	w.lowest, w.highest = min(w.lowest, difference), max(w.highest, difference)
 }
 
-// Gap returns the largest difference of weighted service that two of the
-// organisations gained on each other in any window, and their names. Only
-// organisations that had work waiting throughout may be given.
-func (l *Ledger) Gap(backlogged []int) (gap float64, ahead, behind string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.samples == 0 {
-		return 0, "", ""
+func (l *Ledger) compare(i, j int) {
+	w := l.pairs[i][j]
+	if width := w.highest - w.lowest; width > l.gap.Service {
+		l.gap = Gap{width, l.names[i], l.names[j]}
 	}
-	for _, i := range backlogged {
-		for _, j := range backlogged {
-			if j >= i {
-				continue
-			}
-			if d := l.highest[i][j] - l.lowest[i][j]; d > gap {
-				gap, ahead, behind = d, l.names[i], l.names[j]
-			}
-		}
+}
+
+// Reset ends all windows and forgets the gap, so that a new phase can be
+// judged by itself.
+func (l *Ledger) Reset() {
+	for i := range l.pairs {
+		clear(l.pairs[i])
 	}
-	return gap, ahead, behind
+	l.gap = Gap{}
 }
 
+// Gap returns the largest gap since the last reset.
+func (l *Ledger) Gap() Gap { return l.gap }
+
 // Utilisation integrates how much of the slot-time is busy while work waits.
 type Utilisation struct {
 	last       time.Time
--- a/internal/tool/ledger/ledger_test.go
+++ b/internal/tool/ledger/ledger_test.go
@@ -9,23 +9,33 @@
 
 func TestGapIsTakenOverAllWindows(t *testing.T) {
 	is := is.New(t)
+	all := []bool{true, true, true}
 	l := New([]string{"a", "b", "c"}, []float64{1, 2, 1})
 	l.Add(0, 10)
-	l.Sample()
+	l.Sample(all)
 	l.Add(1, 60) // 30 by weight
-	l.Sample()
+	l.Sample(all)
+	is.Equal(l.Gap(), Gap{30, "b", "a"})
 	l.Add(0, 20)
 	l.Add(2, 1000)
-	l.Sample()
-	gap, _, _ := l.Gap([]int{0, 1})
-	is.Equal(gap, 30.0)
-	gap, ahead, _ := l.Gap([]int{0, 1, 2})
-	is.Equal(gap, 1000.0) // against b, which gained nothing in the last window
-	is.Equal(ahead, "c")
+	l.Sample(all)
+	is.Equal(l.Gap(), Gap{1000, "c", "b"}) // b gained nothing in the last window
 	l.Reset()
-	l.Sample()
-	gap, _, _ = l.Gap([]int{0, 1, 2})
-	is.Equal(gap, 0.0)
+	l.Sample(all)
+	is.Equal(l.Gap(), Gap{})
+}
+
+func TestWindowEndsWhereNothingWaits(t *testing.T) {
+	is := is.New(t)
+	l := New([]string{"a", "b"}, []float64{1, 1})
+	l.Sample([]bool{true, true})
+	l.Add(0, 500)
+	l.Sample([]bool{true, false}) // b was idle: this gain does not count
+	l.Add(0, 20)
+	l.Sample([]bool{true, true})
+	l.Add(0, 30)
+	l.Sample([]bool{true, true})
+	is.Equal(l.Gap().Service, 30.0)
 }
 
 func TestUtilisationCountsOnlyWhileWorkWaits(t *testing.T) {
--- a/internal/tool/trial/trial.go
+++ b/internal/tool/trial/trial.go
@@ -77,13 +77,14 @@
 // Result is what a trial measured.
 type Result struct {
 	Outcomes []Outcome
-	// Gap is the largest difference of weighted service, in tokens, that one
-	// organisation gained on another in any window.
-	Gap           float64
-	Ahead, Behind string
-	// GapAfter is the gap in the time after a fault has been repaired and has
-	// settled; zero without a fault.
-	GapAfter float64
+	// Gap is the fairness gap in tokens; with a fault, until it has been
+	// repaired and has settled.
+	Gap ledger.Gap
+	// GapAfter is the gap in the time after that; zero without a fault.
+	GapAfter ledger.Gap
+	// Waited is, for each organisation, the share of the time in which it had
+	// work waiting throughout; only then it counts for the gap.
+	Waited []float64
 	// Utilisation is the busy share of slot-time while work waited.
 	Utilisation float64
 	// TokensPerSecond is the service of all organisations together.
@@ -102,11 +103,34 @@
 	ledger  *ledger.Ledger
 	usage   ledger.Utilisation
 	slots   int
+	lines   []line
+	waited  []bool
 }
 
+// line follows whether an organisation has work waiting throughout.
+type line struct {
+	emptied       int
+	samples, held int
+}
+
+// note takes a look at the organisation's lines at its routers. One that calls
+// a single router has waited throughout if its line never ran empty.
+func (l *line) note(waiting, emptied int, single bool) bool {
+	held := waiting > 0 && (!single || emptied == l.emptied)
+	l.emptied = emptied
+	l.samples++
+	if held {
+		l.held++
+	}
+	return held
+}
+
+func (l *line) share() float64 { return float64(l.held) / float64(max(l.samples, 1)) }
+
 // Run loads the rig and measures. The rig stays open.
 func Run(ctx context.Context, r *rig.Rig, o Options) Result {
 	t := &run{rig: r, options: o, ledger: newLedger(o.Organisations), slots: len(r.Platform.Engines) * o.SlotsPerEngine}
+	t.lines, t.waited = make([]line, len(o.Organisations)), make([]bool, len(o.Organisations))
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	result := Result{Outcomes: make([]Outcome, len(o.Organisations))}
@@ -151,18 +175,23 @@
 	total := t.ledger.Total()
 	t.usage = ledger.Utilisation{}
 	t.ledger.Reset()
+	clear(t.lines)
 	began := time.Now()
 	var faults sync.WaitGroup
 	if o.Fault != nil {
 		faults.Go(func() { result.FaultError = t.fault(ctx) })
 		t.sample(ctx, o.Fault.End+o.Settle)
-		result.Gap, result.Ahead, result.Behind = t.gap()
+		result.Gap = t.ledger.Gap()
 		t.ledger.Reset()
 		t.sample(ctx, o.Length-o.Fault.End-o.Settle)
-		result.GapAfter, _, _ = t.gap()
+		result.GapAfter = t.ledger.Gap()
 	} else {
 		t.sample(ctx, o.Length)
-		result.Gap, result.Ahead, result.Behind = t.gap()
+		result.Gap = t.ledger.Gap()
+	}
+	result.Waited = make([]float64, len(t.lines))
+	for i := range t.lines {
+		result.Waited[i] = t.lines[i].share()
 	}
 	faults.Wait()
 	elapsed := time.Since(began).Seconds()
@@ -184,15 +213,6 @@
 	return all
 }
 
-// gap is taken over all organisations, since each is kept waiting throughout.
-func (t *run) gap() (float64, string, string) {
-	all := make([]int, len(t.options.Organisations))
-	for i := range all {
-		all[i] = i
-	}
-	return t.ledger.Gap(all)
-}
-
 // fault brings the fault about and repairs it.
 func (t *run) fault(ctx context.Context) error {
 	f := t.options.Fault
@@ -219,22 +239,31 @@
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
 	for end := time.Now().Add(length); time.Now().Before(end) && ctx.Err() == nil; <-ticker.C {
-		t.ledger.Sample()
+		waiting := t.look()
+		t.ledger.Sample(t.waited)
 		busy := 0
 		for _, e := range t.rig.Platform.Engines {
 			running, _ := e.Busy()
 			busy += min(running, t.options.SlotsPerEngine)
 		}
-		t.usage.Note(time.Now(), busy, t.slots, t.waiting() > 0)
+		t.usage.Note(time.Now(), busy, t.slots, waiting > 0)
 	}
 }
 
-func (t *run) waiting() int {
-	waiting := 0
-	for _, one := range t.rig.Running() {
-		waiting += one.Waiting()
+// look notes who waits, and returns the number of waiting requests.
+func (t *run) look() int {
+	routers, total := t.rig.Running(), 0
+	for i, one := range t.options.Organisations {
+		waiting, emptied := 0, 0
+		for _, r := range routers {
+			l := r.Line(one.Name)
+			waiting += l.Waiting
+			emptied += l.Emptied
+		}
+		t.waited[i] = t.lines[i].note(waiting, emptied, len(one.Routers) == 1)
+		total += waiting
 	}
-	return waiting
+	return total
 }
 
 // traffic reads the counters of control traffic of all running routers.
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -38,12 +38,27 @@
 	lastID atomic.Uint64
 
 	mu      sync.Mutex
-	waiting map[schedule.RequestID]chan schedule.Output // guarded by mu
+	waiting map[schedule.RequestID]waiter // guarded by mu
+	lines   map[string]Line               // guarded by mu
+}
+
+// waiter is a request without a decision.
+type waiter struct {
+	organisation string
+	decided      chan schedule.Output
+}
+
+// Line is what is known of one organisation's waiting requests.
+type Line struct {
+	// Waiting is the number of its requests without a decision.
+	Waiting int
+	// Emptied is the number of times that none was left.
+	Emptied int
 }
 
 // NewScheduling runs the given scheduler.
 func NewScheduling(s schedule.Scheduler, sender Sender, logger log.Interface) *Scheduling {
-	d := &Scheduling{sender: sender, logger: logger, waiting: make(map[schedule.RequestID]chan schedule.Output)}
+	d := &Scheduling{sender: sender, logger: logger, waiting: make(map[schedule.RequestID]waiter), lines: make(map[string]Line)}
 	d.driver = driver.New(s.Step, schedule.Input(schedule.Alarm{}), d.apply)
 	return d
 }
@@ -81,9 +96,7 @@
 func (d *Scheduling) Wait(ctx context.Context, r schedule.Request) (schedule.Start, error) {
 	r.ID = schedule.RequestID(d.lastID.Add(1))
 	decided := make(chan schedule.Output, 1)
-	d.mu.Lock()
-	d.waiting[r.ID] = decided
-	d.mu.Unlock()
+	d.add(r.ID, waiter{r.Organisation, decided})
 	d.driver.Input(schedule.Arrival{Request: r})
 	select {
 	case out := <-decided:
@@ -91,9 +104,7 @@
 	case <-ctx.Done():
 	}
 	d.driver.Input(schedule.Departure{ID: r.ID})
-	d.mu.Lock()
-	delete(d.waiting, r.ID)
-	d.mu.Unlock()
+	d.take(r.ID)
 	select {
 	case out := <-decided:
 		// The start came just before the departure; its slot goes back.
@@ -136,13 +147,43 @@
 // decide hands a decision to the goroutine that waits for it. The channel has
 // room for one, and each request gets one decision.
 func (d *Scheduling) decide(id schedule.RequestID, out schedule.Output) bool {
+	w, ok := d.take(id)
+	if ok {
+		w.decided <- out
+	}
+	return ok
+}
+
+func (d *Scheduling) add(id schedule.RequestID, w waiter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waiting[id] = w
+	line := d.lines[w.organisation]
+	line.Waiting++
+	d.lines[w.organisation] = line
+}
+
+// take removes a request from those that wait; it fails if it waits no more.
+func (d *Scheduling) take(id schedule.RequestID) (waiter, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	decided, ok := d.waiting[id]
+	w, ok := d.waiting[id]
 	if !ok {
-		return false
+		return waiter{}, false
 	}
 	delete(d.waiting, id)
-	decided <- out
-	return true
+	line := d.lines[w.organisation]
+	line.Waiting--
+	if line.Waiting == 0 {
+		line.Emptied++
+	}
+	d.lines[w.organisation] = line
+	return w, true
+}
+
+// Line returns what is known of the organisation's waiting requests.
+func (d *Scheduling) Line(organisation string) Line {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lines[organisation]
 }
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -152,6 +152,9 @@
 // Waiting is the number of requests that wait here for a decision.
 func (r *Router) Waiting() int { return r.scheduling.Waiting() }
 
+// Line is what is known of one organisation's waiting requests here.
+func (r *Router) Line(organisation string) execution.Line { return r.scheduling.Line(organisation) }
+
 // Fleet returns the fleet as the router sees it now.
 func (r *Router) Fleet() *view.Snapshot { return r.fleet.View() }
 
