--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -27,8 +27,10 @@
 	r.suspects = startSuspects(r)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
 	r.claims = startClaims(r)
-	r.components = append(r.components, r.members, r.configurations, r.suspects, endpoints, r.claims)
-	r.watchers = append(r.watchers, endpoints, r.claims)
+	r.demand = newDemand(r.suspects)
+	placements := startPlacements(r, r.demand)
+	r.components = append(r.components, r.members, r.configurations, r.suspects, endpoints, r.claims, placements)
+	r.watchers = append(r.watchers, endpoints, r.claims, r.demand)
 }
 
 // random returns a source of its own for each state machine.
@@ -45,7 +47,7 @@
 	return share.New(share.Options{Source: rand.NewPCG(seed, 0)})
 }
 
-// sleep waits for the given time, or until the context ends.
+// sleep waits until the time is over or the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
