--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -20,6 +20,7 @@
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 	"hyssopreach/internal/transport/peer"
+	"hyssopreach/internal/transport/rehearsal"
 )
 
 const (
@@ -53,25 +54,27 @@
 
 // Router is one running router.
 type Router struct {
-	options    Options
-	self       view.Router
-	fleet      *fleet
-	peers      *peers
-	server     *peer.Server
-	client     *endpoint.Client
-	scheduling *execution.Scheduling
-	entry      *entry.Handler
-	callers    *http.Server
-	operators  *http.Server
-	members    *members
-	claims     *claims
-	suspects   *suspects
-	demand     *demand
-	components []component
-	watchers   []execution.Watcher
-	serving    sync.WaitGroup
-	callerAt   netip.AddrPort
-	operatorAt netip.AddrPort
+	options        Options
+	self           view.Router
+	fleet          *fleet
+	peers          *peers
+	server         *peer.Server
+	client         *endpoint.Client
+	scheduling     *execution.Scheduling
+	entry          *entry.Handler
+	callers        *http.Server
+	operators      *http.Server
+	members        *members
+	claims         *claims
+	suspects       *suspects
+	demand         *demand
+	guard          *rehearsal.Guard
+	configurations *configurations
+	components     []component
+	watchers       []execution.Watcher
+	serving        sync.WaitGroup
+	callerAt       netip.AddrPort
+	operatorAt     netip.AddrPort
 
 	closing sync.Once
 }
@@ -88,8 +91,12 @@
 		o.Scheduler = defaultScheduler(o.Incarnation)
 	}
 	r := &Router{options: o}
+	r.guard = rehearsal.New(o.Network, rehearsal.Place{FailureDomain: o.Settings.FailureDomain, Router: o.Settings.Name},
+		rehearsal.Limits{DialTimeout: dialTimeout, SilenceTimeout: silenceTimeout})
+	o.Network, r.options.Network = r.guard, r.guard
 	listeners, err := r.listen(ctx)
 	if err != nil {
+		r.guard.Close()
 		return nil, err
 	}
 	r.fleet = newFleet(r.self)
@@ -98,6 +105,12 @@
 	r.client = endpoint.NewClient(o.Network.DialContext)
 	r.scheduling = execution.NewScheduling(o.Scheduler, r.peers, o.Logger)
 	r.peers.schedule = func(d schedule.Delivery) { r.scheduling.Input(d) }
+	r.fleet.watch(func(s *view.Snapshot) {
+		r.guard.SetRouters(s.Routers)
+		if index := r.fleet.Index(); index != nil {
+			r.guard.SetText(index.Document())
+		}
+	})
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
@@ -199,6 +212,7 @@
 		r.scheduling.Close()
 		r.peers.links.Close()
 		_ = r.client.Close()
+		r.guard.Close()
 		r.options.Logger.WithField("Router", r.self.ID).Info("RouterStopped")
 	})
 }
