--- a/cmd/hyssopreach-measure/fault.go
+++ b/cmd/hyssopreach-measure/fault.go
@@ -7,12 +7,24 @@
 	"time"
 
 	"hyssopreach/internal/standin/journal"
+	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/tool/rig"
 	"hyssopreach/internal/tool/trial"
 )
 
 // sceneFaults are the failures of scene C, by name.
 var sceneFaults = map[string]trial.Fault{
+	"domain-cut": {
+		At: 5 * time.Second, End: 25 * time.Second,
+		Begin: func(_ context.Context, r *rig.Rig) error {
+			now := time.Now().UTC()
+			next := *r.Document
+			next.Rehearsals = []text.Rehearsal{{
+				Name: "scene-c", FailureDomain: "Kolkata", From: now, Until: now.Add(20 * time.Second),
+			}}
+			return r.Publish(&next)
+		},
+	},
 	"router-killed": {
 		At: 5 * time.Second, End: 15 * time.Second,
 		Begin:  func(_ context.Context, r *rig.Rig) error { r.Kill(2); return nil },
