--- a/cmd/hyssopreach-measure/bounds.go
+++ b/cmd/hyssopreach-measure/bounds.go
@@ -13,6 +13,8 @@
 type bounds struct {
 	Fairness fairnessBounds
 	Urgent   urgentBounds
+	Faults   faultBounds
+	Control  controlBounds
 	Latency  latencyBounds
 	Leaving  leavingBounds
 }
--- /dev/null
+++ b/cmd/hyssopreach-measure/control.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"hyssopreach/internal/tool/scene"
+)
+
+// controlBounds hold for the control traffic of scheduling.
+type controlBounds struct {
+	// BytesPerSecond bounds what a router sends at the target's size.
+	BytesPerSecond float64
+	// Growth bounds the bytes a second and router of a fleet eight times as
+	// large with eight times the load, against the smaller one.
+	Growth float64
+}
+
+func controlCommand() command {
+	s := flaggy.NewSubcommand("control")
+	s.Description = "control traffic of scheduling at 3, 7, 14 and 28 routers"
+	seed := uint64(1)
+	s.UInt64(&seed, "s", "seed", "random seed")
+	return command{s, func() ([]string, error) {
+		b, err := readBounds()
+		if err != nil {
+			return nil, err
+		}
+		return control(b.Control, seed), nil
+	}}
+}
+
+// control plays fleets of growing size, in which endpoints and organisations
+// grow with the routers as in the target (610 endpoints and 98 backlogged
+// organisations for 360 routers).
+func control(b controlBounds, seed uint64) []string {
+	fmt.Printf("control: seed %d, 12 endpoints and 4 backlogged organisations for 7 routers, 60 s after 40 s\n", seed)
+	sizes := []int{3, 7, 14, 28}
+	rates := make([]float64, len(sizes))
+	for i, routers := range sizes {
+		s := sceneA(seed, routers, max(2, 12*routers/7))
+		s.Warm, s.Length = 40*time.Second, 100*time.Second
+		s.Policy = shared
+		s.Organisations = spreadOrganisations(max(2, 4*routers/7), routers)
+		r := scene.Run(s)
+		_, rates[i] = r.Control()
+		fmt.Printf("%d routers, %d endpoints, %d organisations:\n", routers, len(s.Endpoints), len(s.Organisations))
+		printResult("share", &r)
+	}
+	last := len(sizes) - 1
+	slope := (rates[last] - rates[1]) / float64(sizes[last]-sizes[1])
+	fmt.Printf("slope from 7 to 28 routers: %.1f B/s a router for each further router\n", slope)
+	var missed []string
+	if rates[last] > b.BytesPerSecond {
+		missed = append(missed, fmt.Sprintf("%.0f B/s a router over %.0f", rates[last], b.BytesPerSecond))
+	}
+	if rates[last] > b.Growth*rates[0] {
+		missed = append(missed, fmt.Sprintf("%.0f B/s a router at 28 over %.1f times the %.0f at 3", rates[last], b.Growth, rates[0]))
+	}
+	return missed
+}
+
+// spreadOrganisations are backlogged organisations that connect to up to three
+// routers each, every third of them thin.
+func spreadOrganisations(count, routers int) []scene.Organisation {
+	var list []scene.Organisation
+	for i := range count {
+		o := scene.Organisation{
+			Name: fmt.Sprintf("organisation%02d", i), Weight: 1, Least: leastCost, Most: mostCost, Backlog: 60,
+			Routers: []int{i % routers, (i + 1) % routers, (3*i + 2) % routers},
+		}
+		if i%3 == 2 {
+			o.Backlog = 2
+		}
+		list = append(list, o)
+	}
+	return list
+}
--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -25,6 +25,8 @@
 	commands := []command{
 		fairnessCommand(),
 		urgentCommand(),
+		faultsCommand(),
+		controlCommand(),
 		latencyCommand(),
 		claimsCommand(),
 		stopCommand(),
