Break ties between equal counters differently at each endpoint

Cause: an empty fleet gave its first slots to the organisations whose names come first, at every endpoint alike; at 28 routers two organisations were 20 largest costs ahead and were being paid back during the measurement. Change: equal counters are ordered by a hash of endpoint and organisation.

--- a/internal/coordination/dispatch/bids.go
+++ b/internal/coordination/dispatch/bids.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/account"
 	"hyssopreach/internal/state/view"
@@ -32,8 +34,11 @@
 type queue struct {
 	organisation string
 	counter      float64 // as of the last look; the true one is not lower
-	bids         []*bid
-	index        int
+	// turn decides between equal counters. It differs from endpoint to
+	// endpoint, so that an empty fleet does not give all slots to one name.
+	turn  uint64
+	bids  []*bid
+	index int
 }
 
 // Len is the number of bids.
@@ -74,12 +79,12 @@
 // Len is the number of organisations.
 func (q queues) Len() int { return len(q) }
 
-// Less orders by counter, then by name so that equals have a fixed order.
+// Less orders by counter, then by turn.
 func (q queues) Less(i, j int) bool {
 	if q[i].counter != q[j].counter {
 		return q[i].counter < q[j].counter
 	}
-	return q[i].organisation < q[j].organisation
+	return q[i].turn < q[j].turn
 }
 
 // Swap exchanges two organisations.
@@ -105,6 +110,7 @@
 
 // board holds the bids for one endpoint.
 type board struct {
+	endpoint view.EndpointID
 	counters *account.Counters
 	bids     map[bidKey]*bid
 	byName   map[string]*queue
@@ -112,8 +118,8 @@
 	placed   uint64
 }
 
-func newBoard(counters *account.Counters) board {
-	return board{counters: counters, bids: map[bidKey]*bid{}, byName: map[string]*queue{}}
+func newBoard(endpoint view.EndpointID, counters *account.Counters) board {
+	return board{endpoint: endpoint, counters: counters, bids: map[bidKey]*bid{}, byName: map[string]*queue{}}
 }
 
 // place takes a router's word about a line.
@@ -151,7 +157,8 @@
 	name := held.key.line.Organisation
 	q := b.byName[name]
 	if q == nil {
-		q = &queue{organisation: name, counter: b.counters.Value(now, name)}
+		turn := xxhash.Sum64String(string(b.endpoint) + "\x00" + name)
+		q = &queue{organisation: name, counter: b.counters.Value(now, name), turn: turn}
 		b.byName[name] = q
 		heap.Push(&b.heap, q)
 	}
--- a/internal/coordination/dispatch/endpoint.go
+++ b/internal/coordination/dispatch/endpoint.go
@@ -56,7 +56,7 @@
 
 func newEndpoint(id view.EndpointID, pool string, counters *account.Counters) *endpoint {
 	return &endpoint{
-		id: id, pool: pool, board: newBoard(counters), limit: newLimit(),
+		id: id, pool: pool, board: newBoard(id, counters), limit: newLimit(),
 		grants: map[schedule.GrantID]*grant{},
 	}
 }
--- a/internal/tool/scene/engine.go
+++ b/internal/tool/scene/engine.go
@@ -1,6 +1,7 @@
 package scene
 
 import (
+	"fmt"
 	"time"
 
 	"hyssopreach/internal/coordination/schedule"
@@ -42,11 +43,9 @@
 
 func newEngine(f *Fleet, index int) *engine {
 	e := f.Settings.Endpoints[index]
-	return &engine{Endpoint: e, fleet: f, index: index, id: view.EndpointID("endpoint" + twoDigits(index))}
+	return &engine{Endpoint: e, fleet: f, index: index, id: view.EndpointID(fmt.Sprintf("endpoint%03d", index))}
 }
 
-func twoDigits(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
-
 // take admits a request or queues it.
 func (e *engine) take(r *request) {
 	r.engine = e
--- a/internal/tool/scene/fleet.go
+++ b/internal/tool/scene/fleet.go
@@ -146,7 +146,7 @@
 	f.measure = newMeasure(len(f.Settings.Organisations))
 	for i := range f.Settings.Routers {
 		f.routers = append(f.routers, &router{
-			index: i, id: view.RouterID(fmt.Sprintf("router%02d", i)), domain: i % domains, down: true,
+			index: i, id: view.RouterID(fmt.Sprintf("router%03d", i)), domain: i % domains, down: true,
 		})
 	}
 	for i := range f.Settings.Endpoints {
