--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -24,6 +24,9 @@
 	// strayEvery is the time without a grant after which a line that is not
 	// behind tries one more endpoint.
 	strayEvery = 250 * time.Millisecond
+	// narrowParts is the part of a line's surplus of bids that is taken back
+	// at a time.
+	narrowParts = 4
 	// resyncAfter is the silence after which a bid is stated afresh if the
 	// line is served nowhere, and servedResyncAfter if it is served elsewhere.
 	resyncAfter       = 2 * time.Second
@@ -138,6 +141,15 @@
 // nestedUrgency is more than any urgency of the operators' text.
 const nestedUrgency = 1 << 20
 
+// retract builds the word that takes a bid back.
+func (l *line) retract(now time.Time, s *standing) *schedule.Bid {
+	s.told, s.toldWith, s.toldAt = 0, s.received, now
+	return &schedule.Bid{
+		Endpoint: s.endpoint, Line: l.key.line, Received: s.received,
+		Tag: l.meter.Tag(now), Rate: l.meter.Rate(), Reserve: l.meter.reserve(),
+	}
+}
+
 // tell builds the bid that states the line's present want.
 func (l *line) tell(now time.Time, s *standing) *schedule.Bid {
 	resync := s.told > 0 && now.Sub(s.heardAt) >= l.silence(now)
--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -19,7 +19,7 @@
 	// about its counter to dispatchers, and to the holder while other routers
 	// have work of the organisation too, so that these follow the service.
 	shortestQuantum = 5 * time.Millisecond
-	longestQuantum  = 250 * time.Millisecond
+	longestQuantum  = 500 * time.Millisecond
 	// counterLatest is the greatest distance of words to dispatchers.
 	counterLatest = time.Second
 	// idleAfter is how long nothing must wait before an organisation is
@@ -155,7 +155,7 @@
 	age := now.Sub(m.told.at)
 	taken := m.told.tag + m.told.rate*min(age, counterLatest).Seconds()
 	off := math.Abs(m.Tag(now) - taken)
-	return age >= counterLatest || age >= m.quantum() && off > m.estimate()/2
+	return age >= counterLatest || age >= m.quantum() && off > m.estimate()
 }
 
 // quantum is the time in which the organisation receives the cost of a request.
--- a/internal/coordination/bidding/spread.go
+++ b/internal/coordination/bidding/spread.go
@@ -149,15 +149,34 @@
 	l.widenAt = now.Add(widenEvery)
 	most := len(b.endpoints(l))
 	placed := l.placed()
-	if placed >= most {
-		return
-	}
 	switch {
+	case placed >= most && placed <= l.wanted():
 	case b.behind(now, l):
 		l.width = min(2*max(placed, firstBids), most)
 	case now.Sub(l.grantedAt) >= strayEvery:
 		l.width = min(placed+1, most)
 		l.widenAt = now.Add(strayEvery)
+	default:
+		l.width /= 2
+		l.widenAt = now.Add(strayEvery)
+		b.narrow(now, l, placed-l.wanted())
+	}
+}
+
+// narrow takes back a part of the surplus of bids of a line that is not
+// behind, so that shortages long past do not leave it bidding everywhere.
+func (b *Bidder) narrow(now time.Time, l *line, surplus int) {
+	if surplus <= 0 {
+		return
+	}
+	first := b.random.IntN(len(l.bids))
+	for count := (surplus + narrowParts - 1) / narrowParts; count > 0; first++ {
+		s := l.bids[first%len(l.bids)]
+		if s.remaining() == 0 {
+			continue
+		}
+		b.send(s.owner, l.retract(now, s))
+		count--
 	}
 }
 
