Do not take a standing queue for an engine's base time to first token

Change: the base rises by 0.1%; while the endpoint says itself what it queues, the time to first token is not asked. Tests of dispatchers and limits.

--- a/internal/coordination/dispatch/limit.go
+++ b/internal/coordination/dispatch/limit.go
@@ -17,12 +17,14 @@
 	latencyWeight = 0.2
 	// baseRise is how much of a higher latency the base takes over with each
 	// sample, so that an old low value is forgotten in time.
-	baseRise = 0.01
+	baseRise = 0.001
 	// rateTime is the time over which the rate of completions is averaged.
 	rateTime = 2 * time.Second
 	// aheadTransits is the number of transits for which calls are handed out
 	// ahead, so that an endpoint has the next one when a slot frees.
 	aheadTransits = 3
+	// loadFresh is how long an endpoint's word on its queue stands.
+	loadFresh = 10 * time.Second
 	// queueAllowed is the number of requests that may stand in the
 	// endpoint's own queue, so that it never runs dry.
 	queueAllowed = 1
@@ -46,6 +48,9 @@
 	// are on the way.
 	transit float64
 	memory  float64
+	// loadedUntil is the instant until which the endpoint's last word on its
+	// queue stands, so that the time to first token is not asked.
+	loadedUntil time.Time
 	// settledAt is the instant of the last change; loads measured before say
 	// nothing of the present limit.
 	settledAt time.Time
@@ -81,6 +86,7 @@
 	queued := l.rate * max(0, l.latency-l.base)
 	saturated := running >= l.whole()
 	switch {
+	case now.Before(l.loadedUntil):
 	case queued > 2*queueAllowed+1:
 		l.probing = false
 		l.set(now, l.value-1)
@@ -124,6 +130,7 @@
 // load takes what the endpoint says of itself.
 func (l *limit) load(now time.Time, report schedule.Load, running int) {
 	l.memory = report.MemoryUsed
+	l.loadedUntil = now.Add(loadFresh)
 	if report.MeasuredAt.Before(l.settledAt) {
 		return
 	}
