--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -21,9 +21,10 @@
 	lowTold = 8
 	// widenEvery is the time between two doublings of a line that is behind.
 	widenEvery = 20 * time.Millisecond
-	// strayEvery is the time without a grant after which a line that is not
-	// behind tries one more endpoint.
-	strayEvery = 250 * time.Millisecond
+	// reviewEvery is the distance at which a line that is not behind reviews
+	// its bids: without a grant it tries one more endpoint, else it takes a
+	// part of its surplus back.
+	reviewEvery = 250 * time.Millisecond
 	// narrowParts is the part of a line's surplus of bids that is taken back
 	// at a time.
 	narrowParts = 4
@@ -52,6 +53,9 @@
 	width int
 	// widenAt is the instant at which the line may widen next.
 	widenAt time.Time
+	// reviewAt is the instant at which a line that is not behind may change
+	// the number of its bids next.
+	reviewAt time.Time
 	// grantedAt is the instant of the last grant, or of the line's first
 	// waiting request.
 	grantedAt time.Time
--- a/internal/coordination/bidding/spread.go
+++ b/internal/coordination/bidding/spread.go
@@ -141,26 +141,28 @@
 	}
 }
 
-// widen adds bids for a line whose head is being passed over.
+// widen adds bids for a line whose head is being passed over, and takes bids
+// back from one that is well served.
 func (b *Bidder) widen(now time.Time, l *line) {
 	if now.Before(l.widenAt) {
 		return
 	}
 	l.widenAt = now.Add(widenEvery)
-	most := len(b.endpoints(l))
-	placed := l.placed()
-	switch {
-	case placed >= most && placed <= l.wanted():
-	case b.behind(now, l):
+	most, placed := len(b.endpoints(l)), l.placed()
+	if b.behind(now, l) {
 		l.width = min(2*max(placed, firstBids), most)
-	case now.Sub(l.grantedAt) >= strayEvery:
+		return
+	}
+	if now.Before(l.reviewAt) {
+		return
+	}
+	l.reviewAt = now.Add(reviewEvery)
+	if now.Sub(l.grantedAt) >= reviewEvery {
 		l.width = min(placed+1, most)
-		l.widenAt = now.Add(strayEvery)
-	default:
-		l.width /= 2
-		l.widenAt = now.Add(strayEvery)
-		b.narrow(now, l, placed-l.wanted())
+		return
 	}
+	l.width /= 2
+	b.narrow(now, l, placed-l.wanted())
 }
 
 // narrow takes back a part of the surplus of bids of a line that is not
