--- a/internal/coordination/bidding/line.go
+++ b/internal/coordination/bidding/line.go
@@ -21,9 +21,13 @@
 	lowTold = 8
 	// widenEvery is the time between two doublings of a line that is behind.
 	widenEvery = 20 * time.Millisecond
-	// strayEvery is the time without a grant after which a line that is not
-	// behind tries one more endpoint.
-	strayEvery = 250 * time.Millisecond
+	// reviewEvery is the distance at which a line that is not behind reviews
+	// its bids: without a grant it tries one more endpoint, else it takes a
+	// part of its surplus back.
+	reviewEvery = 250 * time.Millisecond
+	// narrowParts is the part of a line's surplus of bids that is taken back
+	// at a time.
+	narrowParts = 4
 	// resyncAfter is the silence after which a bid is stated afresh if the
 	// line is served nowhere, and servedResyncAfter if it is served elsewhere.
 	resyncAfter       = 2 * time.Second
@@ -49,6 +53,9 @@
 	width int
 	// widenAt is the instant at which the line may widen next.
 	widenAt time.Time
+	// reviewAt is the instant at which a line that is not behind may change
+	// the number of its bids next.
+	reviewAt time.Time
 	// grantedAt is the instant of the last grant, or of the line's first
 	// waiting request.
 	grantedAt time.Time
@@ -138,6 +145,15 @@
 // nestedUrgency is more than any urgency of the operators' text.
 const nestedUrgency = 1 << 20
 
+// retract builds the word that takes a bid back.
+func (l *line) retract(now time.Time, s *standing) *schedule.Bid {
+	s.told, s.toldWith, s.toldAt = 0, s.received, now
+	return &schedule.Bid{
+		Endpoint: s.endpoint, Line: l.key.line, Received: s.received,
+		Tag: l.meter.Tag(now), Rate: l.meter.Rate(), Reserve: l.meter.reserve(),
+	}
+}
+
 // tell builds the bid that states the line's present want.
 func (l *line) tell(now time.Time, s *standing) *schedule.Bid {
 	resync := s.told > 0 && now.Sub(s.heardAt) >= l.silence(now)
