--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -23,7 +23,15 @@
 	flaggy.SetDescription("measures the promises of the system against bounds")
 	flaggy.SetVersion("1")
 	commands := []command{
-		claimsCommand(), fairnessCommand(), latencyCommand(), leavingCommand(), sceneCommand(), stopCommand(), urgentCommand(),
+		fairnessCommand(),
+		urgentCommand(),
+		faultsCommand(),
+		controlCommand(),
+		latencyCommand(),
+		claimsCommand(),
+		stopCommand(),
+		leavingCommand(),
+		sceneCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
--- a/internal/tool/load/caller.go
+++ b/internal/tool/load/caller.go
@@ -142,7 +142,7 @@
 	if err == nil {
 		err = json.Unmarshal(data, &problem)
 	}
-	c.report.count(func(p *Report) { p.Refused[fmt.Sprint(response.StatusCode, problem.Step)]++ })
+	c.report.count(func(p *Report) { p.Refused[fmt.Sprintf("%d %s", response.StatusCode, problem.Step)]++ })
 	if err != nil {
 		return toldNothing, shortestPause
 	}
