--- a/model/claims.pml
+++ b/model/claims.pml
@@ -3,70 +3,69 @@
  *
  * One key. CLAIMS routers each hold one claim for it (a caller that sent the
  * request again through other routers). WRITERS writers append claims to the
- * log on their behalf and grant what they have read. The holder of the key is
- * the unreleased claim with the lowest original offset; a pure function of
- * the records, whatever prefix of the log has been forgotten.
+ * log on their behalf and grant what they have read: the first claim for the
+ * key wins, later ones are void for ever, and a release frees the key. Before
+ * the log forgets, a writer repeats its state (the holder and the void
+ * claims) as of the offset where its pass began; a reader that begins later
+ * than the log knows nothing until it has such a state, and then replays the
+ * records from that offset on.
  *
  * Faults: an append may land at once, later, or never, and its answer is
  * never relied on, so that a lost answer is no case of its own; the same claim
- * may be appended twice; claimants may pause anywhere or stop for ever (safety holds
- * of every prefix of a run, so a claimant that takes no further step covers
- * both); writers restart with empty state; the log forgets
- * records from its oldest end.
+ * may be appended twice; claimants may pause anywhere or stop for ever (safety
+ * holds of every prefix of a run, so a claimant that takes no further step
+ * covers both); writers restart with empty state; the log forgets any records
+ * from its oldest end at any time.
  *
- * Assumed of time: every record names its claim's deadline, and a record that
- * lands after it is void for every reader (the log stamps each append); the
- * log keeps records for longer than any deadline. So retention drops nothing
- * while an append is on its way, and a claim whose record was dropped can no
- * longer be released. The holder's claim is carried forward before the log
- * forgets it.
+ * Left out: the end of a key's life, and the bar after which a stream whose
+ * state nobody repeats begins anew. Both rest on the log's clock.
  *
- * Broken variants (one -D each): TRANSFER, GRANT_BEFORE_READING, NO_CARRY,
- * CARRY_AT_NEW_OFFSET, LOSERS_VOID, LATE_RELEASE,
- * RELEASE_AFTER_SENDING.
+ * Faults by default strike once each, all in one run; that graph is too large
+ * for a full search in two minutes. LOST_APPENDS_ONLY and RETENTION_ONLY split
+ * the faults over two runs, each searched in full.
+ *
+ * Broken variants (one -D each): TRANSFER, GRANT_BEFORE_READING,
+ * GRANT_OVER_HOLE, VOIDS_NOT_CARRIED, CARRY_AS_OF_NOW, RELEASE_AFTER_SENDING.
  */
 #define CLAIMS 3
 #define WRITERS 2
-#define CAPACITY 5
-#define NONE 15
+#ifndef CAPACITY
+#define CAPACITY 6
+#endif
+#define NONE 3              /* no claim; claims are 0 to CLAIMS - 1 */
+#define BIT(c) (1 << (c))
+#define VOID(c) (voids & BIT(c))
 
-mtype { Absent, Claim, Release, Carry };
+mtype { Absent, Claim, Release, Series };
 mtype { Asking, Sent, GivenUp };
 
+/* The log. A Series states a holder, void claims and the offset they hold at. */
 mtype kinds[CAPACITY] = Absent;
-byte claims[CAPACITY];
-byte origins[CAPACITY];
+byte claims[CAPACITY];      /* the claim, or the holder of a Series */
+byte voided[CAPACITY];
+byte froms[CAPACITY];
 byte oldest, next;
 
 mtype states[CLAIMS] = Asking;
 bool asked[CLAIMS], granted[CLAIMS];
 bool lateClaim[CLAIMS], lateRelease[CLAIMS];
-byte spareAppends = 1, spareCarries = 1, spareRestarts = 1, spareLate = 1;
 
-/* Observers, read by assertions and by retention only. */
-byte runs;
-bool released[CLAIMS], expired[CLAIMS];
-byte firstOffset[CLAIMS] = NONE;
+/* How often each fault may still strike. */
+#ifdef LOST_APPENDS_ONLY
+byte spareAppends = 1, spareLate = 1, spareSeries = 0, spareRestarts = 0;
+#elif defined(RETENTION_ONLY)
+byte spareAppends = 0, spareLate = 0, spareSeries = 1, spareRestarts = 1;
+#else
+byte spareAppends = 1, spareLate = 1, spareSeries = 1, spareRestarts = 1;
+#endif
 
-#define HOLDER(first, gone) \
-	holder = NONE; \
-	for (i : 0 .. CLAIMS - 1) { \
-		if \
-		:: first[i] != NONE && !gone[i] && (holder == NONE || first[i] < first[holder]) -> holder = i \
-		:: else \
-		fi \
-	} \
-	i = 0
+byte runs;                  /* read by assertions only */
 
-inline append(k, c, origin) {
+inline append(k, c, v, f) {
 	kinds[next] = k;
 	claims[next] = c;
-	origins[next] = origin;
-	if
-	:: k == Release -> released[c] = true
-	:: k == Claim && firstOffset[c] == NONE -> firstOffset[c] = next
-	:: else
-	fi;
+	voided[next] = v;
+	froms[next] = f;
 	next++
 }
 
@@ -76,7 +75,7 @@
 	:: atomic { granted[c] ->
 		runs++;
 		assert(runs <= 1);           /* at most one run per key */
-		states[c] = Sent }
+		states[c] = Sent; granted[c] = false;
 #ifdef RELEASE_AFTER_SENDING
 		if
 		:: sure = true; goto giveUp
@@ -85,21 +84,19 @@
 #else
 		goto done
 #endif
+	}
 	:: atomic { granted[c] -> sure = true; goto giveUp }
 	:: atomic { asked[c] && !granted[c] -> sure = false; goto giveUp }
 	od;
 giveUp:
 	atomic {
-		assert(!sure || runs == 0);          /* "not run" is true */
-		states[c] = GivenUp;
+		/* Holding the claim and having sent nothing: "not run" is true. */
+		assert(!sure || runs == 0);
+		states[c] = GivenUp; granted[c] = false;
 		if
-#ifdef LATE_RELEASE
-		:: next < CAPACITY -> append(Release, c, next)
-#else
-		:: next < CAPACITY && !expired[c] -> append(Release, c, next)
-#endif
-		:: !expired[c] && spareLate > 0 -> spareLate--; lateRelease[c] = true
-		:: true                               /* the append vanished */
+		:: next < CAPACITY -> append(Release, c, 0, 0)
+		:: spareLate > 0 -> spareLate--; lateRelease[c] = true
+		:: true                      /* the append vanished */
 		fi;
 		goto done
 	}
@@ -107,57 +104,67 @@
 	skip
 }
 
+inline forget() {
+	holder = NONE; voids = 0; position = oldest; start = oldest;
+#ifdef GRANT_OVER_HOLE
+	loaded = true
+#else
+	loaded = (oldest == 0)
+#endif
+}
+
+/* Folds the record at position. */
+inline fold() {
+	c = claims[position];
+	if
+	:: kinds[position] == Series && !loaded && froms[position] >= start && froms[position] >= oldest ->
+		holder = c; voids = voided[position]; loaded = true;
+		position = froms[position]
+	:: else ->
+		if
+		:: kinds[position] == Claim && loaded && !VOID(c) && holder == NONE -> holder = c
+		:: kinds[position] == Claim && loaded && holder != c && holder != NONE -> voids = voids | BIT(c)
+		:: kinds[position] == Release && loaded ->
+			voids = voids | BIT(c);
+			if
+			:: holder == c -> holder = NONE
+			:: else
+			fi
+		:: else
+		fi;
+		position++
+	fi
+}
+
 /*
  * A writer reads to the end of the log in one step; reading less is the same
  * as having read earlier. It grants in the same step, since the claimant may
  * take the grant at any later time.
  */
-proctype Writer() {
-	byte position, i, c, holder, spot;
-	bool ready;                 /* has read to the end since its start */
-	bool gone[CLAIMS];
-	byte first[CLAIMS] = NONE;
+proctype Writer(bool mayRestart) {
+	byte position, start, c;
+	byte holder = NONE, voids;
+	bool loaded = true;         /* knows the state at position */
+	bool passing;               /* repeats its state as of from */
+	byte from, passHolder = NONE, passVoids;
 	do
-	:: d_step { (position < next || !ready) ->
+	:: d_step { position < next ->
 		if
-		:: position < oldest ->  /* a hole: begin again, as after a restart */
-			position = oldest;
-			for (i : 0 .. CLAIMS - 1) { first[i] = NONE; gone[i] = false }
+		:: position < oldest -> forget()
 		:: else
 		fi;
 		do
-		:: position < next ->
-			c = claims[position];
-			if
-			:: kinds[position] == Release -> gone[c] = true
-			:: else ->
-				spot = origins[position];
-#ifdef LOSERS_VOID
-				HOLDER(first, gone);
-				if
-				:: kinds[position] == Claim && holder != NONE && holder != c -> spot = NONE
-				:: else
-				fi;
-#endif
-				if
-				:: spot < first[c] -> first[c] = spot
-				:: else
-				fi
-			fi;
-			position++
+		:: position < next -> fold()
 		:: else -> break
 		od;
-		ready = true;
-		HOLDER(first, gone);
 		if
-		:: holder != NONE && states[holder] == Asking -> granted[holder] = true
+		:: loaded && holder != NONE && states[holder] == Asking -> granted[holder] = true
 		:: else
 		fi;
-		i = 0; c = 0; spot = 0; holder = 0 }
-	:: d_step { ready && spareRestarts > 0 ->
-		spareRestarts--; ready = false; position = oldest;
-		for (i : 0 .. CLAIMS - 1) { first[i] = NONE; gone[i] = false }
-		i = 0 }
+		c = 0 }
+	:: d_step { mayRestart && spareRestarts > 0 -> spareRestarts--;
+		passing = false; from = 0; passHolder = NONE; passVoids = 0;
+		forget() }
 	:: atomic { next < CAPACITY -> select(c : 0 .. CLAIMS - 1);
 		if
 		/* Claims are alike, so they are asked for in their order. */
@@ -167,84 +174,62 @@
 			:: else -> asked[c] = true
 			fi;
 #ifdef GRANT_BEFORE_READING
-			HOLDER(first, gone);
 			if
-			:: holder == NONE -> granted[c] = true
+			:: holder == NONE && !VOID(c) -> granted[c] = true
 			:: else
 			fi;
-			holder = 0;
 #endif
 			if
-			:: append(Claim, c, next)
+			:: append(Claim, c, 0, 0)
 			:: spareLate > 0 -> spareLate--; lateClaim[c] = true
 			fi
 		:: else
 		fi;
 		c = 0 }
 #ifdef TRANSFER
-	:: atomic { ready -> HOLDER(first, gone); select(c : 0 .. CLAIMS - 1);
+	:: atomic { loaded && holder != NONE && spareAppends > 0 -> spareAppends--;
+		select(c : 0 .. CLAIMS - 1);
 		if
-		:: holder != NONE && first[c] != NONE && states[c] == Asking -> granted[c] = true
+		:: c != holder && asked[c] && states[c] == Asking -> granted[c] = true
 		:: else
 		fi;
-		holder = 0; c = 0 }
+		c = 0 }
 #endif
-	:: atomic { ready && spareCarries > 0 && next < CAPACITY ->
-		HOLDER(first, gone);
-		if
-		:: holder != NONE -> spareCarries--;
-#ifdef CARRY_AT_NEW_OFFSET
-			append(Carry, holder, next)
-#else
-			append(Carry, holder, first[holder])
+	:: d_step { loaded && !passing && spareSeries > 0 -> spareSeries--;
+		passing = true; from = position; passHolder = holder; passVoids = voids }
+	:: d_step { passing && next < CAPACITY ->
+#ifdef CARRY_AS_OF_NOW
+		/* What was listed when the pass began, as it stands now. */
+		passHolder = (passHolder == NONE -> NONE : holder);
 #endif
-		:: else
-		fi;
-		holder = 0 }
+#ifdef VOIDS_NOT_CARRIED
+		passVoids = 0;
+#endif
+		append(Series, passHolder, passVoids, from);
+		passing = false; from = 0; passHolder = NONE; passVoids = 0 }
 	od
 }
 
 /* Late appends and the log's retention. */
 active proctype Log() {
-	byte i, holder;
-	bool carried;
+	byte i;
 	do
 	:: atomic { next < CAPACITY -> select(i : 0 .. CLAIMS - 1);
 		if
-		:: lateClaim[i] -> lateClaim[i] = false; append(Claim, i, next)
-		:: lateRelease[i] -> lateRelease[i] = false; append(Release, i, next)
+		:: lateClaim[i] -> lateClaim[i] = false; append(Claim, i, 0, 0)
+		:: lateRelease[i] -> lateRelease[i] = false; append(Release, i, 0, 0)
 		:: else
 		fi;
 		i = 0 }
 	:: d_step { oldest < next ->
-		HOLDER(firstOffset, released);
-		carried = false;
-		for (i : 0 .. CAPACITY - 1) {
-			if
-			:: i > oldest && kinds[i] == Carry && claims[i] == holder -> carried = true
-			:: else
-			fi
-		}
-		if
-#ifndef NO_CARRY
-		:: kinds[oldest] != Release && claims[oldest] == holder && !carried
-#endif
-		:: lateClaim[0] || lateClaim[1] || lateClaim[2] || lateRelease[0] || lateRelease[1] || lateRelease[2]
-		:: else ->
-			if
-			:: kinds[oldest] == Claim -> expired[claims[oldest]] = true
-			:: else
-			fi;
-			kinds[oldest] = Absent; claims[oldest] = 0; origins[oldest] = 0;
-			oldest++
-		fi;
-		i = 0; carried = false; holder = 0 }
+		kinds[oldest] = Absent; claims[oldest] = 0; voided[oldest] = 0; froms[oldest] = 0;
+		oldest++ }
 	od
 }
 
 init {
 	atomic {
 		run Claimant(0); run Claimant(1); run Claimant(2);
-		run Writer(); run Writer()
+		run Writer(true); run Writer(false)   /* alike, so the first restarts */
 	}
 }
--- /dev/null
+++ b/model/configuration.pml
@@ -0,0 +1,244 @@
+/*
+ * The configuration fold: operators race, routers read one log at their own
+ * pace and learn from each other.
+ *
+ * A publish states the revision that it is based on and is accepted if that
+ * revision is in force at its offset. A snapshot states a revision and the
+ * offset up to which its author had folded. A reader that finds its next
+ * record gone is blind: it judges no publish until a snapshot, or a peer,
+ * proves what was in force at or above the hole. A peer's proof is the offset
+ * after its text.
+ *
+ * Texts come in two formats with different rules: format 2 also refuses a
+ * flawed text. A program that knows only format 1 is blind after a record of
+ * format 2.
+ *
+ * Safety, for every router at every step: its revision never falls within one
+ * start; the text under a revision is the same everywhere and the same as a
+ * fold of the whole history gives (so no update is lost). Liveness (weak
+ * fairness; the log forgets only what a snapshot covers): the last accepted
+ * text is in force on every router.
+ *
+ * Broken variants: FOLD_WITHOUT_BASE, FOLD_OVER_HOLE, LOWER_PEER_ACCEPTED,
+ * SNAPSHOT_AS_OF_NOW, NEWER_FORMAT_GUESSED, NO_PEERS with NO_SNAPSHOTS.
+ */
+#ifdef LIVENESS
+#define ROUTERS 2
+#else
+#define ROUTERS 3
+#endif
+#define PUBLISHES 3
+#define CAPACITY 4
+
+mtype { Absent, Publish, Snapshot };
+
+/* The log. */
+mtype kinds[CAPACITY] = Absent;
+byte texts[CAPACITY];       /* a publish's number, or the text of a snapshot */
+byte revisions[CAPACITY];   /* a publish's base, or the snapshot's revision */
+byte proofs[CAPACITY];      /* a snapshot's offset folded to */
+byte places[CAPACITY];      /* the offset of a snapshot's text */
+bool newFormat[CAPACITY], flawed[CAPACITY];
+byte oldest, next;
+
+/* The fold of the whole history, for assertions and retention. */
+byte inForce;
+byte history[PUBLISHES + 1];
+bool historyNew[PUBLISHES + 1];
+
+/* What each router holds, read by operators and peers. */
+byte revision[ROUTERS], text[ROUTERS], place[ROUTERS];
+
+byte published, spareSnapshots = 1, spareRestarts = 1;
+
+active proctype Operator() {
+	byte base, i;
+	bool isNew, hasFlaw;
+	do
+	/* Two operators race by both having read before either publishes: the
+	   base may be of any earlier moment. */
+	:: atomic { published < PUBLISHES && next < CAPACITY ->
+		published++;
+		if
+		:: base = inForce
+		:: inForce > 0 -> base = inForce - 1
+		fi;
+#ifndef LIVENESS
+		if
+		:: published == 2 -> isNew = true;
+			if
+			:: hasFlaw = true
+			:: hasFlaw = false
+			fi
+		:: isNew = false
+		fi;
+#endif
+		kinds[next] = Publish; texts[next] = published; revisions[next] = base;
+		newFormat[next] = isNew; flawed[next] = hasFlaw;
+		if
+		:: base == inForce && !(isNew && hasFlaw) ->
+			inForce++; history[inForce] = published; historyNew[inForce] = isNew
+		:: else
+		fi;
+		next++;
+		base = 0; isNew = false; hasFlaw = false }
+	od
+}
+
+#define KNOWS(isNew) (!old || !(isNew))
+
+inline become(r, t, p) {
+	assert(r >= revision[me]);           /* a revision never falls */
+	revision[me] = r; text[me] = t; place[me] = p;
+	assert(revision[me] <= inForce && text[me] == history[revision[me]])  /* one text per revision */
+}
+
+/* Takes revision r with text t at offset p, proved to be in force at proof. */
+inline adopt(r, t, p, proof) {
+	if
+	:: blind && proof < begin ->
+		if
+		:: r > revision[me] -> become(r, t, p)
+		:: else
+		fi
+	:: blind && proof >= begin ->
+		become(r, t, p); position = proof; blind = false
+	:: !blind && proof > position ->
+		become(r, t, p); position = proof
+	:: !blind && proof <= position ->
+		assert(r <= revision[me])
+	fi
+}
+
+inline lose(offset) {
+	blind = true; begin = offset; position = offset
+}
+
+inline fold() {
+	at = position;
+	position++;
+	if
+	:: kinds[at] == Snapshot && KNOWS(historyNew[revisions[at]]) ->
+#ifdef SNAPSHOT_AS_OF_NOW
+		adopt(revisions[at], texts[at], places[at], position)
+#else
+		adopt(revisions[at], texts[at], places[at], proofs[at])
+#endif
+	:: kinds[at] == Publish && !blind ->
+		if
+#ifndef NEWER_FORMAT_GUESSED
+		:: !KNOWS(newFormat[at]) -> lose(position)
+		:: KNOWS(newFormat[at]) && newFormat[at] && flawed[at]
+		:: KNOWS(newFormat[at]) && !(newFormat[at] && flawed[at]) ->
+#else
+		:: !old && newFormat[at] && flawed[at]
+		:: old || !(newFormat[at] && flawed[at]) ->
+#endif
+			if
+#ifdef FOLD_WITHOUT_BASE
+			:: true ->
+#else
+			:: revisions[at] == revision[me] ->
+#endif
+				become(revision[me] + 1, texts[at], at)
+			:: else
+			fi
+		fi
+	:: else
+	fi;
+	at = 0
+}
+
+#ifdef LOWER_PEER_ACCEPTED
+#define HIGHER(peer) (revision[peer] > 0 && revision[peer] != revision[me])
+#else
+#define HIGHER(peer) (revision[peer] > revision[me] && KNOWS(historyNew[revision[peer]]))
+#endif
+
+/* Learns from a peer, whose proof is the offset after its text. */
+inline learn(peer) {
+#ifdef LOWER_PEER_ACCEPTED
+	become(revision[peer], text[peer], place[peer])
+#else
+	adopt(revision[peer], text[peer], place[peer], place[peer] + 1)
+#endif
+}
+
+proctype Router(byte me; bool old) {
+	byte position, begin, at;
+	bool blind;
+	do
+	:: d_step { position < next ->
+		if
+		:: position < oldest ->
+#ifdef FOLD_OVER_HOLE
+			position = oldest
+#else
+			lose(oldest)
+#endif
+		:: else -> fold()
+		fi }
+#ifndef NO_PEERS
+	:: d_step { HIGHER(0) -> learn(0) }
+	:: d_step { HIGHER(1) -> learn(1) }
+	:: d_step { HIGHER(ROUTERS - 1) -> learn(ROUTERS - 1) }
+#endif
+#ifndef NO_SNAPSHOTS
+	:: d_step { !blind && revision[me] > 0 && spareSnapshots > 0 && next < CAPACITY ->
+		spareSnapshots--;
+		kinds[next] = Snapshot; texts[next] = text[me]; revisions[next] = revision[me];
+		proofs[next] = position; places[next] = place[me];
+		next++ }
+#endif
+	:: d_step { spareRestarts > 0 && me == 0 -> spareRestarts--;
+		revision[me] = 0; text[me] = 0; place[me] = 0;
+		position = 0; begin = 0; blind = false }
+	od
+}
+
+active proctype Retention() {
+	byte i;
+	bool covered;
+	do
+	:: d_step { oldest < next ->
+		covered = false;
+		for (i : 0 .. CAPACITY - 1) {
+			if
+			:: i > oldest && i < next && kinds[i] == Snapshot && proofs[i] > oldest -> covered = true
+			:: else
+			fi
+		}
+		if
+#if defined(LIVENESS) && !defined(NO_SNAPSHOTS)
+		:: !covered
+#endif
+		:: else ->
+			kinds[oldest] = Absent; texts[oldest] = 0; revisions[oldest] = 0; proofs[oldest] = 0;
+			places[oldest] = 0; newFormat[oldest] = false; flawed[oldest] = false;
+			oldest++
+		fi;
+		i = 0; covered = false }
+	od
+}
+
+init {
+	atomic {
+		run Router(0, false);
+		run Router(1, false);
+#ifndef LIVENESS
+		run Router(2, true)
+#endif
+	}
+}
+
+#ifdef LIVENESS
+/* Always enabled, so that a run in which all else has stopped is infinite. */
+bool tick;
+active proctype Idle() {
+	do
+	:: tick = !tick
+	od
+}
+
+ltl everywhere { <> [] (inForce > 0 && revision[0] == inForce && revision[1] == inForce) }
+#endif
--- /dev/null
+++ b/model/dispatch.pml
@@ -0,0 +1,124 @@
+/*
+ * Fair dispatch in the small: start-time fair order over ORGANISATIONS with
+ * one slot. A request's cost is unknown until it ends; the organisation is
+ * charged the estimate when it is granted and the rest at the end.
+ *
+ * Counters are kept relative to the virtual time, which is the lowest counter
+ * of an active organisation, so that the state stays finite. An organisation
+ * whose work arrives after it had none is lifted to the virtual time.
+ *
+ * Safety: while organisations 0 and 1 both wait, the gap in service between
+ * them since then is at most 2 x MAX_COST. Liveness (weak fairness): a waiting
+ * organisation is served.
+ *
+ * Broken variants: SAVED_CREDIT, URGENCY_FIRST.
+ */
+#define ORGANISATIONS 3
+#define MAX_COST 2
+#define ESTIMATE 1
+#define BOUND (2 * MAX_COST)
+#define HIGH 20                /* no counter is let grow above */
+#define NONE ORGANISATIONS
+#ifdef SAVED_CREDIT
+#define FLOOR (-12)
+#else
+#define FLOOR 0
+#endif
+
+short counters[ORGANISATIONS];
+bool waiting[ORGANISATIONS];
+byte running = NONE;
+short gap;                  /* service of 0 less service of 1 */
+
+inline follow() {
+	low = HIGH + 1;
+	for (i : 0 .. ORGANISATIONS - 1) {
+		if
+		:: (waiting[i] || running == i) && counters[i] <= low -> low = counters[i]
+		:: else
+		fi
+	}
+	if
+	:: low > HIGH -> low = 0
+	:: else
+	fi;
+	for (i : 0 .. ORGANISATIONS - 1) {
+		counters[i] = (counters[i] - low > FLOOR -> counters[i] - low : FLOOR);
+		counters[i] = (counters[i] > HIGH -> HIGH : counters[i])
+	}
+	i = 0; low = 0
+}
+
+proctype Caller(byte c) {
+	do
+	:: d_step { !waiting[c] ->
+#ifndef SAVED_CREDIT
+		counters[c] = (counters[c] > 0 -> counters[c] : 0);
+#endif
+		waiting[c] = true }
+	od
+}
+
+inline choose() {
+	best = NONE;
+	for (i : 0 .. ORGANISATIONS - 1) {
+		if
+#ifdef URGENCY_FIRST
+		:: waiting[i] && best == NONE -> best = i    /* 0 is the most urgent */
+#else
+		:: waiting[i] && (best == NONE || counters[i] < counters[best]) -> best = i
+#endif
+		:: else
+		fi
+	}
+	i = 0
+}
+
+proctype Dispatcher() {
+	byte i, best, cost;
+	short low;
+	do
+	:: atomic { running == NONE && (waiting[0] || waiting[1] || waiting[2]) ->
+		choose();
+		running = best;
+		counters[running] = counters[running] + ESTIMATE;
+		if
+		:: true                              /* more of it waits */
+		:: waiting[running] = false
+		fi;
+		if
+		:: !waiting[0] || !waiting[1] -> gap = 0
+		:: else
+		fi;
+		best = 0;
+		follow() }
+	:: atomic { running != NONE ->
+		if
+		:: cost = 1
+		:: cost = MAX_COST
+		fi;
+		counters[running] = counters[running] + cost - ESTIMATE;
+		if
+		:: waiting[0] && waiting[1] && running == 0 -> gap = gap + cost
+		:: waiting[0] && waiting[1] && running == 1 -> gap = gap - cost
+		:: else
+		fi;
+#ifdef LIVENESS
+		gap = 0;
+#endif
+		assert(gap <= BOUND && gap >= -BOUND);
+		running = NONE; cost = 0;
+		follow() }
+	od
+}
+
+init {
+	atomic {
+		run Caller(0); run Caller(1); run Caller(2);
+		run Dispatcher()
+	}
+}
+
+#ifdef LIVENESS
+ltl served { [] (waiting[2] -> <> (running == 2)) }
+#endif
