Measure control costs at growing sizes; keep the ownership of endpoints

The first run showed the endpoint watch at 8.6 % of a core at 360 routers, growing 58 times from N to 8N: each tick hashed every endpoint against every router. Change: hyssopreach-measure capacity measures scheduling, heartbeats, endpoint watch, configuration and claim writer at N, 2N, 4N, 8N and works out the target size; the endpoint table keeps an ownership until the view or the identity changes.

--- /dev/null
+++ b/cmd/hyssopreach-measure/capacity.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"hyssopreach/internal/tool/capacity"
+)
+
+func capacityCommand() command {
+	s := flaggy.NewSubcommand("capacity")
+	s.Description = "control cost of one router at growing sizes, worked out for the target size"
+	seed := uint64(1)
+	s.UInt64(&seed, "s", "seed", "random seed")
+	return command{s, func() ([]string, error) { return capacity.Run(os.Stdout, seed), nil }}
+}
--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -29,6 +29,7 @@
 		claimsCommand(),
 		stopCommand(),
 		leavingCommand(),
+		capacityCommand(),
 		sceneCommand(),
 	}
 	for _, c := range commands {
--- a/internal/coordination/endpoint/record.go
+++ b/internal/coordination/endpoint/record.go
@@ -21,6 +21,15 @@
 	goneAsOf time.Time
 	// polled is when the last poll was asked for; zero asks for one at once.
 	polled time.Time
+	owned  ownership
+}
+
+// ownership is whether this router polls the endpoint, in a view and under a
+// key.
+type ownership struct {
+	view *view.Snapshot
+	key  string
+	mine bool
 }
 
 // facts are what routers tell each other about a start.
--- a/internal/coordination/endpoint/table.go
+++ b/internal/coordination/endpoint/table.go
@@ -207,13 +207,18 @@
 }
 
 // mine reports whether this router is one of those that poll the endpoint.
-// The first of them is also its dispatcher.
+// The first of them is also its dispatcher. The answer is kept until the view
+// or the endpoint's identity changes, since finding it costs a hash a router.
 func (t *Table) mine(r *record) bool {
 	key := string(r.id)
 	if key == "" {
 		key = r.configured.Key
 	}
-	return slices.Contains(t.view.Owners(key, pollers), t.view.Self)
+	if r.owned.view != t.view || r.owned.key != key {
+		owns := slices.Contains(t.view.Owners(key, pollers), t.view.Self)
+		r.owned = ownership{t.view, key, owns}
+	}
+	return r.owned.mine
 }
 
 // show emits the table. An endpoint is shown once its start is known.
--- /dev/null
+++ b/internal/tool/capacity/records.go
@@ -0,0 +1,123 @@
+package capacity
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	codec "hyssopreach/internal/protocol/claim"
+	"hyssopreach/internal/protocol/peer"
+	"hyssopreach/internal/state/claim"
+	"hyssopreach/internal/state/text"
+)
+
+// fetchesServed bounds how many routers one router serves with a new text.
+const fetchesServed = 4
+
+// configuration is the operators' text of a fleet and its changes.
+func configuration(routers int) Cost {
+	data := document(routers)
+	const parses = 5
+	spent := timed(func() {
+		for range parses {
+			if _, err := text.Parse(data); err != nil {
+				panic(fmt.Sprintf("the measured text is refused: %v", err))
+			}
+		}
+	}) / parses
+	changes := float64(targetChanges) / secondsADay
+	offer := float64(proto.Size(&peer.ConfigurationOffer{Revision: 1e6, Offset: 1e6, Hash: 1}))
+	c := Cost{
+		Routers:  routers,
+		Messages: 1 + changes*fetchesServed,
+		Bytes:    offer + changes*fetchesServed*float64(len(data)),
+		Core:     spent.Seconds() * changes,
+	}
+	c.Framed = c.Bytes + framing*c.Messages
+	c.Heap = heapOf(func() any {
+		doc, _ := text.Parse(data)
+		return []any{doc, append([]byte(nil), data...)}
+	})
+	return c
+}
+
+// document is an operators' text of the target's proportions.
+func document(routers int) []byte {
+	v := snapshot(routers)
+	doc := text.Document{FormatVersion: text.FormatVersion, Rehearsals: []text.Rehearsal{}}
+	for name := range v.Organisations {
+		doc.Organisations = append(doc.Organisations, text.Organisation{
+			Name: name, Weight: 1, KeyHashes: []string{text.KeyHash(name), text.KeyHash(name + "2")},
+			MaxWaiting: 100, MaxWaitingBytes: 1 << 20, RetryRatio: 0.1,
+		})
+	}
+	pool := text.Pool{Name: "model"}
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		pool.Endpoints = append(pool.Endpoints, text.Endpoint{
+			Name: "engine", VM: e.VM, FailureDomain: e.FailureDomain, Address: e.Address, Accelerators: 4,
+		})
+	}
+	doc.Pools = []text.Pool{pool}
+	doc.Services = []text.Service{{
+		Name: "chat", Kind: text.KindModel, Pool: "model", DependsOn: []string{},
+		Classes: []text.Class{{Name: "all", Methods: []string{}, Idempotent: true, MayWait: true, EstimatedCost: leastCost}},
+	}}
+	for i := range targetModels {
+		doc.Models = append(doc.Models, text.Model{
+			Name: fmt.Sprintf("model-%d", i), Pool: "model", Version: "1", Adapters: []string{}, SizeBytes: 1 << 34, MinReplicas: 1,
+		})
+	}
+	data, err := json.Marshal(doc)
+	if err != nil {
+		panic(fmt.Sprintf("encode the measured text: %v", err))
+	}
+	return data
+}
+
+const batchEntries = 64
+
+// claimWriter is the writer of one key range with all keys that live at the
+// fleet's rate of non-idempotent requests, which grows with the fleet.
+func claimWriter(routers int) Cost {
+	perSecond := float64(claimsASecond) * float64(routers) / targetRouters / claim.Ranges
+	living := int(perSecond * claim.KeyLife.Seconds())
+	at := time.Unix(1e9, 0)
+	var bytes int
+	var spent time.Duration
+	c := Cost{Routers: routers}
+	c.Heap = heapOf(func() any {
+		fold := claim.NewFold(0)
+		for made := 0; made < living; made += batchEntries {
+			batch := claim.Batch{FormatVersion: claim.FormatVersion}
+			for i := range batchEntries {
+				batch.Entries = append(batch.Entries, claim.Entry{Kind: claim.KindClaim, Claim: claimNumber(made + i)})
+			}
+			payload, err := codec.Encode(batch)
+			if err != nil {
+				panic(fmt.Sprintf("encode the measured claims: %v", err))
+			}
+			bytes = len(payload)
+			spent += timed(func() { _, _ = fold.Apply(claim.Record{Offset: fold.Next(), Appended: at, Batch: batch}) })
+		}
+		return fold
+	})
+	entry := float64(bytes) / batchEntries
+	verdict := float64(proto.Size(&peer.ClaimVerdict{Claim: make([]byte, 16), Verdict: 1, HolderRouter: "vm-entry-000", HolderIncarnation: 1, HolderClaim: make([]byte, 16), KeptUntilUnixMillis: at.UnixMilli()}))
+	c.Messages = perSecond
+	c.Bytes = perSecond * (entry + verdict)
+	c.Framed = c.Bytes + framing*perSecond
+	c.Core = spent.Seconds() / float64(living) * perSecond
+	return c
+}
+
+func claimNumber(n int) claim.Claim {
+	var c claim.Claim
+	binary.BigEndian.PutUint64(c.ID[:], uint64(n)+1)
+	binary.BigEndian.PutUint64(c.Key[1:], uint64(n)*0x9E3779B97F4A7C15)
+	c.Holder = claim.Holder{Router: string(routerID(n % targetRouters)), Incarnation: 1}
+	return c
+}
--- /dev/null
+++ b/internal/tool/capacity/scheduling.go
@@ -0,0 +1,141 @@
+package capacity
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/share"
+	"hyssopreach/internal/protocol/peer"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/tool/scene"
+)
+
+// The load of a scene in proportion to the target.
+const (
+	leastCost     = 50  // tokens
+	mostCost      = 582 // tokens; the mean is the target's tokens by requests
+	betweenTokens = 36 * time.Millisecond
+	slots         = 72 // requests in flight on an endpoint at the target's peak
+	backlogEvery  = 10 // one organisation in so many is backlogged
+	backlog       = 20 // requests
+	steadyShare   = 0.8
+	warm          = 10 * time.Second
+	length        = 20 * time.Second
+)
+
+// meter is a scheduler that measures the time of its steps.
+type meter struct {
+	schedule.Scheduler
+	spent *time.Duration
+}
+
+// Step implements schedule.Scheduler.
+func (m meter) Step(now time.Time, in schedule.Input) []schedule.Output {
+	start := time.Now()
+	out := m.Scheduler.Step(now, in)
+	*m.spent += time.Since(start)
+	return out
+}
+
+// scheduling plays a fleet of the target's proportions.
+func scheduling(routers int, seed uint64) Cost {
+	var spent time.Duration
+	s := scene.Settings{
+		Seed: seed, Routers: routers, Delay: 300 * time.Microsecond, Warm: warm, Length: length,
+		Size: func(m schedule.Message) int { return proto.Size(peer.FromScheduler(m)) },
+		Policy: func(source rand.Source) schedule.Scheduler {
+			return meter{share.New(share.Options{Source: source}), &spent}
+		},
+	}
+	for range routers * targetEndpoints / targetRouters {
+		s.Endpoints = append(s.Endpoints, scene.Endpoint{
+			Pool: "model", Slots: slots, Rate: float64(time.Second) / float64(betweenTokens), FirstToken: time.Second,
+		})
+	}
+	count := routers * targetOrganisations / targetRouters
+	steady := count - (count+backlogEvery-1)/backlogEvery
+	rate := steadyShare * targetRequests * float64(routers) / targetRouters / float64(steady)
+	for i := range count {
+		o := scene.Organisation{
+			Name: fmt.Sprintf("organisation%03d", i), Weight: 1, Least: leastCost, Most: mostCost,
+			Routers: []int{i % routers, (7*i + 1) % routers},
+		}
+		if i%backlogEvery == 0 {
+			o.Backlog = backlog
+		} else {
+			o.Every = time.Duration(float64(time.Second) / rate)
+		}
+		s.Organisations = append(s.Organisations, o)
+	}
+	r := scene.Run(s)
+	messages, bytes := r.Control()
+	detail := fmt.Sprintf("; %.1f starts/s, utilisation %.3f;", r.Started/float64(routers), r.Utilisation)
+	for _, kind := range slices.Sorted(maps.Keys(r.Messages)) {
+		detail += fmt.Sprintf(" %s %.1f/s %.0f B/s", kind, r.Messages[kind], r.Bytes[kind])
+	}
+	return Cost{
+		Detail:  detail,
+		Routers: routers, Messages: messages, Bytes: bytes, Framed: bytes + framing*messages,
+		Core: spent.Seconds() / length.Seconds() / float64(routers),
+		Heap: schedulerHeap(routers),
+	}
+}
+
+// schedulerHeap is what a scheduler keeps for a view, and for one waiting
+// request of every organisation that is connected to it.
+func schedulerHeap(routers int) float64 {
+	const copies = 10
+	v := snapshot(routers)
+	now := time.Unix(1e9, 0)
+	return heapOf(func() any {
+		all := make([]schedule.Scheduler, copies)
+		for i := range all {
+			all[i] = share.New(share.Options{Source: rand.NewPCG(1, uint64(i))})
+			all[i].Step(now, schedule.Change{View: v})
+			id := schedule.RequestID(0)
+			for name := range v.Organisations {
+				id++
+				all[i].Step(now, schedule.Arrival{Request: schedule.Request{
+					ID: id, Organisation: name, Pool: "model", MayWait: true, Estimate: leastCost,
+					Deadline: now.Add(time.Hour),
+				}})
+			}
+		}
+		return all
+	}) / copies
+}
+
+// snapshot is a view of the target's proportions.
+func snapshot(routers int) *view.Snapshot {
+	v := &view.Snapshot{Self: routerID(0), Organisations: map[string]view.Organisation{}, Revision: 1}
+	for i := range routers {
+		v.Routers = append(v.Routers, view.Router{
+			ID: routerID(i), FailureDomain: fmt.Sprintf("domain-%d", i%targetDomains), Incarnation: 1,
+			PeerAddress: address(i, 8081), CallerAddress: address(i, 8080),
+		})
+	}
+	for i := range routers * targetEndpoints / targetRouters {
+		v.Endpoints = append(v.Endpoints, view.Endpoint{
+			ID: view.EndpointID(fmt.Sprintf("vm-%03d/engine#1", i)), Pool: "model",
+			VM: fmt.Sprintf("vm-%03d", i), FailureDomain: fmt.Sprintf("domain-%d", i%targetDomains), Address: address(i, 9000),
+		})
+	}
+	for i := range routers * targetOrganisations / targetRouters {
+		name := fmt.Sprintf("organisation%03d", i)
+		v.Organisations[name] = view.Organisation{Name: name, Weight: 1}
+	}
+	return v
+}
+
+func routerID(i int) view.RouterID { return view.RouterID(fmt.Sprintf("vm-entry-%03d", i)) }
+
+func address(i int, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), port)
+}
