Measure configuration and membership; serve restarts from all routers

Cause: when a third of 360 routers restarted within 10 s, the addresses to start from sent every newcomer the full list: the busiest router sent 44,675 B/s, over the budget of 24,576 for all control. Change: a newcomer asks one address to start from at a time; full lists for newcomers are paced by their size, and in between a newcomer is told of eight routers that share the work. Heartbeats say how many members their sender knows.

--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -30,6 +30,8 @@
 		stopCommand(),
 		leavingCommand(),
 		sceneCommand(),
+		configurationCommand(),
+		membershipCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
--- a/internal/coordination/configuration/peers.go
+++ b/internal/coordination/configuration/peers.go
@@ -11,6 +11,9 @@
 // change takes a new view and chooses readers and children by it.
 func (s *Spreader) change(now time.Time, v *view.Snapshot) {
 	s.view = v
+	if s.inForce.Revision == 0 {
+		s.offerAt = now // whoever has come into view may know the text
+	}
 	domain := s.domain()
 	members := domain.Owners(Key, len(domain.Routers))
 	place := slices.Index(members, s.options.Self)
--- a/internal/coordination/membership/merge.go
+++ b/internal/coordination/membership/merge.go
@@ -58,7 +58,7 @@
 			t.merge(now, n)
 		}
 	}
-	t.compareDigest(now, in)
+	t.help(now, in)
 }
 
 // refute answers news about this router itself.
@@ -92,7 +92,6 @@
 		t.merge(now, n)
 		if m = t.members[n.Router.ID]; m != nil {
 			m.heard = now
-			t.sendAll(now, m) // it is new and knows nobody
 		}
 		return
 	}
--- a/internal/coordination/membership/message.go
+++ b/internal/coordination/membership/message.go
@@ -28,6 +28,9 @@
 	// them as suspected.
 	// Their news is not passed on, since most of it is old.
 	Full bool
+	// Known is the number of live members that the sender knows, itself
+	// included.
+	Known int
 }
 
 // Input is something that a Table is told.
--- a/internal/coordination/membership/send.go
+++ b/internal/coordination/membership/send.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -29,15 +30,25 @@
 	t.probe(beat)
 }
 
+// strangers are the addresses to start from at which no live member listens.
+func (t *Table) strangers() []netip.AddrPort {
+	var strangers []netip.AddrPort
+	for _, seed := range t.options.Seeds {
+		known := func(m *member) bool { return m.Router.PeerAddress == seed }
+		if !slices.ContainsFunc(t.ring, known) {
+			strangers = append(strangers, seed)
+		}
+	}
+	return strangers
+}
+
 // probe looks for routers that are not on the ring: one of the dead whose VM
-// may still live, and the addresses to start from while nobody is known.
+// may still live, and one of the addresses to start from. Fleets that formed
+// around different ones of these find each other that way.
 func (t *Table) probe(beat Heartbeat) {
-	if len(t.ring) == 1 {
-		for _, seed := range t.options.Seeds {
-			if seed != t.options.Self.PeerAddress {
-				t.emit(Send{Address: seed, Heartbeat: beat})
-			}
-		}
+	if strangers := t.strangers(); len(strangers) > 0 {
+		seed := strangers[t.options.Random.IntN(len(strangers))]
+		t.emit(Send{Address: seed, Heartbeat: beat})
 	}
 	var dead []*member
 	for _, m := range t.members {
@@ -111,20 +122,43 @@
 	}
 }
 
-// compareDigest sends everything known to a router whose digest differs, once
-// there has been no news for a while that would explain it.
-func (t *Table) compareDigest(now time.Time, in Received) {
+// help sends what is known to a router that knows less than half as many, and
+// to one whose digest differs although there has been no news for a while that
+// would explain it.
+func (t *Table) help(now time.Time, in Received) {
 	m := t.members[in.From]
-	if in.Heartbeat.Digest == t.digest || m == nil || now.Before(t.syncAt) {
+	if m == nil || in.Heartbeat.Digest == t.digest {
+		return
+	}
+	t.refresh(now)
+	if 2*in.Heartbeat.Known < len(t.ring) {
+		t.introduce(now, m)
 		return
 	}
-	if t.settling(now) {
+	if now.Before(t.syncAt) || t.settling(now) {
 		return
 	}
 	t.syncAt = now.Add(syncInterval)
 	t.sendAll(now, m)
 }
 
+// introduce sends everything known to a router that has just started. When
+// many start at once it names a few others instead, who share the work.
+func (t *Table) introduce(now time.Time, m *member) {
+	if !now.Before(t.fullAt) {
+		t.fullAt = now.Add(time.Duration(len(t.members)) * fullPause)
+		t.sendAll(now, m)
+		return
+	}
+	var few []*member
+	for range introduced {
+		if other := t.pick(t.ring, append(few, m)); other != nil {
+			few = append(few, other)
+		}
+	}
+	t.send(m, t.heartbeat(few))
+}
+
 // settling reports whether news came so lately that others may lack it.
 func (t *Table) settling(now time.Time) bool {
 	for _, m := range t.members {
@@ -151,7 +185,7 @@
 
 // heartbeat returns a heartbeat with this router first and the given others.
 func (t *Table) heartbeat(others []*member) Heartbeat {
-	beat := Heartbeat{Digest: t.digest, Members: make([]Member, 1, len(others)+1)}
+	beat := Heartbeat{Digest: t.digest, Known: len(t.ring), Members: make([]Member, 1, len(others)+1)}
 	beat.Members[0] = t.self.Member
 	for _, m := range others {
 		if m != t.self {
--- a/internal/coordination/membership/table.go
+++ b/internal/coordination/membership/table.go
@@ -37,6 +37,11 @@
 	// syncInterval is the least time between two full lists sent because of
 	// digests that differ.
 	syncInterval = 5 * time.Second
+	// fullPause is the least time between two full lists for new routers, for
+	// each member on them.
+	fullPause = 20 * time.Millisecond
+	// introduced is how many routers a new one is told of in between.
+	introduced = 8
 	// maxPatience bounds the silence that a watcher accepts from a router for
 	// which others have vouched.
 	maxPatience = time.Minute
@@ -95,7 +100,8 @@
 	watchAt   time.Time // when deadlines are looked at next
 	forwardAt time.Time // when gathered news is passed on; zero for none
 	changeAt  time.Time // when the view changes; zero for none
-	syncAt    time.Time // before this instant no full list is sent again
+	syncAt    time.Time // before this instant no full list is sent for a digest
+	fullAt    time.Time // before this instant no full list is sent to a new router
 	news      map[view.RouterID]bool
 	quiet     bool // set while news is taken that is not to be passed on
 	digest    uint64
--- a/internal/protocol/peer/heartbeat.go
+++ b/internal/protocol/peer/heartbeat.go
@@ -10,7 +10,7 @@
 
 // FromHeartbeat returns the wire form of a heartbeat.
 func FromHeartbeat(h *membership.Heartbeat) *Heartbeat {
-	wire := &Heartbeat{Digest: h.Digest, Full: h.Full, Members: make([]*Member, len(h.Members))}
+	wire := &Heartbeat{Digest: h.Digest, Full: h.Full, Known: uint32(h.Known), Members: make([]*Member, len(h.Members))}
 	for i := range h.Members {
 		m := &h.Members[i]
 		wire.Members[i] = &Member{
@@ -29,7 +29,7 @@
 
 // ToHeartbeat reads the wire form of a heartbeat.
 func ToHeartbeat(wire *Heartbeat) (membership.Heartbeat, error) {
-	h := membership.Heartbeat{Digest: wire.Digest, Full: wire.Full, Members: make([]membership.Member, len(wire.Members))}
+	h := membership.Heartbeat{Digest: wire.Digest, Full: wire.Full, Known: int(wire.Known), Members: make([]membership.Member, len(wire.Members))}
 	for i, w := range wire.Members {
 		m, err := toMember(w)
 		if err != nil {
--- a/internal/protocol/peer/heartbeat_test.go
+++ b/internal/protocol/peer/heartbeat_test.go
@@ -13,7 +13,7 @@
 
 func TestHeartbeatKeepsItsMeaningOnTheWire(t *testing.T) {
 	is := is.New(t)
-	h := membership.Heartbeat{Digest: 7, Full: true, Members: []membership.Member{{
+	h := membership.Heartbeat{Digest: 7, Full: true, Known: 5, Members: []membership.Member{{
 		Router: view.Router{
 			ID: "vm-1", FailureDomain: "Kolkata", Incarnation: 3, Draining: true,
 			PeerAddress:   netip.MustParseAddrPort("10.0.0.1:1"),
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/revision"
 	"hyssopreach/internal/state/settings"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/endpoint"
@@ -152,6 +153,9 @@
 // Waiting is the number of requests that wait here for a decision.
 func (r *Router) Waiting() int { return r.scheduling.Waiting() }
 
+// Version identifies the operators' text in force.
+func (r *Router) Version() revision.Version { return r.fleet.configuration().Version }
+
 // Fleet returns the fleet as the router sees it now.
 func (r *Router) Fleet() *view.Snapshot { return r.fleet.View() }
 
