--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -33,6 +33,8 @@
 		leavingCommand(),
 		capacityCommand(),
 		sceneCommand(),
+		configurationCommand(),
+		membershipCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
