Say no more than is known of a resent key at admission

A router that has just started refuses at admission, where it knows nothing of earlier sends. Change: at admission a keyed request is refused as not run only if its caller says that this is its first send, or if it is malformed, since no router would have admitted it then. The measuring command now also sends through real routers.

--- a/cmd/hyssopreach-measure/claims.go
+++ b/cmd/hyssopreach-measure/claims.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	_ "embed"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,7 @@
 	"github.com/integrii/flaggy"
 
 	"hyssopreach/internal/tool/claims"
+	"hyssopreach/internal/tool/resend"
 )
 
 //go:embed claims.json
@@ -74,6 +76,30 @@
 		}
 		missed = append(missed, b.check(e.name, r)...)
 	}
+	resent, err := measureResends(seed, routers)
+	return append(missed, resent...), err
+}
+
+// measureResends sends requests through real routers.
+func measureResends(seed uint64, routers int) ([]string, error) {
+	var missed []string
+	for _, o := range []resend.Options{
+		{Seed: seed, Routers: routers, Requests: 400, Rate: quietRate, Sends: 1},
+		{Seed: seed, Routers: routers, Requests: 5000, Rate: 500, Sends: 1},
+		{Seed: seed, Routers: routers, Requests: 3000, Rate: 100, Sends: sendsPerKey, Faults: true},
+	} {
+		fmt.Println("real routers on loopback")
+		r, err := resend.Run(context.Background(), o)
+		if err != nil {
+			return nil, fmt.Errorf("send through real routers: %w", err)
+		}
+		if err := r.Print(os.Stdout); err != nil {
+			return nil, err
+		}
+		if r.KeysRunTwice > 0 || len(r.Broken) > 0 {
+			missed = append(missed, fmt.Sprintf("real routers: %d keys ran twice, %d promises broken", r.KeysRunTwice, len(r.Broken)))
+		}
+	}
 	return missed, nil
 }
 
--- a/internal/transport/entry/handler.go
+++ b/internal/transport/entry/handler.go
@@ -119,9 +119,21 @@
 	return &request{id: id, now: time.Now(), writer: w, Request: r}
 }
 
-// refuse answers with a refusal. Routers other than this one are named, so
-// that the caller can go on elsewhere.
+// refuse answers with a refusal at admission. This router does not know what
+// became of earlier sends with the same key, so it says that a keyed request
+// has not run only if this is its first send, or if no router could ever have
+// admitted it.
 func (h *Handler) refuse(r *request, p *caller.Problem) {
+	resent := r.Header.Get(caller.HeaderIdempotencyKey) != "" && r.Header.Get(caller.HeaderFirstSend) != "true"
+	if resent && p.Status != http.StatusBadRequest && p.NotRun == caller.NotRunTrue {
+		p.NotRun = caller.NotRunUnknown
+	}
+	h.tell(r, p)
+}
+
+// tell answers with a refusal. Routers other than this one are named, so that
+// the caller can go on elsewhere.
+func (h *Handler) tell(r *request, p *caller.Problem) {
 	p.RequestID = r.id
 	p.Routers = h.others()
 	metrics.GetOrRegisterCounter(MetricRefusals, h.registry).Inc(1)
@@ -152,7 +164,7 @@
 	case err == nil:
 		metrics.GetOrRegisterCounter(MetricAnswers, h.registry).Inc(1)
 	case errors.As(err, &problem):
-		h.refuse(r, problem)
+		h.tell(r, problem)
 	default:
 		metrics.GetOrRegisterCounter(MetricBroken, h.registry).Inc(1)
 		h.logger.WithFields(log.Fields{"RequestID": r.id, "Error": err}).Warn("AnswerBroken")
