Forget expired claims from the front of their order

Change: the order of the keys holds when each expires, and only its front is looked at. A range that is forgotten or found empty also ends its pass, whose items refer to the old state.

--- a/internal/coordination/claim/writer.go
+++ b/internal/coordination/claim/writer.go
@@ -225,7 +225,7 @@
 	w.reading, w.heard = false, true
 	loaded := w.fold.Loaded()
 	if !loaded && len(in.Records) == 0 && w.forgotten(in.Next) {
-		w.fold = claim.NewEmptyFold(in.Next)
+		w.fold, w.series = claim.NewEmptyFold(in.Next), nil
 	}
 	for i := range in.Records {
 		r := &in.Records[i]
@@ -388,7 +388,7 @@
 		return
 	}
 	if w.fold.Len() > 0 && !w.reading && now.After(w.idleAt) {
-		w.fold, w.heard = claim.NewFold(0), false
+		w.fold, w.heard, w.series = claim.NewFold(0), false, nil
 	}
 }
 
--- /dev/null
+++ b/internal/state/claim/bench_test.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"encoding/binary"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// manyRecords returns the records of as many claims, in batches as a busy
+// writer makes them.
+func manyRecords(keys, perRecord int) []Record {
+	records := make([]Record, 0, keys/perRecord+1)
+	at := epoch
+	for i := 0; i < keys; i += perRecord {
+		at = at.Add(140 * time.Millisecond)
+		b := Batch{FormatVersion: 1}
+		for k := i; k < min(i+perRecord, keys); k++ {
+			var c Claim
+			binary.LittleEndian.PutUint64(c.ID[:], uint64(k)+1)
+			binary.LittleEndian.PutUint64(c.Key[:], uint64(k)+1)
+			c.Holder = Holder{Router: fmt.Sprint("router-", k%360), Incarnation: 1}
+			b.Entries = append(b.Entries, Entry{Kind: KindClaim, Claim: c})
+		}
+		records = append(records, Record{Offset: uint64(len(records)), Appended: at, Batch: b})
+	}
+	return records
+}
+
+// BenchmarkApply folds one claim into a state of the given size.
+func BenchmarkApply(b *testing.B) {
+	for _, keys := range []int{1_000, 8_000, 64_000, 225_000} {
+		b.Run(fmt.Sprint(keys), func(b *testing.B) {
+			f := NewFold(0)
+			for _, r := range manyRecords(keys, 9) {
+				if _, err := f.Apply(r); err != nil {
+					b.Fatal(err)
+				}
+			}
+			c := claimOf(1, "k", 7)
+			r := Record{Appended: f.Clock(), Batch: Batch{FormatVersion: 1, Entries: []Entry{{Kind: KindClaim, Claim: c}}}}
+			release := r
+			release.Batch.Entries = []Entry{{Kind: KindRelease, Claim: c}}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				binary.LittleEndian.PutUint64(r.Batch.Entries[0].Claim.ID[8:], uint64(i))
+				r.Offset = f.Next()
+				if _, err := f.Apply(r); err != nil {
+					b.Fatal(err)
+				}
+				delete(f.claims, c.Key)
+			}
+		})
+	}
+}
+
+// BenchmarkRestart compares the two ways in which a writer that starts with
+// empty state learns the claims of the last hour: from the records
+// themselves, and from a pass that repeats them.
+func BenchmarkRestart(b *testing.B) {
+	const keys = 225_000
+	records := manyRecords(keys, 9)
+	full := NewFold(0)
+	for _, r := range records {
+		if _, err := full.Apply(r); err != nil {
+			b.Fatal(err)
+		}
+	}
+	var carried []Record
+	start := full.Next()
+	series := Series{From: start, Clock: full.Clock()}
+	items := full.Items()
+	for i := 0; i < len(items); i += 400 {
+		batch := Batch{FormatVersion: 1, Series: &Series{From: start}}
+		for _, item := range items[i:min(i+400, len(items))] {
+			batch.Entries = append(batch.Entries, full.Carry(item))
+		}
+		carried = append(carried, Record{Offset: start + uint64(len(carried)), Appended: full.Clock(), Batch: batch})
+	}
+	series.Final = true
+	carried = append(carried, Record{Offset: start + uint64(len(carried)), Appended: full.Clock(), Batch: Batch{FormatVersion: 1, Series: &series}})
+	for _, way := range []struct {
+		name    string
+		from    uint64
+		records []Record
+	}{{"records", 0, records}, {"pass", start, carried}} {
+		b.Run(way.name, func(b *testing.B) {
+			var before, after runtime.MemStats
+			var f *Fold
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			for range b.N {
+				f = NewFold(way.from)
+				for _, r := range way.records {
+					if _, err := f.Apply(r); err != nil {
+						b.Fatal(err)
+					}
+				}
+				if !f.Loaded() || len(f.claims) != keys {
+					b.Fatal("not loaded")
+				}
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(len(way.records)), "records")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/keys, "bytes/key")
+			runtime.KeepAlive(f)
+		})
+	}
+}
--- a/internal/state/claim/fold.go
+++ b/internal/state/claim/fold.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 )
 
@@ -13,8 +12,12 @@
 // ErrVersion means that a record has a format that this program cannot read.
 var ErrVersion = errors.New("record has an unknown format version")
 
-// sweepEvery is the log time between two removals of expired keys.
-const sweepEvery = time.Minute
+// dated is a key of a map with the instant, in Unix milliseconds, at which its
+// entry expires.
+type dated[K comparable] struct {
+	key   K
+	until int64
+}
 
 // held is a claim that won; instants are in Unix milliseconds and holders are
 // indices, since a fold keeps hundreds of thousands of them.
@@ -31,7 +34,6 @@
 type Fold struct {
 	next    uint64
 	clock   time.Time
-	swept   time.Time
 	loading *loading
 	// barredUntil is the log time before which no claim can win.
 	barredUntil time.Time
@@ -42,8 +44,8 @@
 	void map[ID]int64
 	// keys and voids hold what the maps hold in the order of the log, so
 	// that nothing derived from the fold depends on the order of a map.
-	keys  []Digest
-	voids []ID
+	keys  []dated[Digest]
+	voids []dated[ID]
 
 	holders     []Holder
 	holderIndex map[Holder]uint32
@@ -181,17 +183,17 @@
 }
 
 func (f *Fold) hold(c *Claim, until time.Time) {
-	if _, ok := f.claims[c.Key]; !ok {
-		f.keys = append(f.keys, c.Key)
-	}
-	f.claims[c.Key] = held{id: c.ID, bodyHash: c.BodyHash, until: until.UnixMilli(), holder: f.intern(c.Holder)}
+	h := held{id: c.ID, bodyHash: c.BodyHash, until: until.UnixMilli(), holder: f.intern(c.Holder)}
+	f.claims[c.Key] = h
+	f.keys = append(f.keys, dated[Digest]{c.Key, h.until})
 }
 
 func (f *Fold) avoid(id ID, until time.Time) {
-	if _, ok := f.void[id]; !ok {
-		f.voids = append(f.voids, id)
+	at := until.UnixMilli()
+	if at > f.void[id] {
+		f.void[id] = at
+		f.voids = append(f.voids, dated[ID]{id, at})
 	}
-	f.void[id] = max(f.void[id], until.UnixMilli())
 }
 
 // living returns the claim that holds a key and has not expired.
@@ -222,32 +224,32 @@
 }
 
 // advance moves the fold's clock, which follows the log's and never falls,
-// and now and then removes what has expired.
+// and removes what has expired.
 func (f *Fold) advance(at time.Time) {
-	if f.swept.IsZero() {
-		f.swept = at
-	}
-	if at.After(f.clock) {
-		f.clock = at
-	}
-	if f.clock.Sub(f.swept) < sweepEvery {
+	if !at.After(f.clock) {
 		return
 	}
-	f.swept = f.clock
-	f.keys = sweep(f.keys, f.claims, func(h held) bool { return h.until <= f.clock.UnixMilli() })
-	f.voids = sweep(f.voids, f.void, func(until int64) bool { return until <= f.clock.UnixMilli() })
+	f.clock = at
+	now := f.clock.UnixMilli()
+	f.keys = sweep(f.keys, now, func(d Digest) {
+		if f.claims[d].until <= now {
+			delete(f.claims, d)
+		}
+	})
+	f.voids = sweep(f.voids, now, func(id ID) {
+		if f.void[id] <= now {
+			delete(f.void, id)
+		}
+	})
 }
 
-// sweep removes what has expired from a map, and from its order what is no
-// longer in the map.
-func sweep[K comparable, V any](order []K, all map[K]V, expired func(V) bool) []K {
-	for k, v := range all {
-		if expired(v) {
-			delete(all, k)
-		}
+// sweep takes expired entries off the front of an order. Entries expire nearly
+// in the order in which they were made, so few wait behind one that lives.
+func sweep[K comparable](order []dated[K], now int64, remove func(K)) []dated[K] {
+	n := 0
+	for n < len(order) && order[n].until <= now {
+		remove(order[n].key)
+		n++
 	}
-	return slices.DeleteFunc(order, func(k K) bool {
-		_, ok := all[k]
-		return !ok
-	})
+	return order[n:]
 }
--- a/internal/state/claim/series.go
+++ b/internal/state/claim/series.go
@@ -24,18 +24,17 @@
 	held held
 }
 
-// Items returns what makes up the fold's state, in the order of the log. A
-// key that was released and claimed again may come twice.
+// Items returns what makes up the fold's state, in the order of the log.
 func (f *Fold) Items() []Item {
 	items := make([]Item, 0, len(f.keys)+len(f.voids))
-	for _, d := range f.keys {
-		if h, ok := f.living(d); ok {
-			items = append(items, Item{key: d, held: h})
+	for _, k := range f.keys {
+		if h, ok := f.living(k.key); ok && h.until == k.until {
+			items = append(items, Item{key: k.key, held: h})
 		}
 	}
-	for _, id := range f.voids {
-		if f.Void(id) {
-			items = append(items, Item{held: held{id: id, until: f.void[id]}})
+	for _, v := range f.voids {
+		if f.Void(v.key) && f.void[v.key] == v.until {
+			items = append(items, Item{held: held{id: v.key, until: v.until}})
 		}
 	}
 	return items
