Lift accounts that were lost with the routers that remembered them

Cause: after a third of the routers restarted, five of sixteen organisations got 1.7 times the service of the others for 15 s. Logged tags showed counters that began at zero: caller's router and holder had both restarted, nobody remembered, and the pool's virtual time was lost with them. Ruled out: a floor at the dispatchers that routers copy into their counters; a lift counted as service, raised the rate that counters are extrapolated with, and raised the floor again, without end (tags of 3.6 million after 15 s). Change: a floor below which no account is, 48 costs of a request behind the furthest, spreads with reports and their answers; the holder alone lifts an account to it and says how much of it nobody received, so that no rate takes it for service.

--- a/cmd/hyssopreach-measure/bounds.go
+++ b/cmd/hyssopreach-measure/bounds.go
@@ -27,6 +27,8 @@
 	GapToRouterQueues float64
 	// Utilisation is the least busy share of slot-time while work waits.
 	Utilisation float64
+	// UtilisationUnderFaults is the same in scene C.
+	UtilisationUnderFaults float64
 }
 
 func readBounds() (bounds, error) {
--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -22,6 +22,9 @@
 	longestQuantum  = 500 * time.Millisecond
 	// counterLatest is the greatest distance of words to dispatchers.
 	counterLatest = time.Second
+	// lagCosts is how many costs of a request the settled counter of an
+	// organisation with work can be behind the furthest.
+	lagCosts = 48
 	// idleAfter is how long nothing must wait before an organisation is
 	// reported as idle.
 	idleAfter = 500 * time.Millisecond
@@ -110,6 +113,7 @@
 		if r == nil {
 			r = &schedule.Report{Pool: key.pool, Incarnation: b.incarnation}
 			r.Virtual, _ = b.local.Lowest(now, key.pool)
+			r.Floor = b.pool(key.pool).floor
 			due[key] = r
 			order = append(order, key)
 		}
@@ -139,9 +143,13 @@
 		if known == nil {
 			continue
 		}
-		known.Acknowledge(now, a.Settled, a.Total, a.OthersReserved)
+		known.Acknowledge(now, account.Standing{
+			Settled: a.Settled, Total: a.Total, OthersReserved: a.OthersReserved, Lifted: a.Lifted,
+		})
+		b.pool(m.Pool).raise(a.Settled - lagCosts*known.estimate())
 		known.shared = a.OthersWait
 	}
+	b.pool(m.Pool).raise(m.Floor)
 	b.pool(m.Pool).served(now, m.Virtual)
 	b.tellCounters(now)
 }
--- a/internal/coordination/bidding/pool.go
+++ b/internal/coordination/bidding/pool.go
@@ -27,8 +27,14 @@
 	// high is the greatest counter lately served, in two halves of a window.
 	high, highBefore float64
 	highSince        time.Time
+	// floor is the counter below which no account is, unless it was lost. It
+	// only grows, and spreads with reports and their answers.
+	floor float64
 }
 
+// raise takes a counter below which no account is.
+func (p *pool) raise(floor float64) { p.floor = max(p.floor, floor) }
+
 func (b *Bidder) pool(name string) *pool {
 	p := b.pools[name]
 	if p == nil {
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -100,6 +100,9 @@
 	// Virtual is the least counter that the sender's dispatchers have lately
 	// served; zero means that they served none.
 	Virtual float64
+	// Floor is the counter below which the sender takes no account to be: what
+	// is further behind the furthest has been lost.
+	Floor float64
 }
 
 // Charge is one organisation's line in a Report.
@@ -125,6 +128,8 @@
 	// Virtual is the pool's virtual time, in units of service per unit of
 	// weight: about the least counter that is being served.
 	Virtual float64
+	// Floor is as in Report.
+	Floor float64
 }
 
 // Account is one organisation's line in Tags.
@@ -137,6 +142,9 @@
 	OthersReserved float64
 	// OthersWait says that work waits at other routers.
 	OthersWait bool
+	// Lifted is the part of Settled that nobody has received: the holder found
+	// the account so far behind that it must have been lost.
+	Lifted float64
 }
 
 // Counters tells dispatchers what has become of the counters of organisations
--- a/internal/coordination/share/holder.go
+++ b/internal/coordination/share/holder.go
@@ -23,6 +23,7 @@
 		ledger = account.NewLedger()
 		h.ledgers[m.Pool] = ledger
 	}
+	ledger.Raise(m.Floor)
 	if m.Virtual > 0 {
 		ledger.Served(now, from, m.Virtual)
 	}
@@ -37,8 +38,9 @@
 		answer.Accounts[i] = schedule.Account{
 			Organisation: c.Organisation, Settled: standing.Settled, Total: standing.Total,
 			OthersReserved: standing.OthersReserved, OthersWait: standing.OthersWait,
+			Lifted: standing.Lifted,
 		}
 	}
-	answer.Virtual = ledger.Virtual()
+	answer.Virtual, answer.Floor = ledger.Virtual(), ledger.Floor()
 	return answer
 }
--- a/internal/protocol/peer/conversion_schedule.go
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -33,10 +33,11 @@
 	case *schedule.Report:
 		return &Message{Kind: &Message_Report{&Report{
 			Pool: m.Pool, Charges: fromCharges(m.Charges), Virtual: m.Virtual, Incarnation: m.Incarnation,
+			Floor: m.Floor,
 		}}}
 	case *schedule.Tags:
 		return &Message{Kind: &Message_Tags{&Tags{
-			Pool: m.Pool, Accounts: fromAccounts(m.Accounts), Virtual: m.Virtual,
+			Pool: m.Pool, Accounts: fromAccounts(m.Accounts), Virtual: m.Virtual, Floor: m.Floor,
 		}}}
 	case *schedule.Counters:
 		return &Message{Kind: &Message_Counters{fromCounters(m)}}
@@ -77,12 +78,13 @@
 		w := kind.Report
 		return &schedule.Report{
 			Pool: w.GetPool(), Incarnation: w.GetIncarnation(), Charges: toCharges(w.GetCharges()),
-			Virtual: w.GetVirtual(),
+			Virtual: w.GetVirtual(), Floor: w.GetFloor(),
 		}, true
 	case *Message_Tags:
 		w := kind.Tags
 		return &schedule.Tags{
 			Pool: w.GetPool(), Accounts: toAccounts(w.GetAccounts()), Virtual: w.GetVirtual(),
+			Floor: w.GetFloor(),
 		}, true
 	case *Message_Counters:
 		return toCounters(kind.Counters), true
@@ -152,7 +154,7 @@
 	for i, a := range accounts {
 		w[i] = &Account{
 			Organisation: a.Organisation, Settled: a.Settled, Total: a.Total,
-			OthersReserved: a.OthersReserved, OthersWait: a.OthersWait,
+			OthersReserved: a.OthersReserved, OthersWait: a.OthersWait, Lifted: a.Lifted,
 		}
 	}
 	return w
@@ -164,6 +166,7 @@
 		accounts[i] = schedule.Account{
 			Organisation: a.GetOrganisation(), Settled: a.GetSettled(), Total: a.GetTotal(),
 			OthersReserved: a.GetOthersReserved(), OthersWait: a.GetOthersWait(),
+			Lifted: a.GetLifted(),
 		}
 	}
 	return accounts
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -158,6 +158,13 @@
 	e.leaving = leaving
 }
 
+// Leaving tells whether the engine says that it will stop.
+func (e *Engine) Leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
 // Crashes is the number of crashes so far.
 func (e *Engine) Crashes() int {
 	e.mu.Lock()
--- a/internal/state/account/ledger.go
+++ b/internal/state/account/ledger.go
@@ -15,6 +15,7 @@
 	accounts map[string]*entry
 	served   map[view.RouterID]mark
 	virtual  float64
+	floor    float64
 }
 
 // mark is a counter with the instant at which it stops counting.
@@ -25,6 +26,8 @@
 
 type entry struct {
 	settled float64
+	// lifted is the part of settled that nobody has received.
+	lifted  float64
 	sources map[view.RouterID]*source
 }
 
@@ -61,6 +64,8 @@
 	OthersReserved float64
 	// OthersWait says that other routers have work of the organisation.
 	OthersWait bool
+	// Lifted is the part of Settled that nobody has received.
+	Lifted float64
 }
 
 // NewLedger returns a ledger without accounts.
@@ -85,6 +90,14 @@
 	l.virtual = max(l.virtual, least)
 }
 
+// Raise takes the counter below which no account can be unless it was lost with
+// the routers that remembered it. An account found lower is lifted there, so
+// that a loss is not paid back with everybody's service since the beginning.
+func (l *Ledger) Raise(floor float64) { l.floor = max(l.floor, floor) }
+
+// Floor is the highest counter given to Raise.
+func (l *Ledger) Floor() float64 { return l.floor }
+
 // Virtual is the pool's virtual time.
 func (l *Ledger) Virtual() float64 { return l.virtual }
 
@@ -115,8 +128,12 @@
 	if c.Waiting && !wasWaiting {
 		e.settled = max(e.settled, l.virtual-e.reserved(now, ""))
 	}
+	if lift := l.floor - e.reserved(now, "") - e.settled; lift > 0 {
+		e.settled += lift
+		e.lifted += lift
+	}
 	return Standing{
-		Settled: e.settled, Total: s.total,
+		Settled: e.settled, Total: s.total, Lifted: e.lifted,
 		OthersReserved: e.reserved(now, c.From), OthersWait: e.othersWait(now, c.From),
 	}
 }
--- a/internal/state/account/meter.go
+++ b/internal/state/account/meter.go
@@ -22,7 +22,9 @@
 	// others is what the organisation received and has reserved through
 	// other routers.
 	othersSettled, othersReserved float64
-	others                        pace
+	// lifted is the part of othersSettled that nobody has received.
+	lifted float64
+	others pace
 }
 
 // pace measures the rate of an amount that grows.
@@ -92,18 +94,20 @@
 	return m.othersSettled + growth + m.total + m.othersReserved + m.reserved
 }
 
-// Acknowledge takes the holder's answer to a report: what is settled in all,
-// the part of it that comes from this meter, and what is reserved through
-// others. An answer older than what the meter knows settles nothing.
-func (m *Meter) Acknowledge(now time.Time, settled, total, othersReserved float64) {
-	if total > m.total {
+// Acknowledge takes the holder's answer to a report. An answer older than what
+// the meter knows settles nothing.
+func (m *Meter) Acknowledge(now time.Time, s Standing) {
+	if s.Total > m.total {
 		return // for an earlier incarnation of this router
 	}
-	m.othersReserved = othersReserved
-	if settled-total < m.othersSettled || total < m.acknowledged {
+	m.othersReserved = s.OthersReserved
+	if s.Settled-s.Total < m.othersSettled || s.Total < m.acknowledged {
 		return
 	}
-	m.settled, m.acknowledged = settled, total
-	m.othersSettled = settled - total
+	m.settled, m.acknowledged = s.Settled, s.Total
+	m.othersSettled = s.Settled - s.Total
+	// A lift is no service and says nothing of the rate.
+	m.others.amount += max(0, s.Lifted-m.lifted)
+	m.lifted = s.Lifted
 	m.others.measure(now, m.othersSettled)
 }
