--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -25,10 +25,13 @@
 	commands := []command{
 		fairnessCommand(),
 		urgentCommand(),
+		faultsCommand(),
+		controlCommand(),
 		latencyCommand(),
 		claimsCommand(),
 		stopCommand(),
 		leavingCommand(),
+		capacityCommand(),
 		sceneCommand(),
 		configurationCommand(),
 		membershipCommand(),
