--- a/internal/transport/router/configuration.go
+++ b/internal/transport/router/configuration.go
@@ -173,7 +173,6 @@
 		result.Err = err
 		return result
 	}
-	result.Version = revision.Version{Revision: answer.Revision, Offset: answer.Offset, Hash: answer.Hash}
-	result.Text = answer.Text
+	result.Version, result.Text, result.Err = wire.ToConfiguration(answer)
 	return result
 }
--- a/internal/transport/router/peers.go
+++ b/internal/transport/router/peers.go
@@ -9,7 +9,6 @@
 
 	"hyssopreach/internal/coordination/schedule"
 	wire "hyssopreach/internal/protocol/peer"
-	"hyssopreach/internal/state/revision"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/peer"
 )
@@ -71,7 +70,7 @@
 	if c.Revision < q.AtLeastRevision || c.Document == nil {
 		return nil, fmt.Errorf("fetch configuration: revision %d is in force here, at least %d was asked for", c.Revision, q.AtLeastRevision)
 	}
-	return configurationText(c), nil
+	return wire.FromConfiguration(&c)
 }
 
 // Answer sends a kept or running answer to a peer.
@@ -91,7 +90,3 @@
 	}
 	p.Send(to, w)
 }
-
-func configurationText(c revision.Configuration) *wire.ConfigurationText {
-	return &wire.ConfigurationText{Revision: c.Revision, Offset: c.Offset, Hash: c.Hash, Text: c.Text}
-}
