Count a router's death and its restart as one flap

Cause: a killed router that came back was counted twice and so held off, as draining, for 40 s after a single restart; it owned nothing for that long. Change: a restart is counted only if the death had not been noticed. Conclusion: TestStoppedRouterIsDeadEverywhereSoon asks that one restart is no flapping, and failed before the change.

--- a/internal/coordination/membership/merge.go
+++ b/internal/coordination/membership/merge.go
@@ -137,7 +137,9 @@
 	switch {
 	case n.Router.Incarnation > before.Router.Incarnation:
 		t.decide(EventRestarted, describe(m)...)
-		t.countFlap(now, m)
+		if !m.dead { // its death has been counted
+			t.countFlap(now, m)
+		}
 		m.heard = time.Time{}
 		t.revive(now, m)
 	case n.Suspected && !before.Suspected:
--- a/internal/tool/membership/fleet_test.go
+++ b/internal/tool/membership/fleet_test.go
@@ -40,6 +40,7 @@
 		f.Start(f.Nodes[4])
 		f.Run(3 * time.Second)
 		is.True(f.Agreed())
+		is.True(!f.Nodes[0].Routers[4].Draining) // one restart is no flapping
 	}
 }
 
