--- a/cmd/hyssopreach-measure/fault.go
+++ b/cmd/hyssopreach-measure/fault.go
@@ -15,7 +15,7 @@
 // sceneFaults are the failures of scene C, by name.
 var sceneFaults = map[string]trial.Fault{
 	"domain-cut": {
-		At: 5 * time.Second, End: 25 * time.Second,
+		At: 5 * time.Second, End: 25 * time.Second, FailureDomain: "Kolkata",
 		Begin: func(_ context.Context, r *rig.Rig) error {
 			now := time.Now().UTC()
 			next := *r.Document
--- a/internal/tool/trial/trial.go
+++ b/internal/tool/trial/trial.go
@@ -37,8 +37,10 @@
 	// At and End are the instants of the fault and of its repair, counted
 	// from the begin of the measurement.
 	At, End time.Duration
-	Begin   func(ctx context.Context, r *rig.Rig) error
-	Repair  func(ctx context.Context, r *rig.Rig) error
+	// FailureDomain is cut off meanwhile; its engines are no capacity then.
+	FailureDomain string
+	Begin         func(ctx context.Context, r *rig.Rig) error
+	Repair        func(ctx context.Context, r *rig.Rig) error
 }
 
 // Options say how long to load and what to break.
@@ -104,6 +106,9 @@
 	usage   ledger.Utilisation
 	lines   []line
 	waited  []bool
+	// cut are the engines of the FailureDomain that the fault cuts off.
+	cut     map[string]bool
+	faultAt time.Time
 }
 
 // line follows whether an organisation has work waiting throughout.
@@ -130,6 +135,7 @@
 func Run(ctx context.Context, r *rig.Rig, o Options) Result {
 	t := &run{rig: r, options: o, ledger: newLedger(o.Organisations)}
 	t.lines, t.waited = make([]line, len(o.Organisations)), make([]bool, len(o.Organisations))
+	t.cut = cutEngines(r, o.Fault)
 	loading, stop := context.WithCancel(ctx)
 	defer stop()
 	result := Result{Outcomes: make([]Outcome, len(o.Organisations))}
@@ -176,6 +182,7 @@
 	t.ledger.Reset()
 	clear(t.lines)
 	began := time.Now()
+	t.faultAt = began
 	var faults sync.WaitGroup
 	if o.Fault != nil {
 		faults.Go(func() { result.FaultError = t.fault(ctx) })
@@ -212,6 +219,29 @@
 	return all
 }
 
+// cutEngines names the engines that the fault cuts off.
+func cutEngines(r *rig.Rig, f *Fault) map[string]bool {
+	cut := make(map[string]bool)
+	for _, p := range r.Document.Pools {
+		for _, e := range p.Endpoints {
+			if f != nil && f.FailureDomain != "" && e.FailureDomain == f.FailureDomain {
+				cut[e.Key()] = true
+			}
+		}
+	}
+	return cut
+}
+
+// faulty tells whether the fault is in place.
+func (t *run) faulty() bool {
+	f := t.options.Fault
+	if f == nil || t.faultAt.IsZero() {
+		return false
+	}
+	age := time.Since(t.faultAt)
+	return age >= f.At && age < f.End
+}
+
 // fault brings the fault about and repairs it.
 func (t *run) fault(ctx context.Context) error {
 	f := t.options.Fault
@@ -241,8 +271,8 @@
 		waiting := t.look()
 		t.ledger.Sample(t.waited)
 		busy, slots := 0, 0
-		for _, e := range t.rig.Platform.Engines {
-			if e.Leaving() {
+		for name, e := range t.rig.Platform.Engines {
+			if e.Leaving() || t.cut[name] && t.faulty() {
 				continue
 			}
 			slots += t.options.SlotsPerEngine
