--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -15,11 +15,13 @@
 	// the holder, and the distance of repeated reports while work waits.
 	reportEvery = time.Second
 	// shortestQuantum and longestQuantum bound the time in which an
-	// organisation receives the cost of a request. It is the distance of words
-	// about its counter to dispatchers, and to the holder while other routers
-	// have work of the organisation too, so that these follow the service.
+	// organisation receives the quantumPart of the cost of a request. It is the
+	// least distance of words about its counter to dispatchers, and that of
+	// words to the holder while other routers have work of the organisation
+	// too, so that these follow the service.
 	shortestQuantum = 5 * time.Millisecond
 	longestQuantum  = 500 * time.Millisecond
+	quantumPart     = 0.125
 	// counterLatest is the greatest distance of words to dispatchers.
 	counterLatest = time.Second
 	// idleAfter is how long nothing must wait before an organisation is
@@ -158,13 +160,14 @@
 	return age >= counterLatest || age >= m.quantum() && off > m.estimate()
 }
 
-// quantum is the time in which the organisation receives the cost of a request.
+// quantum is the time in which the organisation receives a part of the cost of
+// a request.
 func (m *meter) quantum() time.Duration {
 	rate := m.Rate()
 	if rate <= 0 {
 		return longestQuantum
 	}
-	d := time.Duration(m.estimate() / rate * float64(time.Second))
+	d := time.Duration(quantumPart * m.estimate() / rate * float64(time.Second))
 	return min(max(d, shortestQuantum), longestQuantum)
 }
 
--- /dev/null
+++ b/internal/tool/scene/scene_test.go
@@ -0,0 +1,141 @@
+package scene
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/coordination/baseline"
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/share"
+)
+
+// settings are a small scene A with thin organisations beside fat ones and a
+// flood through two routers.
+func settings(least, most float64) Settings {
+	s := Settings{
+		Seed: 1, Routers: 7, Delay: 300 * time.Microsecond, Warm: 30 * time.Second, Length: 90 * time.Second,
+		Policy: func(source rand.Source) schedule.Scheduler { return share.New(share.Options{Source: source}) },
+	}
+	for range 12 {
+		s.Endpoints = append(s.Endpoints, Endpoint{Pool: "model", Slots: 8, Rate: 100, FirstToken: 20 * time.Millisecond})
+	}
+	for i := range 16 {
+		o := Organisation{
+			Name: fmt.Sprint("organisation", i), Weight: 1, Least: least, Most: most,
+			Backlog: 20, Routers: []int{i % 7},
+		}
+		switch {
+		case i < 3:
+			o.Backlog, o.Routers = 200, []int{0, 1}
+		case i < 8:
+			o.Backlog = 1 + i%3
+		}
+		s.Organisations = append(s.Organisations, o)
+	}
+	return s
+}
+
+func TestGapAndUtilisation(t *testing.T) {
+	tests := []struct {
+		name        string
+		least, most float64
+	}{
+		{"long answers", 50, 1000},
+		// Words about counters had gone out at the cost of a whole request,
+		// which let organisations at two routers drift 8 largest costs apart.
+		{"short answers", 1, 199},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := Run(settings(test.least, test.most))
+			is.Equal(r.Faulty, nil)
+			is.True(r.Utilisation >= 0.99)
+			is.True(r.Gap <= 4*r.LargestCost)
+			is.True(r.Gap <= 2*max(r.LargestCost, r.InFlight))
+		})
+	}
+}
+
+func TestWeightsDivideService(t *testing.T) {
+	is := is.New(t)
+	s := settings(1, 199)
+	s.Organisations[9].Weight = 3
+	r := Run(s)
+	ratio := r.Served["organisation9"] / r.Served["organisation10"]
+	is.True(ratio > 2.7 && ratio < 3.3)
+}
+
+func TestThinOrganisationsAreNotStarved(t *testing.T) {
+	is := is.New(t)
+	s := settings(50, 1000)
+	s.Endpoints = append(s.Endpoints, s.Endpoints...)
+	s.Endpoints = append(s.Endpoints, s.Endpoints[:16]...) // 40 in all
+	r := Run(s)
+	mean := 0.0
+	for _, served := range r.Served {
+		mean += served / float64(len(r.Served))
+	}
+	for i := 3; i < 8; i++ {
+		is.True(r.Served[fmt.Sprint("organisation", i)] > 0.9*mean)
+	}
+}
+
+func TestPlainServiceIsKeptBusy(t *testing.T) {
+	is := is.New(t)
+	s := settings(2, 8) // milliseconds
+	s.Warm, s.Length = 4*time.Second, 6*time.Second
+	s.Endpoints = s.Endpoints[:4]
+	for i := range s.Endpoints {
+		s.Endpoints[i] = Endpoint{Pool: "board", Slots: 8, Rate: 1000, Silent: true}
+	}
+	r := Run(s)
+	is.Equal(r.Faulty, nil)
+	is.True(r.Utilisation >= 0.99)
+}
+
+func TestFaults(t *testing.T) {
+	const at, seen = 40 * time.Second, time.Second
+	tests := []struct {
+		name   string
+		faults []Fault
+	}{
+		{"domain cut", []Fault{
+			{At: at, Do: func(f *Fleet) { f.Cut(1, true, seen) }},
+			{At: at + 20*time.Second, Do: func(f *Fleet) { f.Cut(1, false, seen) }},
+		}},
+		{"router killed", []Fault{{At: at, Do: func(f *Fleet) { f.Kill(3, seen) }}}},
+		{"routers restarted", []Fault{
+			{At: at, Do: func(f *Fleet) { f.Kill(0, seen); f.Kill(5, seen) }},
+			{At: at + 3*time.Second, Do: func(f *Fleet) { f.Start(0); f.Start(5) }},
+		}},
+		{"endpoint draining", []Fault{{At: at, Do: func(f *Fleet) { f.Drain(4) }}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := settings(1, 199)
+			s.Faults = append(test.faults, Fault{At: at + 22*time.Second, Do: func(f *Fleet) { f.Gap() }})
+			r := Run(s)
+			is.Equal(r.Faulty, nil)
+			is.True(r.Utilisation >= 0.97)
+			is.True(r.Gap <= 2*max(r.LargestCost, r.InFlight))
+		})
+	}
+}
+
+// TestBaselineShowsTheGap makes sure that the measurement can fail.
+func TestBaselineShowsTheGap(t *testing.T) {
+	is := is.New(t)
+	s := settings(1, 199)
+	s.Policy = func(source rand.Source) schedule.Scheduler {
+		return baseline.New(baseline.Options{Order: baseline.OrderFair, Slots: 2, Source: source})
+	}
+	r := Run(s)
+	is.Equal(r.Faulty, nil)
+	is.True(r.Gap > 40*r.LargestCost)
+}
