--- a/internal/coordination/bidding/meter.go
+++ b/internal/coordination/bidding/meter.go
@@ -157,7 +157,7 @@
 	age := now.Sub(m.told.at)
 	taken := m.told.tag + m.told.rate*min(age, counterLatest).Seconds()
 	off := math.Abs(m.Tag(now) - taken)
-	return age >= counterLatest || age >= m.quantum() && off > m.estimate()
+	return age >= counterLatest || age >= m.quantum() && off > m.estimate()/2
 }
 
 // quantum is the time in which the organisation receives a part of the cost of
