--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -31,7 +31,10 @@
 		claimsCommand(),
 		stopCommand(),
 		leavingCommand(),
+		capacityCommand(),
 		sceneCommand(),
+		configurationCommand(),
+		membershipCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
