--- a/cmd/hyssopreach-measure/policies.go
+++ b/cmd/hyssopreach-measure/policies.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/integrii/flaggy"
 	"google.golang.org/protobuf/proto"
 
 	"hyssopreach/internal/coordination/baseline"
@@ -40,5 +41,20 @@
 	return share.New(share.Options{Source: source})
 }
 
+// seededCommand is a subcommand that plays scenes from a random seed.
+func seededCommand(name, description string, play func(b bounds, seed uint64) []string) command {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	seed := uint64(1)
+	s.UInt64(&seed, "s", "seed", "random seed")
+	return command{s, func() ([]string, error) {
+		b, err := readBounds()
+		if err != nil {
+			return nil, err
+		}
+		return play(b, seed), nil
+	}}
+}
+
 // size is the bytes of a scheduler's message on the wire.
 func size(m schedule.Message) int { return proto.Size(peer.FromScheduler(m)) }
