Test a rehearsal that cuts off a failure domain with its router

Cause: a cut-off router cannot read that a rehearsal is over. Change: a test with three routers over loopback TCP. Conclusion: the others take the router for dead, and it is back, with the text published meanwhile, when the rehearsal's own end has passed.

--- a/internal/transport/router/rehearsal_test.go
+++ b/internal/transport/router/rehearsal_test.go
@@ -139,6 +139,18 @@
 	return lines
 }
 
+// has reports whether there was such a line since the last take.
+func (r *recorder) has(message string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for line := range r.lines {
+		if strings.HasPrefix(line, message+" ") {
+			return true
+		}
+	}
+	return false
+}
+
 // observed is what operators and callers see of a cut.
 type observed struct{ lines, answers []string }
 
@@ -245,3 +257,36 @@
 		})
 	}
 }
+
+// TestRehearsedDomainIsLostAndComesBack cuts off a failure domain with its
+// router, which cannot read in the log that the rehearsal is over.
+func TestRehearsedDomainIsLostAndComesBack(t *testing.T) {
+	is := is.New(t)
+	lines := &recorder{}
+	lines.take()
+	domains := []string{"Kharagpur", "Kolkata", "Durgapur"}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	r, err := rig.Start(ctx, rig.Options{
+		Document: rig.Document(2, 3, 0, domains), Routers: 3, FailureDomains: domains,
+		Platform: fleet.Default(), EntryHold: time.Second, Logger: &log.Logger{Handler: lines, Level: log.InfoLevel},
+	})
+	is.NoErr(err)
+	defer func() { is.NoErr(r.Close()) }()
+	next := *r.Document
+	next.Rehearsals = []text.Rehearsal{{
+		Name: "monthly", FailureDomain: "Kolkata", From: time.Now(), Until: time.Now().Add(10 * time.Second),
+	}}
+	is.NoErr(r.Publish(&next))
+	await(t, r, func(one *router.Router) bool { return one.Fleet().Revision == 2 })
+	for !lines.has("RouterDead") {
+		is.NoErr(ctx.Err())
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.NoErr(r.Publish(r.Document)) // the cut-off router cannot read this yet
+	await(t, r, func(one *router.Router) bool {
+		v := one.Fleet()
+		return v.Revision == 3 && len(v.Routers) == 3
+	})
+	is.True(!time.Now().Before(next.Rehearsals[0].Until)) // not before the rehearsal's own end
+}
