Take back what was marked as sent but could not be

Cause: an attempt was marked as sent before its connection was tried; when that failed, the key was told as unknown for an hour at its own router, though the claim had been released. Change: an attempt that ends unsent is marked so again. A claimed request's deadline lies at most half the life of its key ahead, also for the run. The invariants on refusals and on fencing numbers are checked while the program runs.

--- a/internal/coordination/bidding/spread.go
+++ b/internal/coordination/bidding/spread.go
@@ -64,7 +64,7 @@
 		if room == 0 {
 			continue
 		}
-		if s := l.standing(e.ID); s == nil || s.remaining() == 0 {
+		if s := l.standing(e.ID); s == nil || s.remaining() == 0 || l.due(now, s) {
 			b.place(now, l, e.ID)
 		}
 		slots += room
--- a/internal/coordination/claim/claimant.go
+++ b/internal/coordination/claim/claimant.go
@@ -22,9 +22,9 @@
 	writersPerRange = 3
 	// releaseLife is how long a release is repeated until it is confirmed.
 	releaseLife = 5 * time.Minute
-	// maxDeadline bounds how far ahead a claim's deadline may lie, so that
-	// no request runs past the life of its key.
-	maxDeadline = claim.KeyLife / 2
+	// MaxDeadline bounds how far ahead the deadline of a claimed request may
+	// lie, so that none runs past the life of its key.
+	MaxDeadline = claim.KeyLife / 2
 )
 
 // Outcome says what is known about whether a request ran.
@@ -190,7 +190,7 @@
 
 func (c *Claimant) begin(now time.Time, in Begin) {
 	a := &attempt{claim: in.Claim, first: in.First, deadline: in.Deadline}
-	if limit := now.Add(maxDeadline); a.deadline.After(limit) {
+	if limit := now.Add(MaxDeadline); a.deadline.After(limit) {
 		a.deadline = limit
 	}
 	c.attempts[in.Claim.ID] = a
--- a/internal/transport/answer/answer_test.go
+++ b/internal/transport/answer/answer_test.go
@@ -123,6 +123,21 @@
 	is.True(!fresh)
 }
 
+func TestAttemptThatCouldNotBeSentIsUnsent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1 << 20)
+	cancelled := false
+	a, _ := f.Enter(claim.Digest{1}, 1, func() { cancelled = true })
+	a.MarkSent()
+	a.Leave()
+	is.True(!cancelled)
+	a.MarkUnsent()
+	is.True(cancelled) // nobody waits for it any more
+	a.Finish(EndUnsent, nil)
+	_, fresh := f.Enter(claim.Digest{1}, 1, nil)
+	is.True(fresh)
+}
+
 func TestLostClaimIsKnownAsGivenUp(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1 << 20)
--- a/internal/transport/answer/attempt.go
+++ b/internal/transport/answer/attempt.go
@@ -70,6 +70,14 @@
 	a.sent = true
 }
 
+// MarkUnsent notes that nothing of the request was sent after all.
+func (a *Attempt) MarkUnsent() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sent = false
+	a.abandon()
+}
+
 // Sent reports whether the request may have been sent.
 func (a *Attempt) Sent() bool {
 	a.mu.Lock()
@@ -234,6 +242,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.readers--
+	a.abandon()
+}
+
+// abandon gives up what was not sent and nobody waits for. It requires that mu
+// is held.
+func (a *Attempt) abandon() {
 	if a.readers == 0 && !a.sent && a.end == EndNone && a.cancel != nil {
 		a.cancel()
 	}
--- a/internal/transport/router/claims.go
+++ b/internal/transport/router/claims.go
@@ -16,6 +16,7 @@
 	"hyssopreach/internal/protocol/caller"
 	wire "hyssopreach/internal/protocol/peer"
 	"hyssopreach/internal/state/claim"
+	"hyssopreach/internal/state/invariant"
 	"hyssopreach/internal/state/settings"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/answer"
@@ -116,8 +117,17 @@
 	}
 }
 
-// AttemptEnded does nothing; the run's end tells more.
-func (c *claims) AttemptEnded(*execution.Attempt, schedule.Result, error) {}
+// AttemptEnded takes that back if nothing was sent after all.
+func (c *claims) AttemptEnded(a *execution.Attempt, result schedule.Result, _ error) {
+	if result != schedule.ResultNotSent {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if attempt := c.attempts[a.Call]; attempt != nil {
+		attempt.MarkUnsent()
+	}
+}
 
 // Run runs an idempotent call as it is. Any other call joins the running
 // attempt or the kept answer of its key, or begins one.
@@ -125,6 +135,9 @@
 	if call.Class.Idempotent {
 		return c.executor.Run(ctx, call, sink)
 	}
+	if latest := time.Now().Add(coordination.MaxDeadline); call.Deadline.After(latest) {
+		call.Deadline = latest
+	}
 	key := claim.DigestOf(call.Organisation.Name, call.Key)
 	work, cancel := context.WithCancel(c.ctx)
 	a, fresh := c.store.Enter(key, hashRequest(call), cancel)
@@ -206,7 +219,8 @@
 	switch {
 	case err == nil:
 		c.host.Sent(id)
-	case errors.As(err, &problem) && problem.NotRun == caller.NotRunTrue:
+	case errors.As(err, &problem) && problem.NotRun == caller.NotRunTrue &&
+		invariant.Check(!a.Sent(), invariant.NotRunIsTrue, "RequestID", call.RequestID, "Claim", id.String()):
 		c.host.Unsent(id)
 		a.Finish(answer.EndUnsent, err)
 	case errors.As(err, &problem):
--- a/internal/transport/router/placement.go
+++ b/internal/transport/router/placement.go
@@ -15,6 +15,7 @@
 	"hyssopreach/internal/coordination/placement"
 	wire "hyssopreach/internal/protocol/peer"
 	platformtypes "hyssopreach/internal/protocol/platform"
+	"hyssopreach/internal/state/invariant"
 	"hyssopreach/internal/state/lease"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
@@ -61,8 +62,11 @@
 // planner is the planner of one pool.
 type planner struct {
 	*placements
-	pool   string
-	driver *driver.Driver[placement.Input, placement.Output]
+	pool string
+	// fencing is that of the last order; it is written by apply only, which
+	// the driver serialises.
+	fencing uint64
+	driver  *driver.Driver[placement.Input, placement.Output]
 }
 
 func startPlacements(r *Router, d *demand) *placements {
@@ -201,6 +205,8 @@
 	case placement.Withdraw:
 		n.spawn(func() { n.withdraw(o) })
 	case placement.Order:
+		invariant.Check(o.Fencing >= n.fencing, invariant.FencingNeverFalls, "Pool", n.pool, "Endpoint", string(o.Engine))
+		n.fencing = o.Fencing
 		n.spawn(func() { n.order(o) })
 	case placement.Wake:
 		n.driver.WakeAt(o.At)
