--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -25,11 +25,16 @@
 	commands := []command{
 		fairnessCommand(),
 		urgentCommand(),
+		faultsCommand(),
+		controlCommand(),
 		latencyCommand(),
 		claimsCommand(),
 		stopCommand(),
 		leavingCommand(),
+		capacityCommand(),
 		sceneCommand(),
+		configurationCommand(),
+		membershipCommand(),
 	}
 	for _, c := range commands {
 		flaggy.AttachSubcommand(c.parse, 1)
--- a/internal/coordination/bidding/spread.go
+++ b/internal/coordination/bidding/spread.go
@@ -141,23 +141,44 @@
 	}
 }
 
-// widen adds bids for a line whose head is being passed over.
+// widen adds bids for a line whose head is being passed over, and takes bids
+// back from one that is well served.
 func (b *Bidder) widen(now time.Time, l *line) {
 	if now.Before(l.widenAt) {
 		return
 	}
 	l.widenAt = now.Add(widenEvery)
-	most := len(b.endpoints(l))
-	placed := l.placed()
-	if placed >= most {
+	most, placed := len(b.endpoints(l)), l.placed()
+	if b.behind(now, l) {
+		l.width = min(2*max(placed, firstBids), most)
 		return
 	}
-	switch {
-	case b.behind(now, l):
-		l.width = min(2*max(placed, firstBids), most)
-	case now.Sub(l.grantedAt) >= strayEvery:
+	if now.Before(l.reviewAt) {
+		return
+	}
+	l.reviewAt = now.Add(reviewEvery)
+	if now.Sub(l.grantedAt) >= reviewEvery {
 		l.width = min(placed+1, most)
-		l.widenAt = now.Add(strayEvery)
+		return
+	}
+	l.width /= 2
+	b.narrow(now, l, placed-l.wanted())
+}
+
+// narrow takes back a part of the surplus of bids of a line that is not
+// behind, so that shortages long past do not leave it bidding everywhere.
+func (b *Bidder) narrow(now time.Time, l *line, surplus int) {
+	if surplus <= 0 {
+		return
+	}
+	first := b.random.IntN(len(l.bids))
+	for count := (surplus + narrowParts - 1) / narrowParts; count > 0; first++ {
+		s := l.bids[first%len(l.bids)]
+		if s.remaining() == 0 {
+			continue
+		}
+		b.send(s.owner, l.retract(now, s))
+		count--
 	}
 }
 
