Take back withdrawals when a planner's lease ends

Cause: a planner that lost its lease left the models that it had withdrawn without new work for up to 90 s, and its successor could withdraw others.

--- a/internal/coordination/placement/planner.go
+++ b/internal/coordination/placement/planner.go
@@ -27,7 +27,7 @@
 	maxDrain = 30 * time.Second
 	// withdrawLife bounds a withdrawal, for the case that its planner is
 	// lost before it can take it back.
-	withdrawLife = maxDrain + restateEvery
+	withdrawLife = maxDrain + reportLife
 	// smoothing is the weight of a round's demand in the mean over rounds.
 	smoothing = 0.2
 	// maxLoading bounds the engines that load at once, so that the weight
@@ -165,7 +165,7 @@
 // the order that it should have; changes are made a few at a time.
 func (p *Planner) round(now time.Time) {
 	if !p.holder.holds(now) {
-		p.ordered = map[view.EndpointID]*order{}
+		p.forget()
 		return
 	}
 	for i := range p.models {
@@ -180,6 +180,18 @@
 	plan.followDemand()
 }
 
+// forget drops the orders of a lease that has ended, and takes back the
+// withdrawals that they needed.
+func (p *Planner) forget() {
+	for i := range p.engines {
+		id := p.engines[i].ID
+		if o := p.ordered[id]; o != nil && !o.done {
+			p.out = append(p.out, Withdraw{Engine: id})
+		}
+	}
+	p.ordered = map[view.EndpointID]*order{}
+}
+
 // give orders an engine to hold the models. An order that unloads something
 // is announced to the routers first, and given once that work has ended.
 func (p *Planner) give(now time.Time, e *Engine, models []Loaded, reason string, fields ...string) {
