--- a/internal/tool/latency/latency.go
+++ b/internal/tool/latency/latency.go
@@ -5,16 +5,13 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 
 	"hyssopreach/internal/standin/fleet"
 	"hyssopreach/internal/tool/load"
+	"hyssopreach/internal/tool/process"
 	"hyssopreach/internal/tool/rig"
 )
 
@@ -22,8 +19,10 @@
 	organisations = 16
 	// standInConcurrency is so high that the stand-in never makes calls wait.
 	standInConcurrency = 4096
-	tryTimeout         = 30 * time.Second
-	warmUp             = 2 * time.Second
+	// engineBatch lets an engine run that many chats at once.
+	engineBatch = 64
+	tryTimeout  = 30 * time.Second
+	warmUp      = 2 * time.Second
 )
 
 // Options say what to measure.
@@ -37,6 +36,13 @@
 	Rounds int
 	// Slice is the length of one turn.
 	Slice time.Duration
+	// Processors is the number of processors that the router may use.
+	Processors int
+	// Binary is the router's program; empty builds it.
+	Binary string
+	// Profile is a file for a processor profile of the router at half load;
+	// empty writes none.
+	Profile string
 	// CallTime is the time of one call of the plain service.
 	CallTime time.Duration
 	Seed     uint64
@@ -49,10 +55,8 @@
 	Answered int
 	Failed   int
 	Elapsed  time.Duration
-	// Processor is the processor time of the whole process.
+	// Processor is the processor time of the router.
 	Processor time.Duration
-	// Allocations is the number of objects allocated.
-	Allocations uint64
 }
 
 // Comparison is a load put on both sides.
@@ -74,19 +78,9 @@
 // PerSecond is the rate of answered requests.
 func (s *Side) PerSecond() float64 { return float64(s.Answered) / s.Elapsed.Seconds() }
 
-// perRequest divides by the number of answered requests.
-func (s *Side) perRequest(total float64) float64 { return total / float64(max(1, s.Answered)) }
-
-// ProcessorPerRequest is what the router adds to each request in processor
-// time.
+// ProcessorPerRequest is the router's processor time for each request.
 func (c *Comparison) ProcessorPerRequest() time.Duration {
-	return time.Duration(c.Routed.perRequest(float64(c.Routed.Processor)) - c.Direct.perRequest(float64(c.Direct.Processor)))
-}
-
-// AllocationsPerRequest is the number of objects that the router adds to each
-// request.
-func (c *Comparison) AllocationsPerRequest() float64 {
-	return c.Routed.perRequest(float64(c.Routed.Allocations)) - c.Direct.perRequest(float64(c.Direct.Allocations))
+	return c.Routed.Processor / time.Duration(max(1, c.Routed.Answered))
 }
 
 // Print writes the comparison as lines of key=value pairs.
@@ -99,8 +93,8 @@
 		_, _ = fmt.Fprintf(w, "%s Side=%s Median=%v P99=%v Longest=%v Answered=%d Failed=%d PerSecond=%.0f\n",
 			c.Name, one.name, s.quantile(50), s.quantile(99), s.quantile(100), s.Answered, s.Failed, s.PerSecond())
 	}
-	_, _ = fmt.Fprintf(w, "%s AddedMedian=%v AddedP99=%v AddedProcessor=%v AddedAllocations=%.1f RequestsPerCore=%.0f\n",
-		c.Name, c.Added(50), c.Added(99), c.ProcessorPerRequest(), c.AllocationsPerRequest(),
+	_, _ = fmt.Fprintf(w, "%s AddedMedian=%v AddedP99=%v ProcessorPerRequest=%v RequestsPerCore=%.0f\n",
+		c.Name, c.Added(50), c.Added(99), c.ProcessorPerRequest(),
 		float64(time.Second)/float64(max(1, c.ProcessorPerRequest())))
 }
 
@@ -114,39 +108,51 @@
 
 // Run measures and prints as it goes.
 func Run(ctx context.Context, o Options, w io.Writer) (*Report, error) {
-	r, err := startRig(ctx, o)
+	f, err := startFleet(ctx, o)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = r.Close() }()
-	m := &measurement{options: o, rig: r}
-	m.slice(ctx, &Side{Latency: load.NewHistogram()}, m.settings(true, o.Callers[len(o.Callers)-1], 0), warmUp)
+	defer func() { _ = f.Close() }()
+	m := &measurement{options: o, fleet: f}
+	warm := &Side{Latency: load.NewHistogram()}
+	if err := m.slice(ctx, warm, m.settings(true, o.Callers[len(o.Callers)-1], 0), warmUp); err != nil {
+		return nil, err
+	}
 	report := &Report{}
 	highest := 0.0
 	for _, callers := range o.Callers {
-		c := m.compare(ctx, fmt.Sprintf("Kind=%s Callers=%d", o.Kind, callers), callers, 0)
+		c, err := m.compare(ctx, fmt.Sprintf("Kind=%s Callers=%d", o.Kind, callers), callers, 0)
+		if err != nil {
+			return nil, err
+		}
 		c.Print(w)
 		report.Closed = append(report.Closed, c)
 		highest = max(highest, c.Routed.PerSecond())
 	}
-	report.HalfLoad = m.compare(ctx, fmt.Sprintf("Kind=%s HalfLoad=%.0f", o.Kind, highest/2), 0, highest/2)
+	profile := m.startProfile(ctx)
+	report.HalfLoad, err = m.compare(ctx, fmt.Sprintf("Kind=%s HalfLoad=%.0f", o.Kind, highest/2), 0, highest/2)
+	if err != nil {
+		return nil, err
+	}
 	report.HalfLoad.Print(w)
-	return report, ctx.Err()
+	return report, <-profile
 }
 
-func startRig(ctx context.Context, o Options) (*rig.Rig, error) {
+func startFleet(ctx context.Context, o Options) (*process.Fleet, error) {
 	domains := []string{"Kharagpur"}
 	platform := fleet.Default()
 	platform.Plain.Concurrency, platform.Plain.CallTime = standInConcurrency, o.CallTime
-	return rig.Start(ctx, rig.Options{
-		Document: rig.Document(organisations, 1, 1, domains), Routers: 1, FailureDomains: domains,
-		Platform: platform, EntryHold: time.Second, Logger: &log.Logger{Handler: discard.New(), Level: log.InfoLevel},
+	platform.Engine.MaxBatch = engineBatch
+	return process.StartFleet(ctx, process.FleetOptions{
+		Binary: o.Binary, Document: rig.Document(organisations, 1, 1, domains), Routers: 1,
+		FailureDomains: domains, Platform: platform, EntryHold: time.Second,
+		Environment: []string{fmt.Sprintf("GOMAXPROCS=%d", o.Processors)},
 	})
 }
 
 type measurement struct {
 	options Options
-	rig     *rig.Rig
+	fleet   *process.Fleet
 }
 
 // settings is the load on one side; perSecond makes the loop open.
@@ -159,9 +165,9 @@
 		s.Addresses = []netip.AddrPort{m.standIn()}
 		return s
 	}
-	s.Addresses = []netip.AddrPort{m.rig.Routers[0].CallerAddress()}
+	s.Addresses = []netip.AddrPort{m.fleet.Settings[0].CallerAddress}
 	s.Work.PlainPrefix = "/services/" + rig.PlainService
-	for _, organisation := range m.rig.Document.Organisations {
+	for _, organisation := range m.fleet.Rig.Document.Organisations {
 		s.Keys = append(s.Keys, rig.Key(organisation.Name))
 	}
 	return s
@@ -172,40 +178,43 @@
 	if m.options.Kind == load.KindStream || m.options.Kind == load.KindWhole {
 		pool = 0
 	}
-	return m.rig.Document.Pools[pool].Endpoints[0].Address
+	return m.fleet.Rig.Document.Pools[pool].Endpoints[0].Address
 }
 
 // compare lets direct and routed calls take turns.
-func (m *measurement) compare(ctx context.Context, name string, callers int, perSecond float64) *Comparison {
+func (m *measurement) compare(ctx context.Context, name string, callers int, perSecond float64) (*Comparison, error) {
 	c := &Comparison{Name: name, Direct: Side{Latency: load.NewHistogram()}, Routed: Side{Latency: load.NewHistogram()}}
 	for range m.options.Rounds {
-		m.slice(ctx, &c.Direct, m.settings(false, callers, perSecond), m.options.Slice)
-		m.slice(ctx, &c.Routed, m.settings(true, callers, perSecond), m.options.Slice)
+		for _, routed := range []bool{false, true} {
+			side := &c.Direct
+			if routed {
+				side = &c.Routed
+			}
+			if err := m.slice(ctx, side, m.settings(routed, callers, perSecond), m.options.Slice); err != nil {
+				return nil, err
+			}
+		}
 	}
-	return c
+	return c, nil
 }
 
 // slice puts one load on one side and adds what it found.
-func (m *measurement) slice(ctx context.Context, side *Side, s *load.Settings, length time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, length)
+func (m *measurement) slice(ctx context.Context, side *Side, s *load.Settings, length time.Duration) error {
+	limited, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
-	processor, allocations := usage()
-	report := load.Run(ctx, s)
-	processorAfter, allocationsAfter := usage()
+	before, err := m.fleet.Routers[0].Processor()
+	if err != nil {
+		return err
+	}
+	report := load.Run(limited, s)
+	after, err := m.fleet.Routers[0].Processor()
+	if err != nil {
+		return err
+	}
 	side.Latency.Merge(report.Latency)
 	side.Answered += report.Answered
 	side.Failed += report.Requests - report.Answered
 	side.Elapsed += report.Elapsed
-	side.Processor += processorAfter - processor
-	side.Allocations += allocationsAfter - allocations
-}
-
-// usage returns the processor time and the allocations of this process so far.
-func usage() (processor time.Duration, allocations uint64) {
-	var r syscall.Rusage
-	// Getrusage of the own process can't fail.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return time.Duration(r.Utime.Nano() + r.Stime.Nano()), m.Mallocs
+	side.Processor += after - before
+	return ctx.Err()
 }
--- a/internal/tool/rig/rig.go
+++ b/internal/tool/rig/rig.go
@@ -124,15 +124,11 @@
 	}
 	free := netip.AddrPortFrom(peer.Addr(), 0)
 	domains := r.options.FailureDomains
-	return &settings.Settings{
-		Name: view.RouterID(fmt.Sprintf("router-%02d", i+1)), FailureDomain: domains[i%len(domains)],
-		CallerAddress: free, PeerAddress: peer, OperatorAddress: free,
-		EntryHold: settings.Duration(r.options.EntryHold),
-		Limits: settings.Limits{
-			BodyBytes: settings.DefaultBodyBytes, HeaderBytes: settings.DefaultHeaderBytes,
-			WaitingBytes: settings.DefaultWaitingBytes, KeptAnswerBytes: settings.DefaultKeptAnswerBytes,
-		},
-	}, nil
+	s := settings.Default()
+	s.Name, s.FailureDomain = view.RouterID(fmt.Sprintf("router-%02d", i+1)), domains[i%len(domains)]
+	s.CallerAddress, s.PeerAddress, s.OperatorAddress = free, peer, free
+	s.EntryHold = settings.Duration(r.options.EntryHold)
+	return s, nil
 }
 
 func (r *Rig) startRouters(ctx context.Context) error {
