--- a/cmd/hyssopreach-measure/latency.go
+++ b/cmd/hyssopreach-measure/latency.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"runtime/pprof"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -24,51 +23,31 @@
 	s := flaggy.NewSubcommand("latency")
 	s.Description = "what a router adds to a call, against direct calls in turns in the same run"
 	o := latency.Options{
-		Callers: []int{1, 16, 256}, Rounds: 5, Slice: time.Second, CallTime: 5 * time.Millisecond, Seed: 1,
+		Callers: []int{1, 16, 256}, Rounds: 5, Slice: time.Second, CallTime: 5 * time.Millisecond,
+		Processors: 2, Seed: 1,
 	}
-	kind, profile := string(load.KindAsset), ""
+	kind := string(load.KindAsset)
 	s.String(&kind, "k", "kind", "Asset, Share or Booking of a plain service, Stream or Whole of an engine")
 	s.Int(&o.Rounds, "r", "rounds", "turns of each side")
 	s.Duration(&o.Slice, "t", "slice", "length of a turn")
 	s.Duration(&o.CallTime, "c", "call-time", "time of a plain call")
 	s.UInt64(&o.Seed, "s", "seed", "random seed")
-	s.String(&profile, "f", "profile", "file for a processor profile of the run")
+	s.Int(&o.Processors, "p", "processors", "processors that the router may use")
+	s.String(&o.Profile, "f", "profile", "file for a processor profile of the router at half load")
+	s.String(&o.Binary, "b", "binary", "the router's program; built if not given")
 	return command{s, func() ([]string, error) {
 		o.Kind = load.Kind(kind)
-		stop, err := startProfile(profile)
-		if err != nil {
-			return nil, err
-		}
-		defer stop()
 		return measureLatency(o)
 	}}
 }
 
-// startProfile writes a processor profile until the returned function is
-// called; an empty name writes none.
-func startProfile(name string) (stop func(), err error) {
-	if name == "" {
-		return func() {}, nil
-	}
-	file, err := os.Create(name)
-	if err != nil {
-		return nil, err
-	}
-	if err := pprof.StartCPUProfile(file); err != nil {
-		return nil, err
-	}
-	return func() {
-		pprof.StopCPUProfile()
-		_ = file.Close()
-	}, nil
-}
-
 func measureLatency(o latency.Options) ([]string, error) {
 	b, err := readBounds()
 	if err != nil {
 		return nil, err
 	}
-	fmt.Printf("latency: seed %d, %d turns of %v on each side, plain calls of %v\n", o.Seed, o.Rounds, o.Slice, o.CallTime)
+	fmt.Printf("latency: seed %d, %d turns of %v on each side, plain calls of %v, a router with %d processors\n",
+		o.Seed, o.Rounds, o.Slice, o.CallTime, o.Processors)
 	report, err := latency.Run(context.Background(), o, os.Stdout)
 	if err != nil {
 		return nil, err
