Serve and log broken invariants with the router's own metrics and log

Cause: the router process served a registry of its own, so the counters of state/invariant never showed at /metrics, and its log handler was not the one that the package writes to. Change: the process uses the default registry and installs its handler; a start for a request that nobody waits for is the invariant OneStartPerRequest. The capacity measure plays 60 s with 30 s of warm-up: requests last about 12 s at the target's pace, and 10 s of warm-up measured the cold start only. Conclusion: a broken invariant is visible to operators.

--- a/internal/tool/capacity/capacity.go
+++ b/internal/tool/capacity/capacity.go
@@ -88,7 +88,7 @@
 func Run(w io.Writer, seed uint64) []string {
 	sizes := []int{45, 90, 180, 360}
 	all := []measurement{
-		{"scheduling", []int{12, 24, 48, 96}, func(n int) Cost { return scheduling(n, seed) }},
+		{"scheduling", []int{6, 12, 24, 48}, func(n int) Cost { return scheduling(n, seed) }},
 		{"heartbeat", sizes, func(n int) Cost { return heartbeat(n, seed) }},
 		{"endpoint watch", sizes, func(n int) Cost { return endpointWatch(n, seed) }},
 		{"configuration", sizes, configuration},
--- a/internal/tool/capacity/scheduling.go
+++ b/internal/tool/capacity/scheduling.go
@@ -26,8 +26,8 @@
 	backlogEvery  = 10 // one organisation in so many is backlogged
 	backlog       = 20 // requests
 	steadyShare   = 0.8
-	warm          = 10 * time.Second
-	length        = 20 * time.Second
+	warm          = 30 * time.Second
+	length        = 60 * time.Second
 )
 
 // meter is a scheduler that measures the time of its steps.
--- a/internal/transport/command/router.go
+++ b/internal/transport/command/router.go
@@ -61,9 +61,11 @@
 	lines := logline.NewWriter(e.Err)
 	defer func() { _ = lines.Close() }()
 	logger := &log.Logger{Handler: logfmt.New(lines), Level: log.InfoLevel}
+	// Broken invariants are logged and counted by the process as a whole.
+	log.SetHandler(logger.Handler)
 	r, err := router.Start(ctx, router.Options{
 		Settings: parsed, Incarnation: uint64(time.Now().UnixNano()),
-		Network: router.NewNetwork(parsed.PeerAddress.Addr()), Logger: logger, Registry: metrics.NewRegistry(),
+		Network: router.NewNetwork(parsed.PeerAddress.Addr()), Logger: logger, Registry: metrics.DefaultRegistry,
 	})
 	if err != nil {
 		return err
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/apex/log"
 
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/invariant"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/driver"
 )
@@ -130,9 +132,10 @@
 func (d *Scheduling) apply(out schedule.Output) {
 	switch o := out.(type) {
 	case schedule.Start:
-		if !d.decide(o.ID, o) {
-			d.logger.WithField("Request", o.ID).Error("StartForUnknownRequest")
-		}
+		// A second start finds nobody waiting, since a decision takes its
+		// waiter away.
+		invariant.Check(d.decide(o.ID, o), invariant.OneStartPerRequest,
+			"Request", strconv.FormatUint(uint64(o.ID), 10))
 	case schedule.Refusal:
 		d.decide(o.ID, o)
 	case schedule.Send:
