Compare the cost of a decision with its bound at two sizes

Change: hyssopreach-measure bounds runs the benchmarks and compares growth from an eighth of the target size with bounds.json; the capacity bounds moved there too; allocations are an ordinary test.

--- a/cmd/hyssopreach-measure/bounds.go
+++ b/cmd/hyssopreach-measure/bounds.go
@@ -4,6 +4,8 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+
+	"hyssopreach/internal/tool/capacity"
 )
 
 //go:embed bounds.json
@@ -11,12 +13,14 @@
 
 // bounds are the targets, as bounds.json states them.
 type bounds struct {
-	Fairness fairnessBounds
-	Urgent   urgentBounds
-	Faults   faultBounds
-	Control  controlBounds
-	Latency  latencyBounds
-	Leaving  leavingBounds
+	Capacity  capacity.Bounds
+	Decisions decisionBounds
+	Fairness  fairnessBounds
+	Urgent    urgentBounds
+	Faults    faultBounds
+	Control   controlBounds
+	Latency   latencyBounds
+	Leaving   leavingBounds
 }
 
 // fairnessBounds hold in scene A.
@@ -31,6 +35,12 @@
 	UtilisationUnderFaults float64
 }
 
+// decisionBounds hold for the cost of one decision.
+type decisionBounds struct {
+	// GrowthFromNTo8N is the logarithm of 980 organisations by that of 122.
+	GrowthFromNTo8N float64
+}
+
 func readBounds() (bounds, error) {
 	var b bounds
 	if err := json.Unmarshal(boundsText, &b); err != nil {
--- a/cmd/hyssopreach-measure/capacity.go
+++ b/cmd/hyssopreach-measure/capacity.go
@@ -13,5 +13,11 @@
 	s.Description = "control cost of one router at growing sizes, worked out for the target size"
 	seed := uint64(1)
 	s.UInt64(&seed, "s", "seed", "random seed")
-	return command{s, func() ([]string, error) { return capacity.Run(os.Stdout, seed), nil }}
+	return command{s, func() ([]string, error) {
+		b, err := readBounds()
+		if err != nil {
+			return nil, err
+		}
+		return capacity.Run(os.Stdout, seed, b.Capacity), nil
+	}}
 }
--- a/cmd/hyssopreach-measure/main.go
+++ b/cmd/hyssopreach-measure/main.go
@@ -32,6 +32,7 @@
 		stopCommand(),
 		leavingCommand(),
 		capacityCommand(),
+		decisionsCommand(),
 		sceneCommand(),
 		configurationCommand(),
 		membershipCommand(),
--- a/internal/tool/capacity/capacity.go
+++ b/internal/tool/capacity/capacity.go
@@ -15,23 +15,27 @@
 	targetOrganisations = 980
 	targetModels        = 8
 	targetRequests      = 3800 // a second
-	targetTokens        = 1.2e6
-	targetChanges       = 490 // a day
+	targetChanges       = 490  // a day
 	targetDomains       = 4
 )
 
-// The bounds of control work for one node, and the share of non-idempotent
-// requests that is taken for the claims' load.
+// claimsASecond is the rate of non-idempotent requests that is taken for the
+// claims' load; framing is what drpc, TCP and IP add to a lone message.
 const (
-	boundCore      = 0.011
-	boundBytes     = 64 << 20
-	boundTraffic   = 24 << 10 // bytes a second
-	claimsASecond  = 500
-	framing        = 60 // bytes that drpc, TCP and IP add to a lone message
-	secondsADay    = 86400
-	claimKeepHours = 1
+	claimsASecond = 500
+	framing       = 60 // bytes
+	secondsADay   = 86400
 )
 
+// Bounds are what control work may cost one node.
+type Bounds struct {
+	// CorePercent is processor time, in hundredths of a core.
+	CorePercent float64
+	// MemoryMB is in units of 2^20 bytes, TrafficKBPerSecond of 2^10 bytes.
+	MemoryMB           float64
+	TrafficKBPerSecond float64
+}
+
 // Cost is what a part costs one router at one size of the fleet.
 type Cost struct {
 	Routers int
@@ -85,7 +89,7 @@
 
 // Run measures all parts and prints them with the figures at target size. It
 // returns the bounds that are missed.
-func Run(w io.Writer, seed uint64) []string {
+func Run(w io.Writer, seed uint64, bounds Bounds) []string {
 	sizes := []int{45, 90, 180, 360}
 	all := []measurement{
 		{"scheduling", []int{6, 12, 24, 48}, func(n int) Cost { return scheduling(n, seed) }},
@@ -105,7 +109,7 @@
 		p.print(w)
 		parts = append(parts, p)
 	}
-	return sum(w, parts)
+	return sum(w, parts, bounds)
 }
 
 func (p *Part) print(w io.Writer) {
@@ -131,7 +135,7 @@
 }
 
 // sum adds the parts up and compares them with the bounds.
-func sum(w io.Writer, parts []Part) []string {
+func sum(w io.Writer, parts []Part, bounds Bounds) []string {
 	var all Cost
 	for i := range parts {
 		t := &parts[i].Target
@@ -143,19 +147,20 @@
 	_, _ = fmt.Fprintf(w, "a router with all roles at %d routers, %d endpoints, %d organisations\n",
 		targetRouters, targetEndpoints, targetOrganisations)
 	var missed []string
-	row := func(name string, value, bound, unit float64, format string) {
+	row := func(name string, value, bound float64) {
 		verdict := "holds"
 		if value > bound {
 			verdict = "MISSED"
-			missed = append(missed, fmt.Sprintf("%s: %.4g over %.4g", name, value*unit, bound*unit))
+			missed = append(missed, fmt.Sprintf("%s: %.4g over %.4g", name, value, bound))
 		}
-		_, _ = fmt.Fprintf(w, "  %-26s target "+format+", worked out "+format+", margin %5.2f times: %s\n",
-			name, bound*unit, value*unit, ratio(bound, value), verdict)
+		_, _ = fmt.Fprintf(w, "  %-26s target %7.2f, worked out %7.2f, margin %5.2f times: %s\n",
+			name, bound, value, ratio(bound, value), verdict)
 	}
-	row("traffic, batched, KB/s", all.Bytes, boundTraffic, 1./1024, "%7.2f")
-	row("traffic, unbatched, KB/s", all.Framed, boundTraffic, 1./1024, "%7.2f")
-	row("processor, % of a core", all.Core, boundCore, 100, "%7.3f")
-	row("memory, MB", all.Heap, boundBytes, 1./(1<<20), "%7.1f")
+	const kilo, mega = 1 << 10, 1 << 20
+	row("traffic, batched, KB/s", all.Bytes/kilo, bounds.TrafficKBPerSecond)
+	row("traffic, unbatched, KB/s", all.Framed/kilo, bounds.TrafficKBPerSecond)
+	row("processor, % of a core", 100*all.Core, bounds.CorePercent)
+	row("memory, MB", all.Heap/mega, bounds.MemoryMB)
 	return missed
 }
 
--- /dev/null
+++ b/internal/tool/growth/growth_test.go
@@ -0,0 +1,22 @@
+package growth
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const output = `goos: linux
+BenchmarkBid/organisations=122/endpoints=76-12         	  100000	       120.5 ns/op	      40 B/op	       1 allocs/op
+BenchmarkBid/organisations=980/endpoints=610-12        	  100000	       400 ns/op	      40 B/op	       1 allocs/op
+PASS
+`
+
+func TestGrowthOverTheBoundIsMissed(t *testing.T) {
+	is := is.New(t)
+	results := Parse([]byte(output))
+	is.Equal(len(results), 2)
+	is.Equal(results[1], Result{"Bid", "organisations=980/endpoints=610", 400, 40, 1})
+	is.Equal(len(Missed(results, 1.43)), 1) // nanoseconds grew, the rest did not
+	is.Equal(len(Missed(results, 4)), 0)
+}
