Let calls wait while the endpoints of a new text are found

Cause: trying the README's lines as a new user, two of three curls right after 'in force on all 3 routers' were refused with 503 Depend, because the routers had not polled the endpoints yet. Change: for 2 s after a text came into force a call whose pool has no known endpoint waits for one; /ready waits for the first endpoint.

--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -24,6 +24,11 @@
 	clockSkew = 500 * time.Millisecond
 	// maxDeadline bounds how far ahead a caller's deadline may lie.
 	maxDeadline = time.Hour
+	// discovery is the time after a text came into force in which its
+	// endpoints may not have been found yet.
+	discovery = 2 * time.Second
+	// discoveryPoll is the time between two looks for them.
+	discoveryPoll = 10 * time.Millisecond
 )
 
 func reject(status int, step, detail string) *caller.Problem {
@@ -212,7 +217,7 @@
 	if c.Service.Kind == text.KindPlain {
 		passContext(c)
 	}
-	return h.checkDependencies(index, c, r.now)
+	return h.checkDependencies(r, index, c)
 }
 
 // urgency is that of the class, or a higher one inherited from the parent of a
@@ -256,9 +261,25 @@
 }
 
 // checkDependencies refuses a call early when its own service or one that it
-// depends on has no endpoint that takes work.
-func (h *Handler) checkDependencies(index *text.Index, c *execution.Call, now time.Time) *caller.Problem {
-	v := h.views.View()
+// depends on has no endpoint that takes work. For a moment after a text came
+// into force that is not known yet, and the call waits.
+func (h *Handler) checkDependencies(r *request, index *text.Index, c *execution.Call) *caller.Problem {
+	known := h.configurations.InForceSince().Add(discovery)
+	for {
+		now := time.Now()
+		problem := dependencyDown(h.views.View(), index, c, now)
+		if problem == nil || now.After(known) {
+			return problem
+		}
+		select {
+		case <-r.Context().Done():
+			return problem
+		case <-time.After(discoveryPoll):
+		}
+	}
+}
+
+func dependencyDown(v *view.Snapshot, index *text.Index, c *execution.Call, now time.Time) *caller.Problem {
 	for _, name := range append([]string{c.Service.Name}, index.Dependencies(c.Service.Name)...) {
 		service := index.Service(name)
 		if service != nil && poolLives(v, service.Pool, now) {
--- a/internal/transport/entry/admission_test.go
+++ b/internal/transport/entry/admission_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,11 +25,21 @@
 type installation struct {
 	document text.Document
 	snapshot view.Snapshot
-	calls    []*execution.Call
+	since    time.Time
+	// found replaces the snapshot once it is set.
+	found atomic.Pointer[view.Snapshot]
+	calls []*execution.Call
+}
+
+func (i *installation) Index() *text.Index      { return text.NewIndex(&i.document) }
+func (i *installation) InForceSince() time.Time { return i.since }
+func (i *installation) View() *view.Snapshot {
+	if found := i.found.Load(); found != nil {
+		return found
+	}
+	return &i.snapshot
 }
 
-func (i *installation) Index() *text.Index   { return text.NewIndex(&i.document) }
-func (i *installation) View() *view.Snapshot { return &i.snapshot }
 func (i *installation) Run(_ context.Context, c *execution.Call, sink execution.Sink) error {
 	i.calls = append(i.calls, c)
 	if err := sink.Begin(http.StatusOK, http.Header{"X-Request-Id": {"attempt"}, "Connection": {"close"}}); err != nil {
@@ -102,6 +113,16 @@
 	is.Equal(len(i.calls), 0)
 }
 
+func TestCallWaitsForEndpointsOfANewText(t *testing.T) {
+	is := is.New(t)
+	i := newInstallation()
+	i.since = time.Now()
+	found := i.snapshot
+	i.snapshot = view.Snapshot{}
+	time.AfterFunc(3*discoveryPoll, func() { i.found.Store(&found) })
+	is.Equal(i.serve("GET", "/services/board/tiles", "").Code, http.StatusOK)
+}
+
 func TestLargeBodyIsRefused(t *testing.T) {
 	is := is.New(t)
 	i := newInstallation()
--- a/internal/transport/entry/handler.go
+++ b/internal/transport/entry/handler.go
@@ -44,6 +44,8 @@
 // Configurations returns the operators' text in force; nil before the first.
 type Configurations interface {
 	Index() *text.Index
+	// InForceSince is the instant at which it came into force here.
+	InForceSince() time.Time
 }
 
 // Limits bound what one caller and all callers together may hold.
--- a/internal/transport/router/fleet.go
+++ b/internal/transport/router/fleet.go
@@ -73,8 +73,8 @@
 	f.publish()
 }
 
-// inForceSince returns since when the text has been in force here.
-func (f *fleet) inForceSince() time.Time {
+// InForceSince returns since when the text has been in force here.
+func (f *fleet) InForceSince() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.inForceAt
--- a/internal/transport/router/operators.go
+++ b/internal/transport/router/operators.go
@@ -52,7 +52,8 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) {
-		if r.fleet.Index() == nil || r.draining() {
+		// A router that knows no endpoint yet can serve nobody.
+		if r.fleet.Index() == nil || len(r.fleet.View().Endpoints) == 0 || r.draining() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -95,7 +96,7 @@
 	return Status{
 		Router: r.self.ID, Incarnation: r.self.Incarnation, Draining: r.draining(), Now: time.Now().UTC(),
 		Revision: c.Revision, Offset: c.Offset, Hash: c.Hash,
-		InForceSince: r.fleet.inForceSince().UTC(), Waiting: r.scheduling.Waiting(),
+		InForceSince: r.fleet.InForceSince().UTC(), Waiting: r.scheduling.Waiting(),
 		Routers: v.Routers, Endpoints: v.Endpoints,
 	}
 }
--- a/internal/transport/router/revisions.go
+++ b/internal/transport/router/revisions.go
@@ -108,7 +108,7 @@
 }
 
 func (r *Router) heardSince(asked time.Time, routers []view.Router) (FleetStatus, bool) {
-	status := FleetStatus{Revision: r.fleet.configuration().Revision, InForceSince: r.fleet.inForceSince().UTC()}
+	status := FleetStatus{Revision: r.fleet.configuration().Revision, InForceSince: r.fleet.InForceSince().UTC()}
 	whole := true
 	for i := range routers {
 		one := MemberRevision{
