--- a/cmd/hyssopreach-standin/commands.go
+++ b/cmd/hyssopreach-standin/commands.go
@@ -125,16 +125,20 @@
 }
 
 func runAll(ctx context.Context, settings fleet.Settings, file, vms string) error {
-	var document text.Document
-	if err := readFile(file, &document); err != nil {
+	data, err := os.ReadFile(file)
+	if err != nil {
 		return err
 	}
+	document, err := text.Parse(data)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", file, err)
+	}
 	if vms != "" {
 		if err := readFile(vms, &settings.VMs); err != nil {
 			return err
 		}
 	}
-	f, err := fleet.Start(settings, &document)
+	f, err := fleet.Start(settings, document)
 	if err != nil {
 		return err
 	}
