--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -101,10 +101,9 @@
 // Allowed tells people how a duration is written.
 func (d Duration) Allowed() string { return `a duration such as "30s" or "1m30s"` }
 
-// Parse reads and judges a settings file. The error is of type
-// problem.Problems and tells everything that is wrong.
-func Parse(data []byte) (*Settings, error) {
-	s := &Settings{
+// Default returns settings in which all is set that a file may leave out.
+func Default() *Settings {
+	return &Settings{
 		EntryHold:    Duration(DefaultEntryHold),
 		LogRetention: Duration(DefaultLogRetention),
 		Limits: Limits{
@@ -114,6 +113,12 @@
 			KeptAnswerBytes: DefaultKeptAnswerBytes,
 		},
 	}
+}
+
+// Parse reads and judges a settings file. The error is of type
+// problem.Problems and tells everything that is wrong.
+func Parse(data []byte) (*Settings, error) {
+	s := Default()
 	ps := problem.Decode(data, MaxBytes, s)
 	c := checker{settings: s, problems: &ps}
 	c.check()
--- a/internal/transport/router/operators.go
+++ b/internal/transport/router/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +17,10 @@
 	PathReady   = "/ready"
 	PathMetrics = "/metrics"
 	PathStatus  = "/status"
+	// PathProfile gives a profile of the processor time, by default of 30
+	// seconds, and PathAllocations one of all allocations so far.
+	PathProfile     = "/debug/profile"
+	PathAllocations = "/debug/allocations"
 	// PathFleet tells which revision each router of the fleet has in force.
 	PathFleet = "/fleet"
 	// PathText is the operators' text in force.
@@ -47,7 +52,8 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) {
-		if r.fleet.Index() == nil || r.draining() {
+		// A router that knows no endpoint yet can serve nobody.
+		if r.fleet.Index() == nil || len(r.fleet.View().Endpoints) == 0 || r.draining() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -62,6 +68,8 @@
 		// An operator that has gone cannot be told anything more.
 		_ = json.NewEncoder(w).Encode(r.status())
 	})
+	mux.HandleFunc("GET "+PathProfile, pprof.Profile)
+	mux.Handle("GET "+PathAllocations, pprof.Handler("allocs"))
 	mux.HandleFunc("GET "+PathFleet, func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(r.fleetStatus(request.Context()))
@@ -88,7 +96,7 @@
 	return Status{
 		Router: r.self.ID, Incarnation: r.self.Incarnation, Draining: r.draining(), Now: time.Now().UTC(),
 		Revision: c.Revision, Offset: c.Offset, Hash: c.Hash,
-		InForceSince: r.fleet.inForceSince().UTC(), Waiting: r.scheduling.Waiting(),
+		InForceSince: r.fleet.InForceSince().UTC(), Waiting: r.scheduling.Waiting(),
 		Routers: v.Routers, Endpoints: v.Endpoints,
 	}
 }
