--- a/internal/tool/demo/demo.go
+++ b/internal/tool/demo/demo.go
@@ -180,7 +180,7 @@
 func (p printer) outcomes(result *trial.Result) {
 	p.line("")
 	t := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "organisation\twaiting\tanswered\trefused\twrong\tbroken\ttokens\tp50 ms\tp99 ms\t")
+	_, _ = fmt.Fprintln(t, "organisation\twaiting\tanswered\trefused\twrong\tcut at end\ttokens\tp50 ms\tp99 ms\t")
 	for i := range result.Outcomes {
 		o := &result.Outcomes[i]
 		refused := 0
@@ -214,6 +214,6 @@
 	if wrong > 0 || unanswered > 0 {
 		return fmt.Errorf("%d callers got a wrong answer, %d plain requests got none", wrong, unanswered)
 	}
-	p.line("every answer was whole and its caller's own")
+	p.line("every answer that ended was whole and its caller's own; the load cut those still under way at its end")
 	return nil
 }
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -119,6 +119,7 @@
 	r.claims.executor = runner
 	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
+		r.closeParts()
 		return nil, errors.Join(fmt.Errorf("start router %s: %w", r.self.ID, err), listeners.close())
 	}
 	r.callers = r.serve(listeners.callers, r.entry)
@@ -213,13 +214,18 @@
 		_ = r.operators.Close()
 		r.serving.Wait()
 		r.server.Close()
-		for i := len(r.components) - 1; i >= 0; i-- {
-			r.components[i].Close()
-		}
-		r.scheduling.Close()
-		r.peers.links.Close()
-		_ = r.client.Close()
-		r.guard.Close()
+		r.closeParts()
 		r.options.Logger.WithField("Router", r.self.ID).Info("RouterStopped")
 	})
 }
+
+// closeParts ends what works in the background, the last started first.
+func (r *Router) closeParts() {
+	for i := len(r.components) - 1; i >= 0; i-- {
+		r.components[i].Close()
+	}
+	r.scheduling.Close()
+	r.peers.links.Close()
+	_ = r.client.Close()
+	r.guard.Close()
+}
