--- a/cmd/hyssopreach-measure/control.go
+++ b/cmd/hyssopreach-measure/control.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"hyssopreach/internal/tool/scene"
+	"hyssopreach/internal/tool/harness"
 )
 
 // controlBounds hold for the control traffic of scheduling.
@@ -33,7 +33,7 @@
 		s.Warm, s.Length = 120*time.Second, 180*time.Second
 		s.Policy = shared
 		s.Organisations = spreadOrganisations(max(2, 4*routers/7), routers)
-		r := scene.Run(s)
+		r := harness.Run(s)
 		_, rates[i] = r.Control()
 		fmt.Printf("%d routers, %d endpoints, %d organisations:\n", routers, len(s.Endpoints), len(s.Organisations))
 		printResult("share", &r)
@@ -56,11 +56,11 @@
 
 // spreadOrganisations are backlogged organisations that connect to up to three
 // routers each, every third of them thin.
-func spreadOrganisations(count, routers int) []scene.Organisation {
-	var list []scene.Organisation
+func spreadOrganisations(count, routers int) []harness.Organisation {
+	var list []harness.Organisation
 	for i := range count {
 		third := (3*i + 2) % routers
-		o := scene.Organisation{
+		o := harness.Organisation{
 			Name: fmt.Sprintf("organisation%02d", i), Weight: 1, Least: leastCost, Most: mostCost, Backlog: 60,
 			Routers: []int{i % routers, (i + 1) % routers, third},
 		}
--- a/cmd/hyssopreach-measure/fairness.go
+++ b/cmd/hyssopreach-measure/fairness.go
@@ -8,7 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"hyssopreach/internal/tool/scene"
+	"hyssopreach/internal/tool/harness"
 )
 
 const (
@@ -20,18 +20,18 @@
 
 // sceneA is the load of today: three of sixteen organisations flood through
 // two routers, the others are spread unevenly, thin beside fat.
-func sceneA(seed uint64, routers, endpoints int) scene.Settings {
-	s := scene.Settings{
+func sceneA(seed uint64, routers, endpoints int) harness.Settings {
+	s := harness.Settings{
 		Seed: seed, Routers: routers, Delay: 300 * time.Microsecond, Size: size,
 		Warm: 100 * time.Second, Length: 800 * time.Second,
 	}
 	for range endpoints {
-		s.Endpoints = append(s.Endpoints, scene.Endpoint{
+		s.Endpoints = append(s.Endpoints, harness.Endpoint{
 			Pool: "model", Slots: slots, Rate: tokenRate, FirstToken: 100 * time.Millisecond,
 		})
 	}
 	for i := range 16 {
-		o := scene.Organisation{
+		o := harness.Organisation{
 			Name: fmt.Sprintf("organisation%02d", i), Weight: 1,
 			Least: leastCost, Most: mostCost, Backlog: 40, Routers: []int{i % routers},
 		}
@@ -78,14 +78,14 @@
 func fairness(b fairnessBounds, seed uint64, routers, endpoints int, only string) []string {
 	fmt.Printf("scene A: seed %d, %d routers, %d endpoints of %d slots, costs %d to %d, 700 s after 100 s\n",
 		seed, routers, endpoints, slots, leastCost, mostCost)
-	results := map[string]scene.Result{}
+	results := map[string]harness.Result{}
 	for _, p := range policies((slots + routers - 1) / routers) {
 		if only != "" && only != p.name {
 			continue
 		}
 		s := sceneA(seed, routers, endpoints)
 		s.Policy = p.make
-		r := scene.Run(s)
+		r := harness.Run(s)
 		results[p.name] = r
 		printResult(p.name, &r)
 	}
@@ -95,7 +95,7 @@
 	return checkFairness(b, endpoints, results)
 }
 
-func printResult(name string, r *scene.Result) {
+func printResult(name string, r *harness.Result) {
 	messages, bytes := r.Control()
 	fmt.Printf("  %-14s gap %8.0f = %5.2f largest costs (whole run %8.0f), widest %s, utilisation %.4f, started %.1f/s, control %.1f messages/s %.0f B/s a router\n",
 		name, r.Gap, r.Gap/r.LargestCost, r.WholeGap, r.Widest, r.Utilisation, r.Started, messages, bytes)
@@ -110,7 +110,7 @@
 	}
 }
 
-func checkFairness(b fairnessBounds, endpoints int, results map[string]scene.Result) []string {
+func checkFairness(b fairnessBounds, endpoints int, results map[string]harness.Result) []string {
 	share, queues := results["share"], results["router-queues"]
 	var missed []string
 	miss := func(format string, values ...any) {
--- a/cmd/hyssopreach-measure/faults.go
+++ b/cmd/hyssopreach-measure/faults.go
@@ -6,7 +6,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"hyssopreach/internal/tool/scene"
+	"hyssopreach/internal/tool/harness"
 )
 
 const (
@@ -31,25 +31,25 @@
 // faultCase is one fault of scene C and its end.
 type faultCase struct {
 	name   string
-	faults []scene.Fault
+	faults []harness.Fault
 	healed time.Duration
 }
 
 func faultCases() []faultCase {
 	return []faultCase{
-		{"domain cut for 20 s", []scene.Fault{
-			{At: faultAt, Do: func(f *scene.Fleet) { f.Cut(1, true, faultSeen) }},
-			{At: healAt, Do: func(f *scene.Fleet) { f.Cut(1, false, faultSeen) }},
+		{"domain cut for 20 s", []harness.Fault{
+			{At: faultAt, Do: func(f *harness.Fleet) { f.Cut(1, true, faultSeen) }},
+			{At: healAt, Do: func(f *harness.Fleet) { f.Cut(1, false, faultSeen) }},
 		}, healAt},
-		{"router killed", []scene.Fault{
-			{At: faultAt, Do: func(f *scene.Fleet) { f.Kill(3, faultSeen) }},
+		{"router killed", []harness.Fault{
+			{At: faultAt, Do: func(f *harness.Fleet) { f.Kill(3, faultSeen) }},
 		}, faultAt + faultSeen},
-		{"a third restarted", []scene.Fault{
-			{At: faultAt, Do: func(f *scene.Fleet) { f.Kill(2, faultSeen); f.Kill(5, faultSeen) }},
-			{At: faultAt + 3*time.Second, Do: func(f *scene.Fleet) { f.Start(2); f.Start(5) }},
+		{"a third restarted", []harness.Fault{
+			{At: faultAt, Do: func(f *harness.Fleet) { f.Kill(2, faultSeen); f.Kill(5, faultSeen) }},
+			{At: faultAt + 3*time.Second, Do: func(f *harness.Fleet) { f.Start(2); f.Start(5) }},
 		}, faultAt + 3*time.Second},
-		{"endpoint draining", []scene.Fault{
-			{At: faultAt, Do: func(f *scene.Fleet) { f.Drain(4) }},
+		{"endpoint draining", []harness.Fault{
+			{At: faultAt, Do: func(f *harness.Fleet) { f.Drain(4) }},
 		}, faultAt},
 	}
 }
@@ -81,10 +81,10 @@
 	var before, during float64
 	s.Faults = append(
 		s.Faults,
-		scene.Fault{At: faultAt - time.Millisecond, Do: func(f *scene.Fleet) { before = f.Gap() }},
-		scene.Fault{At: c.healed + backWithin, Do: func(f *scene.Fleet) { during = f.Gap() }},
+		harness.Fault{At: faultAt - time.Millisecond, Do: func(f *harness.Fleet) { before = f.Gap() }},
+		harness.Fault{At: c.healed + backWithin, Do: func(f *harness.Fleet) { during = f.Gap() }},
 	)
-	r := scene.Run(s)
+	r := harness.Run(s)
 	bound := 2 * max(r.LargestCost, r.InFlight)
 	fmt.Printf("scene C: seed %d, %-20s gap before %.0f, through the fault %.0f, after %.0f (bound %.0f, %.2f largest costs), utilisation %.4f, refused %d\n",
 		seed, c.name, before, during, r.Gap, bound, r.Gap/r.LargestCost, r.Utilisation, r.Refusals)
--- a/cmd/hyssopreach-measure/policies.go
+++ b/cmd/hyssopreach-measure/policies.go
@@ -10,19 +10,19 @@
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/coordination/share"
 	"hyssopreach/internal/protocol/peer"
-	"hyssopreach/internal/tool/scene"
+	"hyssopreach/internal/tool/harness"
 )
 
 // policy is a scheduler under measurement.
 type policy struct {
 	name string
-	make scene.Policy
+	make harness.Policy
 }
 
 // policies are the fair share and its baselines; each baseline router assumes
 // an equal part of every endpoint's slots, rounded up.
 func policies(slotsPerRouter int) []policy {
-	based := func(order baseline.Order, choice baseline.Choice) scene.Policy {
+	based := func(order baseline.Order, choice baseline.Choice) harness.Policy {
 		return func(source rand.Source) schedule.Scheduler {
 			return baseline.New(baseline.Options{
 				Order: order, Choice: choice, Slots: slotsPerRouter, Source: source,
--- a/cmd/hyssopreach-measure/urgent.go
+++ b/cmd/hyssopreach-measure/urgent.go
@@ -4,23 +4,23 @@
 	"fmt"
 	"time"
 
-	"hyssopreach/internal/tool/scene"
+	"hyssopreach/internal/tool/harness"
 )
 
 // sceneB is the plain-service part of Tulpar's mix: short calls of which
 // assets and share links are urgent, with the other calls either a backlog
 // that saturates the pool or none.
-func sceneB(seed uint64, saturated bool) scene.Settings {
-	s := scene.Settings{
+func sceneB(seed uint64, saturated bool) harness.Settings {
+	s := harness.Settings{
 		Seed: seed, Routers: 7, Delay: 250 * time.Microsecond, Size: size,
 		Warm: 10 * time.Second, Length: 20 * time.Second,
 	}
 	for range 4 {
 		// A unit of service is a millisecond.
-		s.Endpoints = append(s.Endpoints, scene.Endpoint{Pool: "board", Slots: slots, Rate: 1000, Silent: true})
+		s.Endpoints = append(s.Endpoints, harness.Endpoint{Pool: "board", Slots: slots, Rate: 1000, Silent: true})
 	}
 	for i := range 16 {
-		o := scene.Organisation{
+		o := harness.Organisation{
 			Name: fmt.Sprintf("organisation%02d", i), Weight: 1, Least: 2, Most: 8,
 			Routers: []int{i % 7}, Every: 20 * time.Millisecond, Urgent: 10,
 		}
@@ -58,7 +58,7 @@
 	for _, p := range policies((slots + 6) / 7) {
 		quiet, full := sceneB(seed, false), sceneB(seed, true)
 		quiet.Policy, full.Policy = p.make, p.make
-		before, after := scene.Run(quiet), scene.Run(full)
+		before, after := harness.Run(quiet), harness.Run(full)
 		fmt.Printf("  %-14s urgent p99 wait %v unsaturated, %v saturated (other calls %v)\n",
 			p.name, before.UrgentWait, after.UrgentWait, after.Wait)
 		printResult(p.name, &after)
@@ -79,7 +79,7 @@
 }
 
 // broken lists the promises that a scene's schedulers broke.
-func broken(r *scene.Result) []string {
+func broken(r *harness.Result) []string {
 	if len(r.Faulty) == 0 {
 		return nil
 	}
--- a/internal/tool/capacity/scheduling.go
+++ b/internal/tool/capacity/scheduling.go
@@ -14,7 +14,7 @@
 	"hyssopreach/internal/coordination/share"
 	"hyssopreach/internal/protocol/peer"
 	"hyssopreach/internal/state/view"
-	"hyssopreach/internal/tool/scene"
+	"hyssopreach/internal/tool/harness"
 )
 
 // The load of a scene in proportion to the target.
@@ -47,7 +47,7 @@
 // scheduling plays a fleet of the target's proportions.
 func scheduling(routers int, seed uint64) Cost {
 	var spent time.Duration
-	s := scene.Settings{
+	s := harness.Settings{
 		Seed: seed, Routers: routers, Delay: 300 * time.Microsecond, Warm: warm, Length: length,
 		Size: func(m schedule.Message) int { return proto.Size(peer.FromScheduler(m)) },
 		Policy: func(source rand.Source) schedule.Scheduler {
@@ -55,7 +55,7 @@
 		},
 	}
 	for range routers * targetEndpoints / targetRouters {
-		s.Endpoints = append(s.Endpoints, scene.Endpoint{
+		s.Endpoints = append(s.Endpoints, harness.Endpoint{
 			Pool: "model", Slots: slots, Rate: float64(time.Second) / float64(betweenTokens), FirstToken: time.Second,
 		})
 	}
@@ -63,7 +63,7 @@
 	steady := count - (count+backlogEvery-1)/backlogEvery
 	rate := steadyShare * targetRequests * float64(routers) / targetRouters / float64(steady)
 	for i := range count {
-		o := scene.Organisation{
+		o := harness.Organisation{
 			Name: fmt.Sprintf("organisation%03d", i), Weight: 1, Least: leastCost, Most: mostCost,
 			Routers: []int{i % routers, (7*i + 1) % routers},
 		}
@@ -74,7 +74,7 @@
 		}
 		s.Organisations = append(s.Organisations, o)
 	}
-	r := scene.Run(s)
+	r := harness.Run(s)
 	messages, bytes := r.Control()
 	detail := fmt.Sprintf("; %.1f starts/s, utilisation %.3f;", r.Started/float64(routers), r.Utilisation)
 	for _, kind := range slices.Sorted(maps.Keys(r.Messages)) {
--- a/internal/tool/scene/scene_test.go
+++ b/internal/tool/harness/scene_test.go
@@ -1,4 +1,4 @@
-package scene
+package harness
 
 import (
 	"fmt"
