Serve on the users' platform through platform/

Cause: the users' machines are ready, and nothing spoke to them. Change: platform/ translates; StartHosted composes a router of membership, links, scheduling and runner; a local policy (coordination/admission), the fleet's retry budget, the list of endpoints and resumed streams join the product; the design note tells what runs where.

--- a/cmd/hyssopreach/main.go
+++ b/cmd/hyssopreach/main.go
@@ -7,9 +7,10 @@
 
 	"hyssopreach/internal/tool/demo"
 	"hyssopreach/internal/transport/command"
+	"hyssopreach/platform"
 )
 
 func main() {
 	os.Exit(command.Run("hyssopreach", "A router fleet that shares model capacity fairly among organisations.",
-		append(command.Commands(), &demo.Command{}), os.Args[1:]))
+		append(command.Commands(), &demo.Command{}, &platform.Command{}), os.Args[1:]))
 }
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -191,3 +191,31 @@
 
 // SchedulerMessage marks a Shortage as a Message.
 func (*Shortage) SchedulerMessage() {}
+
+// Pulse tells other routers what the sender keeps at the endpoints and what
+// organisations ask of it. It replaces the sender's earlier one.
+type Pulse struct {
+	Endpoints     []EndpointLoad
+	Organisations []OrganisationUse
+}
+
+// EndpointLoad is what one router keeps at an endpoint.
+type EndpointLoad struct {
+	Endpoint view.EndpointID
+	Requests int
+	// Backlog is what the endpoint has yet to read of the requests' prompts,
+	// and Memory what they will hold in the end, in tokens.
+	Backlog int64
+	Memory  int64
+}
+
+// OrganisationUse is what an organisation asks of one router and receives, in
+// tokens per second.
+type OrganisationUse struct {
+	Organisation string
+	Asked        float64
+	Received     float64
+}
+
+// SchedulerMessage marks a message between schedulers.
+func (*Pulse) SchedulerMessage() {}
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -33,12 +33,37 @@
 	// Exclusive asks for an endpoint that runs no other exclusive request;
 	// it is set for a request suspected of crashing endpoints.
 	Exclusive bool
+	// Objective is the instant by which the answer should begin; zero means
+	// that only the Deadline counts.
+	Objective time.Time
+	// Prompt describes the prompt of a request to a model engine that states
+	// it; nil for all others.
+	Prompt *Prompt
+	// Tried are the endpoints at which earlier attempts failed.
+	Tried []view.EndpointID
 	// Nested marks a call made on behalf of a request that is already
 	// running; it goes before its organisation's other requests, since its
 	// parent holds capacity until it is answered.
 	Nested bool
 }
 
+// Prompt is what a caller states of its prompt.
+type Prompt struct {
+	// Parts are the parts of the prompt in order. Requests share parts; the
+	// last one belongs to the request or its session.
+	Parts []PromptPart
+	// InputTokens is the length of the whole prompt, and OutputTokens the
+	// most that the engine may generate, in tokens.
+	InputTokens  int64
+	OutputTokens int64
+}
+
+// PromptPart is a part of a prompt that other prompts may begin with too.
+type PromptPart struct {
+	ID     uint64
+	Tokens int64
+}
+
 // Input is something that a scheduler is told.
 type Input interface{ schedulerInput() }
 
@@ -56,6 +81,9 @@
 	// FirstToken is set with the first report: the time that the endpoint
 	// took to begin its answer.
 	FirstToken time.Duration
+	// Pause is the longest time between two parts of the answer since the
+	// last report.
+	Pause time.Duration
 }
 
 // Result says how a started request ended.
@@ -74,8 +102,21 @@
 	ResultBroken
 	// ResultCancelled is a request that its caller gave up.
 	ResultCancelled
+	// ResultFailed is a whole answer by which the endpoint says that it has
+	// failed.
+	ResultFailed
+	// ResultSilent is an answer that was given up because nothing came.
+	ResultSilent
 )
 
+var resultNames = map[Result]string{
+	ResultFinished: "Finished", ResultNotSent: "NotSent", ResultRejected: "Rejected", ResultBroken: "Broken",
+	ResultCancelled: "Cancelled", ResultFailed: "Failed", ResultSilent: "Silent",
+}
+
+// String returns the result's name.
+func (r Result) String() string { return resultNames[r] }
+
 // Completion says that a started request has ended. Service is what it
 // received since the last Progress, in units of service.
 type Completion struct {
@@ -125,6 +166,9 @@
 type Start struct {
 	ID       RequestID
 	Endpoint view.EndpointID
+	// Source is an endpoint that should hold more of the prompt than the
+	// chosen one, which may copy it from there; empty for none.
+	Source view.EndpointID
 	// Reason is a few key=value pairs for the decision's log line.
 	Reason string
 }
--- a/internal/protocol/peer/conversion_schedule.go
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -41,6 +41,8 @@
 		}}}
 	case *schedule.Counters:
 		return &Message{Kind: &Message_Counters{fromCounters(m)}}
+	case *schedule.Pulse:
+		return &Message{Kind: &Message_Pulse{fromPulse(m)}}
 	case *schedule.Shortage:
 		return &Message{Kind: &Message_Shortage{&Shortage{Endpoint: string(m.Endpoint), Room: uint32(m.Room)}}}
 	}
@@ -51,6 +53,8 @@
 // scheduler.
 func ToScheduler(m *Message) (schedule.Message, bool) {
 	switch kind := m.GetKind().(type) {
+	case *Message_Pulse:
+		return toPulse(kind.Pulse), true
 	case *Message_Bid:
 		w := kind.Bid
 		return &schedule.Bid{
@@ -187,3 +191,33 @@
 	}
 	return m
 }
+
+func fromPulse(m *schedule.Pulse) *Pulse {
+	w := &Pulse{}
+	for _, l := range m.Endpoints {
+		w.Endpoints = append(w.Endpoints, &EndpointLoad{
+			Endpoint: string(l.Endpoint), Requests: uint32(l.Requests), Backlog: l.Backlog, Memory: l.Memory,
+		})
+	}
+	for _, o := range m.Organisations {
+		w.Organisations = append(w.Organisations, &OrganisationUse{
+			Organisation: o.Organisation, Asked: float32(o.Asked), Received: float32(o.Received),
+		})
+	}
+	return w
+}
+
+func toPulse(w *Pulse) *schedule.Pulse {
+	m := &schedule.Pulse{}
+	for _, l := range w.GetEndpoints() {
+		m.Endpoints = append(m.Endpoints, schedule.EndpointLoad{
+			Endpoint: view.EndpointID(l.GetEndpoint()), Requests: int(l.GetRequests()), Backlog: l.GetBacklog(), Memory: l.GetMemory(),
+		})
+	}
+	for _, o := range w.GetOrganisations() {
+		m.Organisations = append(m.Organisations, schedule.OrganisationUse{
+			Organisation: o.GetOrganisation(), Asked: float64(o.GetAsked()), Received: float64(o.GetReceived()),
+		})
+	}
+	return m
+}
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -38,6 +38,10 @@
 	VM            string
 	FailureDomain string
 	Address       netip.AddrPort
+	// Slots is the number of requests that the endpoint runs at once and
+	// MemoryTokens the tokens that its cache holds; zero if they aren't known.
+	Slots        int
+	MemoryTokens int64
 	// Models are the models that the endpoint holds, sorted; nil for a plain
 	// service.
 	Models []string
@@ -56,6 +60,13 @@
 	MaxWaitingBytes int64
 }
 
+// Pool is what scheduling needs to know of a pool of endpoints.
+type Pool struct {
+	// TokensPerSecond is the work that the endpoints of the pool can do
+	// together, as the operators state it; zero if they don't.
+	TokensPerSecond float64
+}
+
 // Snapshot is the state of the fleet as one router sees it.
 type Snapshot struct {
 	// Self is the router that holds this view.
@@ -66,6 +77,8 @@
 	Endpoints []Endpoint
 	// Organisations are indexed by name.
 	Organisations map[string]Organisation
+	// Pools are indexed by name; a pool of which nothing is stated is absent.
+	Pools map[string]Pool
 	// Revision is the revision of the operators' text that is in force.
 	Revision uint64
 }
--- a/internal/transport/endpoint/answer.go
+++ b/internal/transport/endpoint/answer.go
@@ -23,9 +23,9 @@
 	unmarked bool
 }
 
-func newAnswer(endpoint netip.AddrPort, response *http.Response, model bool) *Answer {
+func newAnswer(endpoint netip.AddrPort, response *http.Response, model, unmarkedEnd bool) *Answer {
 	a := &Answer{endpoint: endpoint, response: response}
-	a.unmarked = response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
+	a.unmarked = !unmarkedEnd && response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
 		response.Body != http.NoBody
 	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	if model && err == nil && kind == "text/event-stream" {
--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -29,6 +29,25 @@
 	maxHeaderBytes = 64 << 10
 )
 
+// Options say what endpoints speak beside plain HTTP.
+type Options struct {
+	// AttemptHeader is the field that carries an attempt's id, in both
+	// directions.
+	AttemptHeader string
+	// UnmarkedEnd allows answers that give neither their length nor chunks and
+	// end with the connection; one that is reset is still broken.
+	UnmarkedEnd bool
+	// IdleTimeout is how long an idle connection is kept.
+	IdleTimeout time.Duration
+	// ConnsPerEndpoint bounds the connections to one endpoint.
+	ConnsPerEndpoint int
+}
+
+// defaultOptions are for the endpoints that the product's own text names.
+var defaultOptions = Options{
+	AttemptHeader: platform.HeaderRequest, IdleTimeout: idleTimeout, ConnsPerEndpoint: maxConnsPerEndpoint,
+}
+
 // Dial opens a connection to an endpoint.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -38,7 +57,10 @@
 	ID     string
 	Method string
 	// Path is the path and query.
-	Path   string
+	Path string
+	// Host is the host that the endpoint is asked for; empty stands for its
+	// address.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// Idempotent attempts may be written again on another connection when
@@ -70,16 +92,20 @@
 
 // Client sends attempts to endpoints. It is safe for concurrent use.
 type Client struct {
+	options   Options
 	transport *http.Transport
 }
 
 // NewClient returns a client that opens its connections by dial; nil stands
 // for a plain dialer.
-func NewClient(dial Dial) *Client {
+func NewClient(dial Dial) *Client { return NewClientOf(dial, defaultOptions) }
+
+// NewClientOf returns a client of endpoints that speak as the options say.
+func NewClientOf(dial Dial, o Options) *Client {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{transport: &http.Transport{
+	return &Client{options: o, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -90,10 +116,10 @@
 			return &trackedConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
-		MaxConnsPerHost:        maxConnsPerEndpoint,
-		MaxIdleConnsPerHost:    maxConnsPerEndpoint,
+		MaxConnsPerHost:        o.ConnsPerEndpoint,
+		MaxIdleConnsPerHost:    o.ConnsPerEndpoint,
 		MaxIdleConns:           maxIdleConns,
-		IdleConnTimeout:        idleTimeout,
+		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}
 }
@@ -108,7 +134,7 @@
 // *Error. The answer must be closed.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, a *Attempt) (*Answer, error) {
 	d := &delivery{once: !a.Idempotent}
-	request, err := newRequest(address, a)
+	request, err := c.newRequest(address, a)
 	if err != nil {
 		return nil, &Error{Step: "build request", Endpoint: address, Err: err}
 	}
@@ -116,26 +142,30 @@
 	if err != nil {
 		return nil, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
 	}
-	if response.Header.Get(platform.HeaderRequest) != a.ID {
+	if response.Header.Get(c.options.AttemptHeader) != a.ID {
 		_ = response.Body.Close()
 		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: errForeignAnswer}
 	}
-	return newAnswer(address, response, a.Model), nil
+	return newAnswer(address, response, a.Model, c.options.UnmarkedEnd), nil
 }
 
 // newRequest builds the request without GetBody, which would let net/http
 // send the body again.
-func newRequest(address netip.AddrPort, a *Attempt) (*http.Request, error) {
+func (c *Client) newRequest(address netip.AddrPort, a *Attempt) (*http.Request, error) {
 	target, err := url.ParseRequestURI(a.Path)
 	if err != nil {
 		return nil, err
 	}
 	target.Scheme, target.Host = "http", address.String()
+	host := a.Host
+	if host == "" {
+		host = target.Host
+	}
 	request := &http.Request{
 		Method:        a.Method,
 		URL:           target,
-		Host:          target.Host,
-		Header:        endpointHeader(a.Header, a.ID),
+		Host:          host,
+		Header:        c.endpointHeader(a.Header, a.ID),
 		ContentLength: int64(len(a.Body)),
 	}
 	if len(a.Body) > 0 {
@@ -172,7 +202,7 @@
 // endpointHeader is the header of an attempt. The idempotency keys are spelt
 // in lower case, which means the same to the endpoint, because net/http takes
 // their canonical spelling as leave to send a request twice.
-func endpointHeader(source http.Header, id string) http.Header {
+func (c *Client) endpointHeader(source http.Header, id string) http.Header {
 	header := make(http.Header, len(source)+1)
 	CopyHeader(header, source)
 	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
@@ -181,6 +211,6 @@
 			header[strings.ToLower(name)] = values
 		}
 	}
-	header[http.CanonicalHeaderKey(platform.HeaderRequest)] = []string{id}
+	header[http.CanonicalHeaderKey(c.options.AttemptHeader)] = []string{id}
 	return header
 }
--- a/internal/transport/endpoint/client_test.go
+++ b/internal/transport/endpoint/client_test.go
@@ -202,7 +202,7 @@
 		"Connection": {"keep-alive, X-Private"}, "X-Private": {"1"}, "Upgrade": {"h2c"},
 		"Expect": {"100-continue"}, "Accept": {"text/plain"}, "Idempotency-Key": {"k"},
 	}
-	header := endpointHeader(source, "id")
+	header := NewClient(nil).endpointHeader(source, "id")
 	is.Equal(header, http.Header{
 		"Accept": {"text/plain"}, "idempotency-key": {"k"}, "X-Request-Id": {"id"},
 	})
--- a/internal/transport/endpoint/control.go
+++ b/internal/transport/endpoint/control.go
@@ -95,11 +95,11 @@
 		return &Error{Step: step, Endpoint: address, Err: err}
 	}
 	d := &delivery{}
-	request, err := newRequest(address, &Attempt{Method: method, Path: path, Body: data})
+	request, err := c.newRequest(address, &Attempt{Method: method, Path: path, Body: data})
 	if err != nil {
 		return &Error{Step: step, Endpoint: address, Err: err}
 	}
-	request.Header.Del(platform.HeaderRequest)
+	request.Header.Del(c.options.AttemptHeader)
 	response, err := c.transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
 		return &Error{Step: step, Endpoint: address, Sent: d.seal(), Err: err}
--- a/internal/transport/endpoint/header_test.go
+++ b/internal/transport/endpoint/header_test.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return
 		}
-		header := endpointHeader(r.Header, "id")
+		header := NewClient(nil).endpointHeader(r.Header, "id")
 		if ids := header.Values(platform.HeaderRequest); len(ids) != 1 || ids[0] != "id" {
 			t.Fatalf("request ids %q", ids)
 		}
--- a/internal/transport/entry/admission.go
+++ b/internal/transport/entry/admission.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,7 +29,8 @@
 	discoveryPoll = 10 * time.Millisecond
 )
 
-func reject(status int, step, detail string) *caller.Problem {
+// Reject returns the refusal of a request that has not run.
+func Reject(status int, step, detail string) *caller.Problem {
 	return &caller.Problem{
 		Title: http.StatusText(status), Status: status, Detail: detail, NotRun: caller.NotRunTrue, Step: step,
 	}
@@ -45,7 +44,7 @@
 		h.refuse(r, problem)
 		return
 	}
-	body, release, problem := h.readBody(r)
+	body, release, problem := h.bodies.Read(r.writer, r.Request, h.limits.BodyBytes, r.now.Add(h.limits.BodyTimeout))
 	if problem != nil {
 		h.refuse(r, problem)
 		return
@@ -53,7 +52,7 @@
 	defer release()
 	completion, err := caller.ParseCompletion(body)
 	if err != nil {
-		h.refuse(r, reject(http.StatusBadRequest, "Parse", err.Error()))
+		h.refuse(r, Reject(http.StatusBadRequest, "Parse", err.Error()))
 		return
 	}
 	service, problem := modelService(index, completion.Model, r.Header.Get(caller.HeaderService))
@@ -79,10 +78,10 @@
 	name := r.PathValue("Service")
 	service := index.Service(name)
 	if service == nil || service.Kind != text.KindPlain {
-		h.refuse(r, reject(http.StatusNotFound, "Admit", fmt.Sprintf("there is no plain service %q in force", name)))
+		h.refuse(r, Reject(http.StatusNotFound, "Admit", fmt.Sprintf("there is no plain service %q in force", name)))
 		return
 	}
-	body, release, problem := h.readBody(r)
+	body, release, problem := h.bodies.Read(r.writer, r.Request, h.limits.BodyBytes, r.now.Add(h.limits.BodyTimeout))
 	if problem != nil {
 		h.refuse(r, problem)
 		return
@@ -99,57 +98,19 @@
 func (h *Handler) identify(r *request) (*text.Index, *text.Organisation, *caller.Problem) {
 	index := h.configurations.Index()
 	if index == nil {
-		return nil, nil, reject(http.StatusServiceUnavailable, "Configure", "no configuration is in force on this router yet")
+		return nil, nil, Reject(http.StatusServiceUnavailable, "Configure", "no configuration is in force on this router yet")
 	}
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || key == "" {
-		return nil, nil, reject(http.StatusUnauthorized, "Identify", "send your organisation's key as \"Authorization: Bearer KEY\"")
+		return nil, nil, Reject(http.StatusUnauthorized, "Identify", "send your organisation's key as \"Authorization: Bearer KEY\"")
 	}
 	organisation := index.Organisation(key)
 	if organisation == nil {
-		return nil, nil, reject(http.StatusUnauthorized, "Identify", "the key belongs to no organisation in force")
+		return nil, nil, Reject(http.StatusUnauthorized, "Identify", "the key belongs to no organisation in force")
 	}
 	return index, organisation, nil
 }
 
-// readBody reads the whole body within the bounds on size, memory and time.
-func (h *Handler) readBody(r *request) ([]byte, func(), *caller.Problem) {
-	limit := h.limits.BodyBytes
-	if r.ContentLength > limit {
-		return nil, nil, reject(http.StatusRequestEntityTooLarge, "Read", fmt.Sprintf("the body has %d bytes; at most %d are allowed", r.ContentLength, limit))
-	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !h.bodies.TryAcquire(reserved) {
-		p := reject(http.StatusServiceUnavailable, "Read", "the router holds as many bodies as it may")
-		p.RetryAt = time.Now().Add(time.Second)
-		return nil, nil, p
-	}
-	held := reserved
-	release := func() { h.bodies.Release(held) }
-	// A writer that knows no deadlines is a test's recorder.
-	controller := http.NewResponseController(r.writer)
-	_ = controller.SetReadDeadline(r.now.Add(h.limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(r.writer, r.Body, limit))
-	_ = controller.SetReadDeadline(time.Time{})
-	if err != nil {
-		release()
-		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		return nil, nil, reject(status, "Read", fmt.Sprintf("read the body: %v", err))
-	}
-	// A body of unknown length had the largest one reserved; while it waits it
-	// holds only what it is.
-	held = int64(len(body))
-	h.bodies.Release(reserved - held)
-	return body, release, nil
-}
-
 // modelService finds the service through which a model is called.
 func modelService(index *text.Index, model, wanted string) (*text.Service, *caller.Problem) {
 	doc := index.Document()
@@ -165,7 +126,7 @@
 			return s, nil
 		}
 	}
-	return nil, reject(http.StatusNotFound, "Admit", fmt.Sprintf("no service in force offers model %q", model))
+	return nil, Reject(http.StatusNotFound, "Admit", fmt.Sprintf("no service in force offers model %q", model))
 }
 
 // servesModel tells whether a caller's model name means this model: its name,
@@ -203,13 +164,13 @@
 
 func (h *Handler) check(r *request, index *text.Index, c *execution.Call) *caller.Problem {
 	if c.Class == nil {
-		return reject(http.StatusNotFound, "Admit", fmt.Sprintf("no request class of service %q matches %s %s", c.Service.Name, c.Method, c.Path))
+		return Reject(http.StatusNotFound, "Admit", fmt.Sprintf("no request class of service %q matches %s %s", c.Service.Name, c.Method, c.Path))
 	}
 	if len(c.Key) > maxKeyBytes {
-		return reject(http.StatusBadRequest, "Admit", fmt.Sprintf("the idempotency key has %d bytes; at most %d are allowed", len(c.Key), maxKeyBytes))
+		return Reject(http.StatusBadRequest, "Admit", fmt.Sprintf("the idempotency key has %d bytes; at most %d are allowed", len(c.Key), maxKeyBytes))
 	}
 	if !c.Class.Idempotent && c.Key == "" {
-		return reject(http.StatusBadRequest, "Admit", fmt.Sprintf("class %q is not idempotent; send an %s header, and the same one when you send the request again", c.Class.Name, caller.HeaderIdempotencyKey))
+		return Reject(http.StatusBadRequest, "Admit", fmt.Sprintf("class %q is not idempotent; send an %s header, and the same one when you send the request again", c.Class.Name, caller.HeaderIdempotencyKey))
 	}
 	deadline, problem := h.deadline(r)
 	if problem != nil {
@@ -234,7 +195,7 @@
 	}
 	inherited, err := strconv.Atoi(stated)
 	if err != nil {
-		return 0, reject(http.StatusBadRequest, "Admit", fmt.Sprintf("%s is %q; pass on the number that the parent call brought", caller.HeaderUrgency, stated))
+		return 0, Reject(http.StatusBadRequest, "Admit", fmt.Sprintf("%s is %q; pass on the number that the parent call brought", caller.HeaderUrgency, stated))
 	}
 	return max(c.Class.Urgency, inherited), nil
 }
@@ -254,10 +215,10 @@
 	}
 	at, err := time.Parse(time.RFC3339Nano, stated)
 	if err != nil {
-		return time.Time{}, reject(http.StatusBadRequest, "Admit", fmt.Sprintf("%s is %q; give an instant such as 2026-01-02T15:04:05Z", caller.HeaderDeadline, stated))
+		return time.Time{}, Reject(http.StatusBadRequest, "Admit", fmt.Sprintf("%s is %q; give an instant such as 2026-01-02T15:04:05Z", caller.HeaderDeadline, stated))
 	}
 	if at.Add(clockSkew).Before(r.now) {
-		return time.Time{}, reject(http.StatusGatewayTimeout, "Admit", "the deadline has passed")
+		return time.Time{}, Reject(http.StatusGatewayTimeout, "Admit", "the deadline has passed")
 	}
 	if latest := r.now.Add(maxDeadline); at.After(latest) {
 		at = latest
@@ -290,7 +251,7 @@
 		if service != nil && poolLives(v, service.Pool, now) {
 			continue
 		}
-		p := reject(http.StatusServiceUnavailable, "Depend", fmt.Sprintf("service %q has no endpoint that takes work", name))
+		p := Reject(http.StatusServiceUnavailable, "Depend", fmt.Sprintf("service %q has no endpoint that takes work", name))
 		p.RetryAt = now.Add(time.Second)
 		return p
 	}
--- a/internal/transport/entry/admission_test.go
+++ b/internal/transport/entry/admission_test.go
@@ -149,7 +149,7 @@
 	}
 	is.Equal(send(), http.StatusOK)
 	is.Equal(second, http.StatusOK) // admitted while the first runs
-	is.True(h.bodies.TryAcquire(limits.TotalBodyBytes))
+	is.True(h.bodies.room.TryAcquire(limits.TotalBodyBytes))
 }
 
 func TestLargeBodyIsRefused(t *testing.T) {
--- a/internal/transport/entry/handler.go
+++ b/internal/transport/entry/handler.go
@@ -11,7 +11,6 @@
 	"github.com/apex/log"
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 
 	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/text"
@@ -73,7 +72,7 @@
 	executor       Executor
 	registry       metrics.Registry
 	logger         log.Interface
-	bodies         *semaphore.Weighted
+	bodies         *Bodies
 	durations      metrics.Histogram
 	draining       atomic.Bool
 	mux            *http.ServeMux
@@ -85,7 +84,7 @@
 		router: router, limits: limits, configurations: configurations, views: views,
 		executor: executor, registry: registry, logger: logger,
 		durations: metrics.GetOrRegisterHistogram(MetricDuration, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
-		bodies:    semaphore.NewWeighted(limits.TotalBodyBytes), mux: http.NewServeMux(),
+		bodies:    NewBodies(limits.TotalBodyBytes), mux: http.NewServeMux(),
 	}
 	h.mux.HandleFunc("GET "+caller.PathRouters, h.routers)
 	h.mux.HandleFunc("POST "+caller.PathChatCompletions, h.model)
@@ -158,7 +157,7 @@
 
 // run executes an admitted call and reports how it ended.
 func (h *Handler) run(r *request, c *execution.Call) {
-	sink := newSink(r.writer, c.Stream, h.limits.WriteTimeout)
+	sink := NewSink(r.writer, c.Stream, h.limits.WriteTimeout)
 	err := h.executor.Run(r.Context(), c, sink)
 	h.durations.Update(time.Since(r.now).Microseconds())
 	var problem *caller.Problem
--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -10,8 +10,8 @@
 	"hyssopreach/internal/transport/endpoint"
 )
 
-// responseSink writes an answer to a caller.
-type responseSink struct {
+// Sink writes an answer to a caller; see execution.Sink.
+type Sink struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	stream     bool
@@ -19,25 +19,29 @@
 	began      bool
 }
 
-func newSink(w http.ResponseWriter, stream bool, timeout time.Duration) *responseSink {
-	return &responseSink{writer: w, controller: http.NewResponseController(w), stream: stream, timeout: timeout}
+// NewSink returns a sink over the writer. A stream is flushed with every part,
+// and a caller that takes nothing for the timeout is given up.
+func NewSink(w http.ResponseWriter, stream bool, timeout time.Duration) *Sink {
+	return &Sink{writer: w, controller: http.NewResponseController(w), stream: stream, timeout: timeout}
 }
 
 // Begin sends the head of the answer.
-func (s *responseSink) Begin(status int, header http.Header) error {
+func (s *Sink) Begin(status int, header http.Header) error {
 	s.began = true
 	h := s.writer.Header()
 	id := h.Get(caller.HeaderRequestID)
 	endpoint.CopyHeader(h, header)
 	// The endpoint repeats the attempt's id; the caller knows the request's.
-	h.Set(caller.HeaderRequestID, id)
+	if id != "" {
+		h.Set(caller.HeaderRequestID, id)
+	}
 	s.writer.WriteHeader(status)
 	return nil
 }
 
 // Write sends a part of the answer; a caller that does not take it in time is
 // given up.
-func (s *responseSink) Write(p []byte) (int, error) {
+func (s *Sink) Write(p []byte) (int, error) {
 	// A writer that knows no deadlines is a test's recorder.
 	_ = s.controller.SetWriteDeadline(time.Now().Add(s.timeout))
 	n, err := s.writer.Write(p)
@@ -53,7 +57,7 @@
 }
 
 // End finishes a whole answer.
-func (s *responseSink) End() error { return nil }
+func (s *Sink) End() error { return nil }
 
 // streamError is the last event of a stream that broke off.
 type streamError struct {
@@ -62,7 +66,7 @@
 
 // abort ends an answer that broke off so that no caller can take it for a
 // whole one: the connection is closed before the answer's end.
-func (s *responseSink) abort(id string, err error) {
+func (s *Sink) abort(id string, err error) {
 	if s.began && s.stream {
 		event, marshalErr := json.Marshal(streamError{&caller.Problem{
 			Type: "about:blank", Title: "The answer broke off", Status: http.StatusBadGateway,
--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -17,6 +17,12 @@
 	Close() error
 }
 
+// Rejecting is an answer that can say that its endpoint has not run the
+// attempt and never will.
+type Rejecting interface {
+	Rejected() bool
+}
+
 // Backend sends attempts to endpoints.
 type Backend interface {
 	// Send returns the head of the answer. An error that is, or wraps, a
--- a/internal/transport/execution/budget.go
+++ b/internal/transport/execution/budget.go
@@ -2,6 +2,14 @@
 
 import "sync"
 
+// Budget bounds what is sent again.
+type Budget interface {
+	// Earn counts a call's first attempt.
+	Earn(c *Call)
+	// Spend takes one further attempt; it fails if none is left.
+	Spend(c *Call) bool
+}
+
 // budgetBurst bounds the retries that an organisation can save up.
 const budgetBurst = 10
 
@@ -15,7 +23,12 @@
 
 func newBudget() *budget { return &budget{tokens: make(map[string]float64)} }
 
-// earn adds what one first attempt is worth.
+// Earn adds what one first attempt is worth.
+func (b *budget) Earn(c *Call) { b.earn(c.Organisation.Name, c.Organisation.RetryRatio) }
+
+// Spend takes one retry of the call's organisation.
+func (b *budget) Spend(c *Call) bool { return b.spend(c.Organisation.Name) }
+
 func (b *budget) earn(organisation string, ratio float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 )
@@ -20,6 +21,34 @@
 	Model  string
 	Prefix uint64
 	Stream bool
+	// Host is the host that the caller asked for; empty stands for the
+	// endpoint's address.
+	Host string
+	// AttemptID is the id under which endpoints know the call; empty lets each
+	// attempt have its own.
+	AttemptID string
+	// Prompt is what the caller states of its prompt; nil if it states nothing.
+	Prompt *schedule.Prompt
+	// Objective is the instant by which the answer should begin; zero if only
+	// the deadline counts.
+	Objective time.Time
+	// MaxAttempts bounds the endpoints that get the call; zero leaves that to
+	// the runner.
+	MaxAttempts int
+	// Events is set for an answer that is a series of events with ids, which
+	// are passed on one by one as they come.
+	Events bool
+	// Resumable is set if such a series may be continued at another endpoint.
+	Resumable bool
+	// LastEvent is the id of the last event that the caller has; empty if it
+	// has none.
+	LastEvent string
+	// Silence bounds the time without any byte from an endpoint after which
+	// the call goes on at another one; zero waits until the deadline.
+	Silence time.Duration
+	// RetryFailures is set if an answer by which an endpoint says that it has
+	// failed is worth another attempt.
+	RetryFailures bool
 	// Key is the caller's idempotency key; empty if there is none.
 	Key string
 	// Parent is the call on whose behalf this one is made; empty if none.
@@ -46,6 +75,9 @@
 	ID       string
 	Endpoint view.Endpoint
 	Call     *Call
+	// LastEvent is the id of the last event that the caller has; empty if it
+	// has none.
+	LastEvent string
 }
 
 // Address returns where the attempt is sent.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -91,16 +91,15 @@
 	Views      Views
 	Watchers   []Watcher
 	Gate       Gate
+	Budget     Budget
 	Logger     log.Interface
-
-	budget *budget
 }
 
 // NewRunner returns a runner over the given parts.
 func NewRunner(scheduling *Scheduling, backend Backend, views Views, logger log.Interface, watchers ...Watcher) *Runner {
 	return &Runner{
 		Scheduling: scheduling, Backend: backend, Views: views, Watchers: watchers,
-		Gate: openGate{}, Logger: logger, budget: newBudget(),
+		Gate: openGate{}, Budget: newBudget(), Logger: logger,
 	}
 }
 
@@ -110,42 +109,48 @@
 func (r *Runner) Run(ctx context.Context, c *Call, sink Sink) error {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	r.budget.earn(c.Organisation.Name, c.Organisation.RetryRatio)
+	r.Budget.Earn(c)
 	out := &begun{Sink: sink}
-	sent := false
-	for tries := 1; ; tries++ {
-		start, err := r.admit(ctx, c)
+	p := &progress{call: c, lastEvent: c.LastEvent}
+	for {
+		start, err := r.admit(ctx, p)
 		if err != nil {
-			return refusal(c, err, sent)
+			if out.started {
+				return &BrokenError{Err: err}
+			}
+			return refusal(c, err, p.ran)
 		}
-		result, err := r.attempt(ctx, c, start, out)
+		result, err := r.attempt(ctx, p, start, out)
 		r.Gate.Over(c, start.Endpoint, result)
 		if err == nil {
 			return nil
 		}
-		sent = sent || result != schedule.ResultNotSent
-		if out.started {
-			return &BrokenError{Err: err}
-		}
-		if ctx.Err() != nil || !r.mayRetry(c, result, tries) {
-			return failure(c, err, sent)
+		p.failed(start.Endpoint, result)
+		mayGoOn := !out.started || p.resumes()
+		if ctx.Err() != nil || !mayGoOn || !r.mayRetry(p, result) {
+			if out.started {
+				return &BrokenError{Err: err}
+			}
+			return failure(c, err, p.ran)
 		}
 		r.Logger.WithFields(log.Fields{
-			"RequestID": c.RequestID, "Organisation": c.Organisation.Name, "Tries": tries, "Error": err,
+			"RequestID": c.RequestID, "Organisation": c.Organisation.Name, "Tries": p.tries, "Result": result,
+			"LastEvent": p.lastEvent, "Error": err,
 		}).Info("AttemptRetried")
 	}
 }
 
 // admit waits until the call may run and has a place to run. What is learnt
 // about the call while it waits for the place makes it wait anew.
-func (r *Runner) admit(ctx context.Context, c *Call) (schedule.Start, error) {
+func (r *Runner) admit(ctx context.Context, p *progress) (schedule.Start, error) {
+	c := p.call
 	for {
 		alone, err := r.Gate.Admit(ctx, c)
 		if err != nil {
 			return schedule.Start{}, err
 		}
 		c.Exclusive = alone
-		start, err := r.Scheduling.Wait(ctx, request(c))
+		start, err := r.Scheduling.Wait(ctx, request(p))
 		if err != nil {
 			r.Gate.Over(c, "", schedule.ResultNotSent)
 			return schedule.Start{}, err
@@ -158,19 +163,33 @@
 	}
 }
 
-// mayRetry allows a further attempt only where it is surely safe: nothing was
-// sent, or the request is idempotent.
-func (r *Runner) mayRetry(c *Call, result schedule.Result, tries int) bool {
-	if tries >= maxAttempts {
+// mayRetry allows a further attempt only where it is surely safe: nothing ran,
+// or the request is idempotent. What never reached an endpoint costs nothing of
+// the budget where endpoints are what it protects.
+func (r *Runner) mayRetry(p *progress, result schedule.Result) bool {
+	if p.paid {
+		p.paid = false
+		return true
+	}
+	if p.tries >= maxAttempts {
 		return false
 	}
-	if result != schedule.ResultNotSent && !c.Class.Idempotent {
+	if p.ran && !p.call.Class.Idempotent {
 		return false
 	}
-	return r.budget.spend(c.Organisation.Name)
+	if p.call.MaxAttempts > 0 {
+		if result == schedule.ResultNotSent {
+			return true
+		}
+		if p.arrived >= p.call.MaxAttempts {
+			return false
+		}
+	}
+	return r.Budget.Spend(p.call)
 }
 
-func request(c *Call) schedule.Request {
+func request(p *progress) schedule.Request {
+	c := p.call
 	return schedule.Request{
 		Organisation: c.Organisation.Name,
 		Service:      c.Service.Name,
@@ -180,6 +199,9 @@
 		MayWait:      c.Class.MayWait,
 		Estimate:     c.Class.EstimatedCost,
 		Deadline:     c.Deadline,
+		Objective:    c.Objective,
+		Prompt:       c.Prompt,
+		Tried:        p.tried,
 		Prefix:       c.Prefix,
 		BodyBytes:    int64(len(c.Body)),
 		Exclusive:    c.Exclusive,
@@ -189,17 +211,21 @@
 
 // attempt sends the call to the endpoint that the scheduler chose and copies
 // the answer. It always ends the start with a Completion.
-func (r *Runner) attempt(ctx context.Context, c *Call, start schedule.Start, out *begun) (schedule.Result, error) {
+func (r *Runner) attempt(ctx context.Context, p *progress, start schedule.Start, out *begun) (schedule.Result, error) {
+	c := p.call
 	meter := newMeter(c.Service.Kind == text.KindModel, c.Stream, time.Now())
-	a := &Attempt{ID: uuid.NewString(), Call: c}
+	a := &Attempt{ID: c.AttemptID, Call: c, LastEvent: p.lastEvent}
+	if a.ID == "" {
+		a.ID = uuid.NewString()
+	}
 	result, err := schedule.ResultNotSent, error(nil)
-	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok {
+	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok && !(c.MaxAttempts > 0 && e.Leaving) {
 		a.Endpoint = e
 		r.logStart(a, start)
 		for _, w := range r.Watchers {
 			w.AttemptStarted(a)
 		}
-		result, err = r.exchange(ctx, a, start.ID, meter, out)
+		result, err = r.exchange(ctx, a, start.ID, meter, out, p)
 		for _, w := range r.Watchers {
 			w.AttemptEnded(a, result, err)
 		}
@@ -230,25 +256,54 @@
 }
 
 // exchange sends the attempt and copies the answer to the sink.
-func (r *Runner) exchange(ctx context.Context, a *Attempt, id schedule.RequestID, m *meter, out *begun) (schedule.Result, error) {
+func (r *Runner) exchange(ctx context.Context, a *Attempt, id schedule.RequestID, m *meter, out *begun, p *progress) (schedule.Result, error) {
+	ctx, watch := newWatchdog(ctx, a.Call.Silence)
+	defer watch.stop()
 	answer, err := r.Backend.Send(ctx, a)
 	if err != nil {
-		return sendResult(ctx, err), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
+		return watch.result(sendResult(ctx, err)), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
 	}
 	defer func() { _ = answer.Close() }()
-	if a.Call.Class.Idempotent && rejects(a.Call, answer.Status()) {
-		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered that it is unavailable", a.Endpoint.ID)
+	watch.heard()
+	if rejected(a.Call, answer) {
+		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered status %d: it has not run the attempt", a.Endpoint.ID, answer.Status())
 	}
-	if err := r.copyAnswer(ctx, answer, id, m, out); err != nil {
+	if a.Call.RetryFailures && answer.Status() >= http.StatusInternalServerError && r.mayRetry(p.after(schedule.ResultFailed), schedule.ResultFailed) {
+		p.paid = true
+		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
+	}
+	if a.Call.Events && answer.Status() < http.StatusMultipleChoices {
+		err = r.copyEvents(ctx, answer, id, watch, out, p)
+	} else if out.started {
+		err = fmt.Errorf("the answer to a resumed stream has status %d", answer.Status())
+	} else {
+		err = r.copyAnswer(ctx, answer, id, m, out)
+	}
+	if err != nil {
 		var gone *sinkError
-		if ctx.Err() != nil || errors.As(err, &gone) {
-			return schedule.ResultCancelled, fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
+		if errors.As(err, &gone) {
+			return schedule.ResultCancelled, fmt.Errorf("pass on answer of endpoint %s: %w", a.Endpoint.ID, err)
+		}
+		result := schedule.ResultBroken
+		if ctx.Err() != nil {
+			result = schedule.ResultCancelled
 		}
-		return schedule.ResultBroken, fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
+		return watch.result(result), fmt.Errorf("read answer of endpoint %s: %w", a.Endpoint.ID, err)
+	}
+	if answer.Status() >= http.StatusInternalServerError && a.Call.MaxAttempts > 0 {
+		return schedule.ResultFailed, nil
 	}
 	return schedule.ResultFinished, nil
 }
 
+// rejected reports whether the endpoint says that it has not run the attempt.
+func rejected(c *Call, answer Answer) bool {
+	if a, ok := answer.(Rejecting); ok {
+		return a.Rejected()
+	}
+	return c.Class.Idempotent && rejects(c, answer.Status())
+}
+
 // rejects reports whether a status says that the endpoint did not run the
 // call: it is full, or an engine that no longer holds the model.
 func rejects(c *Call, status int) bool {
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -23,6 +23,8 @@
 	Receive(from view.RouterID, incarnation uint64, m *wire.Message)
 	// Fetch returns the configuration in force.
 	Fetch(ctx context.Context, query *wire.ConfigurationQuery) (*wire.ConfigurationText, error)
+	// Confirm tells how fresh the configuration in force is.
+	Confirm(ctx context.Context, query *wire.ConfirmationQuery) (*wire.Confirmation, error)
 	// Answer sends the parts of a kept or running answer.
 	Answer(ctx context.Context, query *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
 }
@@ -103,6 +105,11 @@
 	return s.handler.Fetch(ctx, query)
 }
 
+// Confirm answers with the age of the configuration in force.
+func (s *Server) Confirm(ctx context.Context, query *wire.ConfirmationQuery) (*wire.Confirmation, error) {
+	return s.handler.Confirm(ctx, query)
+}
+
 // Answer sends a kept or running answer.
 func (s *Server) Answer(query *wire.AnswerQuery, stream wire.DRPCPeer_AnswerStream) error {
 	if err := s.handler.Answer(stream.Context(), query, stream.Send); err != nil {
--- a/internal/transport/router/fleet.go
+++ b/internal/transport/router/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopreach/internal/state/revision"
+	"hyssopreach/internal/state/route"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 )
@@ -22,6 +23,8 @@
 	inForce   revision.Configuration   // guarded by mu
 	inForceAt time.Time                // guarded by mu
 	watchers  []func(s *view.Snapshot) // guarded by mu
+	// table is set in a router that a platform hosts. Guarded by mu.
+	table *route.Table
 	// withdrawn are the models for which an endpoint gets no new work.
 	withdrawn map[view.EndpointID]withdrawal // guarded by mu
 
@@ -92,6 +95,7 @@
 		Self: f.self, Routers: f.routers, Endpoints: f.withoutWithdrawn(time.Now()),
 		Organisations: organisations(f.inForce.Document), Revision: f.inForce.Revision,
 	}
+	f.withTable(s)
 	f.snapshot.Store(s)
 	for _, callback := range f.watchers {
 		callback(s)
--- /dev/null
+++ b/internal/transport/router/hosted_fleet.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"slices"
+
+	"github.com/apex/log"
+
+	"hyssopreach/internal/state/route"
+	"hyssopreach/internal/state/view"
+)
+
+// setTable takes what scheduling needs of a configuration.
+func (f *fleet) setTable(t *route.Table) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.table = t
+	f.publish()
+}
+
+// setListed replaces the endpoints, if they have changed, and logs how.
+func (f *fleet) setListed(endpoints []view.Endpoint, logger log.Interface) {
+	before := f.View().Endpoints
+	if slices.EqualFunc(before, endpoints, sameEndpoint) {
+		return
+	}
+	f.setEndpoints(endpoints)
+	for i := range endpoints {
+		e := &endpoints[i]
+		at := slices.IndexFunc(before, func(o view.Endpoint) bool { return o.ID == e.ID })
+		if at < 0 || before[at].Leaving != e.Leaving {
+			logger.WithFields(log.Fields{"Endpoint": e.ID, "Pool": e.Pool, "Address": e.Address, "Leaving": e.Leaving}).Info("EndpointListed")
+		}
+	}
+	for i := range before {
+		id := before[i].ID
+		if !slices.ContainsFunc(endpoints, func(o view.Endpoint) bool { return o.ID == id }) {
+			logger.WithField("Endpoint", id).Info("EndpointGone")
+		}
+	}
+}
+
+func sameEndpoint(a, b view.Endpoint) bool {
+	return a.ID == b.ID && a.Pool == b.Pool && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
+		a.Leaving == b.Leaving
+}
+
+// withTable completes a snapshot from the table of routes, if there is one. It
+// requires that mu is held.
+func (f *fleet) withTable(s *view.Snapshot) {
+	if f.table == nil {
+		return
+	}
+	s.Revision = f.table.Version
+	s.Pools = make(map[string]view.Pool, len(f.table.Services))
+	for name, service := range f.table.Services {
+		s.Pools[name] = view.Pool{TokensPerSecond: service.TokensPerSecond}
+	}
+	s.Endpoints = slices.Clone(s.Endpoints)
+	for i := range s.Endpoints {
+		e := &s.Endpoints[i]
+		service := f.table.Services[e.Pool]
+		if service.Slots > 0 {
+			e.Slots = service.Slots
+		}
+		e.MemoryTokens = service.MemoryTokens
+	}
+}
--- a/internal/transport/router/peers.go
+++ b/internal/transport/router/peers.go
@@ -24,7 +24,10 @@
 	receivers map[string]receiver
 	// schedule takes the messages between schedulers, of whatever kind.
 	schedule func(schedule.Delivery)
-	answers  func(ctx context.Context, q *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
+	// confirm tells what has been read of the platform's store; nil if there
+	// is none.
+	confirm func(q *wire.ConfirmationQuery) (*wire.Confirmation, error)
+	answers func(ctx context.Context, q *wire.AnswerQuery, send func(*wire.AnswerPart) error) error
 }
 
 // On registers the receiver of a kind of message. All registrations happen
@@ -73,6 +76,14 @@
 	return wire.FromConfiguration(&c)
 }
 
+// Confirm tells a peer what this router has read of the platform's store.
+func (p *peers) Confirm(_ context.Context, q *wire.ConfirmationQuery) (*wire.Confirmation, error) {
+	if p.confirm == nil {
+		return nil, fmt.Errorf("confirm configuration: this router reads no store")
+	}
+	return p.confirm(q)
+}
+
 // Answer sends a kept or running answer to a peer.
 func (p *peers) Answer(ctx context.Context, q *wire.AnswerQuery, send func(*wire.AnswerPart) error) error {
 	if p.answers == nil {
