Bound the age of what is learnt at second hand

A router whose reads the store refused took whatever the first other router told, up to 4.3 s old, and told it on; and a gap of over 1 s between two lists was taken for an outage of the store, after which missing entries are kept. Ruled out: the store's own lag (the routers that read it saw the entry go after 0.13 and 0.5 s).

--- a/internal/coordination/listing/table.go
+++ b/internal/coordination/listing/table.go
@@ -8,28 +8,32 @@
 	"hyssopreach/internal/state/view"
 )
 
-// outage is the time without a list after which entries may have lapsed.
-const outage = time.Second
-
 // Table holds the newest list. It is not safe for concurrent use.
 type Table struct {
-	// relisted is the time in which lapsed entries come back.
-	relisted  time.Duration
+	limits    Limits
 	known     map[view.EndpointID]view.Endpoint
 	lastRead  time.Time
 	keepUntil time.Time
 }
 
-// New returns an empty table. Entries that lapsed in an outage are back after
-// the given time.
-func New(relisted time.Duration) *Table {
-	return &Table{relisted: relisted, known: map[view.EndpointID]view.Endpoint{}}
+// Limits say how entries lapse and come back.
+type Limits struct {
+	// Lapse is the time without a list after which entries may have lapsed.
+	Lapse time.Duration
+	// Relisted is the time after the next list in which they are back.
+	Relisted time.Duration
+}
+
+// New returns an empty table.
+func New(l Limits) *Table {
+	return &Table{limits: l, known: map[view.EndpointID]view.Endpoint{}}
 }
 
-// Read takes a list and returns the endpoints that exist, sorted by ID.
+// Read takes a list that was read at the given instant and returns the
+// endpoints that exist, sorted by ID.
 func (t *Table) Read(now time.Time, list []view.Endpoint) []view.Endpoint {
-	if !t.lastRead.IsZero() && now.Sub(t.lastRead) > outage {
-		t.keepUntil = now.Add(t.relisted)
+	if !t.lastRead.IsZero() && now.Sub(t.lastRead) > t.limits.Lapse {
+		t.keepUntil = now.Add(t.limits.Relisted)
 	}
 	t.lastRead = now
 	known := make(map[view.EndpointID]view.Endpoint, len(list))
--- a/internal/transport/clock/clock.go
+++ b/internal/transport/clock/clock.go
@@ -26,6 +26,10 @@
 // Sub returns the time from the other instant to this one.
 func (i Instant) Sub(other Instant) time.Duration { return i.sinceStart - other.sinceStart }
 
+// Time returns the instant as a value for code that takes any clock. It must be
+// compared only with others from here.
+func (i Instant) Time() time.Time { return time.Unix(0, 0).Add(i.sinceStart) }
+
 // After reports whether this instant is later than the other.
 func (i Instant) After(other Instant) bool { return i.sinceStart > other.sinceStart }
 
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	local "hyssopreach/internal/coordination/admission"
+	"hyssopreach/internal/coordination/listing"
 	"hyssopreach/internal/coordination/membership"
 	"hyssopreach/internal/coordination/retry"
 	"hyssopreach/internal/coordination/schedule"
@@ -70,9 +71,8 @@
 	// ConfirmFor is the time after a read of the configuration for which a
 	// caller's key may still be accepted.
 	ConfirmFor time.Duration
-	// Relisted is the time after the store's return in which the entries of
-	// endpoints that lapsed meanwhile come back.
-	Relisted time.Duration
+	// Listing says how entries of endpoints lapse and come back.
+	Listing listing.Limits
 	// StopWithin is the time that a planned stop may take.
 	StopWithin time.Duration
 	// Repeats bounds what the fleet sends again.
--- /dev/null
+++ b/internal/transport/router/hosted_test.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"hyssopreach/internal/coordination/listing"
+	"hyssopreach/internal/coordination/retry"
+	"hyssopreach/internal/state/route"
+	"hyssopreach/internal/state/settings"
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/execution"
+)
+
+// store is a platform's store that may refuse some routers.
+type store struct {
+	mu      sync.Mutex
+	version uint64                 // guarded by mu
+	leaving bool                   // guarded by mu
+	refused map[view.RouterID]bool // guarded by mu
+}
+
+// hostedPlatform is what one router sees of the store.
+type hostedPlatform struct {
+	store *store
+	self  view.RouterID
+}
+
+var errRefused = errors.New("refused")
+
+func (p *hostedPlatform) read(data func() string) ([]byte, error) {
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	if p.store.refused[p.self] {
+		return nil, errRefused
+	}
+	return []byte(data()), nil
+}
+
+func (p *hostedPlatform) ReadConfiguration(context.Context) ([]byte, error) {
+	return p.read(func() string { return fmt.Sprint(p.store.version) })
+}
+
+func (p *hostedPlatform) ReadEndpoints(context.Context) ([]byte, error) {
+	return p.read(func() string { return fmt.Sprint(p.store.leaving) })
+}
+
+func (p *hostedPlatform) ParseConfiguration(data []byte) (*route.Table, error) {
+	var version uint64
+	if _, err := fmt.Sscan(string(data), &version); err != nil {
+		return nil, err
+	}
+	routes := []route.Route{
+		{Host: "h", PathPrefix: "/open/", Anonymous: true, Class: text.Class{Name: "open", MayWait: true}, Targets: []route.Target{{Service: &text.Service{Name: "s", Pool: "s"}, Weight: 1}}},
+		{Host: "h", PathPrefix: "/keyed/", Class: text.Class{Name: "keyed", MayWait: true}, Targets: []route.Target{{Service: &text.Service{Name: "s", Pool: "s"}, Weight: 1}}},
+	}
+	organisations := []route.Organisation{{Organisation: text.Organisation{Name: "o"}, Keys: []string{"k"}}}
+	return route.New(version, routes, nil, organisations, route.Limits{}), nil
+}
+
+func (p *hostedPlatform) ParseEndpoints(data []byte) ([]view.Endpoint, error) {
+	return []view.Endpoint{{ID: "e#0", Pool: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: string(data) == "true"}}, nil
+}
+
+func (p *hostedPlatform) Backend(*Core) execution.Backend { return nil }
+
+func (p *hostedPlatform) Faces(*Core) []Face { return nil }
+
+// startHostedFleet starts routers that know each other.
+func startHostedFleet(t *testing.T, s *store, count int) []*Hosted {
+	is := is.New(t)
+	addresses := make([]netip.AddrPort, count)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		addresses[i] = netip.MustParseAddrPort(l.Addr().String())
+		is.NoErr(l.Close())
+	}
+	fleet := make([]*Hosted, count)
+	for i := range fleet {
+		own := settings.Default()
+		own.Name, own.FailureDomain, own.PeerAddress, own.Peers = view.RouterID(fmt.Sprint("r", i)), "d", addresses[i], addresses
+		own.CallerAddress = netip.MustParseAddrPort("127.0.0.1:1")
+		r, err := StartHosted(t.Context(), Hosting{
+			Options: Options{
+				Settings: own, Incarnation: uint64(time.Now().UnixNano()), Network: NewNetwork(netip.Addr{}),
+				Logger: &log.Logger{Handler: discard.Default}, Registry: metrics.NewRegistry(),
+			},
+			Platform: &hostedPlatform{s, own.Name}, ConfirmFor: 2 * time.Second, Listing: listing.Limits{Lapse: time.Second, Relisted: time.Second},
+			StopWithin: time.Second, Repeats: retry.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
+		})
+		is.NoErr(err)
+		t.Cleanup(r.Close)
+		fleet[i] = r
+	}
+	for _, r := range fleet {
+		waitFor(t, "the routers know each other", func() bool { return len(r.fleet.View().Routers) == count })
+		waitFor(t, "a configuration", func() bool { return r.core.Table() != nil })
+	}
+	return fleet
+}
+
+func waitFor(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !met(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not seen", what)
+		}
+	}
+}
+
+// TestChangesReachRoutersThatTheStoreRefuses is the pattern of a store that
+// turns away the routers that read it for the fleet and serves the others.
+func TestChangesReachRoutersThatTheStoreRefuses(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	fleet := startHostedFleet(t, s, 5)
+	owners := fleet[0].fleet.View().Owners("store", readers)
+	s.mu.Lock()
+	for _, id := range owners {
+		s.refused[id] = true
+	}
+	s.version, s.leaving = 2, true
+	s.mu.Unlock()
+	for _, r := range fleet {
+		waitFor(t, "the change at "+string(r.self.ID), func() bool {
+			v := r.fleet.View()
+			return r.core.Table().Version == 2 && len(v.Endpoints) == 1 && v.Endpoints[0].Leaving
+		})
+	}
+	// What is confirmed at second hand must be young enough to act on.
+	for _, r := range fleet {
+		waitFor(t, "a fresh confirmation at "+string(r.self.ID), func() bool { return r.sources.confirmedWithin(staleAfter + readInterval) })
+	}
+	for _, r := range fleet {
+		fresh, err := fleet[(1+indexOf(fleet, r))%len(fleet)].sources.ask(r.self.ID, time.Minute)
+		is.NoErr(err)
+		is.True(fresh)
+	}
+}
+
+func indexOf(fleet []*Hosted, r *Hosted) int {
+	for i := range fleet {
+		if fleet[i] == r {
+			return i
+		}
+	}
+	return -1
+}
+
+// TestKeysAreRefusedOnceNobodyCanConfirmThem is the pattern of a store that is
+// away for everyone: keyed work ends, anonymous work goes on.
+func TestKeysAreRefusedOnceNobodyCanConfirmThem(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	fleet := startHostedFleet(t, s, 2)
+	keyed := &Asked{ID: "1", Host: "h", Path: "/keyed/x", Key: "k"}
+	_, problem := fleet[0].core.Admit(keyed, time.Now())
+	is.Equal(problem, nil)
+	_, problem = fleet[0].core.Admit(&Asked{ID: "2", Host: "h", Path: "/keyed/x", Key: "unknown"}, time.Now())
+	is.Equal(problem.Status, http.StatusUnauthorized)
+	s.mu.Lock()
+	s.refused["r0"], s.refused["r1"] = true, true
+	s.mu.Unlock()
+	waitFor(t, "keyed work is refused", func() bool {
+		_, problem = fleet[0].core.Admit(keyed, time.Now())
+		return problem != nil
+	})
+	is.Equal(problem.Status, http.StatusServiceUnavailable) // it is not known that the key is bad
+	is.True(!problem.RetryAt.IsZero())
+	_, problem = fleet[0].core.Admit(&Asked{ID: "3", Host: "h", Path: "/none/x"}, time.Now())
+	is.Equal(problem.Status, http.StatusServiceUnavailable) // nor that the route does not exist
+	_, problem = fleet[0].core.Admit(&Asked{ID: "4", Host: "h", Path: "/open/x"}, time.Now())
+	is.Equal(problem, nil)
+}
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,12 +30,16 @@
 	askTimeout = 300 * time.Millisecond
 	// readers is the number of routers that read the store for the fleet.
 	readers = 2
-	// staleAfter is the age above which what a reader tells is not enough, and
-	// this router reads the store itself.
-	staleAfter = 1200 * time.Millisecond
-	// askAround is the number of routers that are asked when neither the store
-	// nor the readers answer.
-	askAround = 4
+	// readerAge is the age above which what a reader tells is not enough: it
+	// has missed a read.
+	readerAge = readInterval + 200*time.Millisecond
+	// staleAfter is the same for what other routers tell at second hand. With
+	// the time between two reads it stays under the shortest bound within
+	// which a change must act, 2 s.
+	staleAfter = 800 * time.Millisecond
+	// askAround is the number of routers that are asked while neither the
+	// store nor the readers answer.
+	askAround = 8
 )
 
 // reading is something read of the store and when the read was sent.
@@ -55,7 +60,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	loop   sync.WaitGroup
-	// direct is set while this router reads the store itself, for the log.
+	// lost is set while this router's own reads fail; only run uses it.
 	lost bool
 
 	mu            sync.Mutex
@@ -70,7 +75,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &sources{
 		router: r, peers: p, core: r.core, asker: r.links.NewAsker(), logger: r.hosting.Logger, ctx: ctx, cancel: cancel,
-		table: listing.New(r.hosting.Relisted),
+		table: listing.New(r.hosting.Listing),
 	}
 	p.confirm = s.confirm
 	s.loop.Go(s.run)
@@ -93,41 +98,61 @@
 	}
 }
 
-// refresh reads what is new by the first way that works.
+// refresh reads what is new by the first way that works. While the store is
+// lost it is tried beside the other routers, since a call to it may hang.
 func (s *sources) refresh() {
 	v := s.router.fleet.View()
 	var errs []error
 	owners := v.Owners("store", readers)
-	if len(owners) > 0 && owners[0] != v.Self && owners[len(owners)-1] != v.Self {
-		for _, id := range owners {
-			fresh, err := s.ask(id, staleAfter)
-			if fresh {
-				s.regained()
-				return
-			}
-			errs = append(errs, err)
+	if len(owners) > 0 && !slices.Contains(owners, v.Self) {
+		if errs = s.askFirst(owners, readerAge); errs == nil {
+			s.regained()
+			return
 		}
 	}
+	if s.lost {
+		s.refreshAround(v)
+		return
+	}
 	err := s.readStore()
 	if err == nil {
-		s.regained()
 		return
 	}
 	errs = append(errs, err)
-	for _, id := range v.Owners("around/"+string(v.Self), askAround+1) {
-		if id == v.Self {
-			continue
-		}
-		fresh, err := s.ask(id, s.router.hosting.ConfirmFor)
+	s.lost = s.ctx.Err() == nil
+	s.logger.WithField("Error", errors.Join(errs...)).Warn("StoreLost")
+	s.askFirst(s.others(v), staleAfter)
+}
+
+// refreshAround asks the others while it tries the store.
+func (s *sources) refreshAround(v *view.Snapshot) {
+	var store sync.WaitGroup
+	var err error
+	store.Go(func() { err = s.readStore() })
+	s.askFirst(s.others(v), staleAfter)
+	store.Wait()
+	if err == nil {
+		s.regained()
+	}
+}
+
+// others are the routers to ask, in an order of this router's own.
+func (s *sources) others(v *view.Snapshot) []view.RouterID {
+	return slices.DeleteFunc(v.Owners("around/"+string(v.Self), askAround+1), func(id view.RouterID) bool { return id == v.Self })
+}
+
+// askFirst asks the routers in turn until one of them tells of a read of the
+// store within the given time; if none has, it tells why.
+func (s *sources) askFirst(routers []view.RouterID, within time.Duration) []error {
+	errs := []error{}
+	for _, id := range routers {
+		fresh, err := s.ask(id, within)
 		if fresh {
-			break
+			return nil
 		}
 		errs = append(errs, err)
 	}
-	if !s.lost && s.ctx.Err() == nil {
-		s.lost = true
-		s.logger.WithField("Error", errors.Join(errs...)).Warn("StoreLost")
-	}
+	return errs
 }
 
 func (s *sources) regained() {
@@ -250,7 +275,7 @@
 		return err
 	}
 	s.list, s.listHash = r, xxhash.Sum64(r.data)
-	s.router.fleet.setListed(s.table.Read(time.Now(), list), s.logger)
+	s.router.fleet.setListed(s.table.Read(r.at.Time(), list), s.logger)
 	return nil
 }
 
