--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -25,8 +25,9 @@
 	// first token must be expected, since expectations err.
 	startMargin = 0.9
 	// rereadPenalty is the time that one token of a shared part counts which
-	// an engine has to read although another one holds it.
-	rereadPenalty = 80 * time.Microsecond
+	// an engine has to read although another one holds it. It makes a request
+	// wait for the engine that holds its beginning as long as that is in time.
+	rereadPenalty = 400 * time.Microsecond
 	// minRetry and maxRetry bound the time after which a refused caller is
 	// asked to come back.
 	minRetry, maxRetry = 200 * time.Millisecond, 2 * time.Second
@@ -41,7 +42,16 @@
 	// begins is when the first token is expected, from now.
 	begins time.Duration
 	ahead  int64
-	score  time.Duration
+	// home is set for the endpoint that keeps the shared beginning.
+	home bool
+	// soon is set if the request may be sent there now.
+	soon  bool
+	score time.Duration
+}
+
+// better prefers what may start now, and then the lower score.
+func (c *choice) better(other *choice) bool {
+	return c.score < other.score
 }
 
 // scan starts what can start and refuses what cannot start in time.
@@ -62,9 +72,9 @@
 	kept := l.lines.waiting[:0]
 	for _, w := range l.lines.waiting {
 		excess := all[w.request.Organisation].received >= level
-		best, found := p.choose(now, l, w, loads)
+		best, found := p.choose(now, l, w, loads, excess)
 		switch {
-		case found && p.starts(now, w, best, excess):
+		case found && best.soon:
 			p.start(now, w, best)
 			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total(now)
 			o := all[w.request.Organisation]
@@ -101,7 +111,7 @@
 
 // choose returns the endpoint at which the request should begin soonest, the
 // time to read again what another endpoint holds counted in.
-func (p *Policy) choose(now time.Time, l *pool, w *waiter, loads []load) (choice, bool) {
+func (p *Policy) choose(now time.Time, l *pool, w *waiter, loads []load, excess bool) (choice, bool) {
 	home := p.home(now, l, w)
 	var best choice
 	found := false
@@ -119,7 +129,8 @@
 			if !e.fits(loads[i], c.work) {
 				continue
 			}
-			if !found || c.score < best.score {
+			c.soon = p.starts(now, w, c, excess)
+			if !found || c.better(&best) {
 				best, found = c, true
 			}
 		}
@@ -132,7 +143,7 @@
 
 // weigh tells what the request would meet at the endpoint.
 func (p *Policy) weigh(now time.Time, w *waiter, e *endpoint, l load, home bool) choice {
-	c := choice{endpoint: e, work: e.workOf(now, w.request.Prompt)}
+	c := choice{endpoint: e, work: e.workOf(now, w.request.Prompt), home: home}
 	if w.request.Prompt == nil {
 		// A plain service reads nothing; its queue is what counts.
 		c.score = e.standing.penalty() + time.Duration(l.requests+1)*plainTime + p.distance(e) +
@@ -247,8 +258,8 @@
 	p.usage.take(now, w.request.Organisation, w.cost)
 	p.emit(schedule.Start{
 		ID: w.request.ID, Endpoint: c.endpoint.ID,
-		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,speed=%.0f",
-			now.Sub(w.arrived).Round(time.Millisecond), c.begins.Round(time.Millisecond), c.ahead, c.work.unread, c.endpoint.speed),
+		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f",
+			now.Sub(w.arrived).Round(time.Millisecond), c.begins.Round(time.Millisecond), c.ahead, c.work.unread, c.home, c.endpoint.speed),
 	})
 }
 
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -65,11 +65,10 @@
 // copyEvents passes whole events on as they come. The head is held back until
 // the first of them, so that a stream that breaks before can still be tried
 // elsewhere; a stream that goes on elsewhere keeps its first head.
-func (r *Runner) copyEvents(ctx context.Context, answer Answer, id schedule.RequestID, watch *watchdog, out *begun, p *progress) error {
+func (r *Runner) copyEvents(ctx context.Context, answer Answer, pace *pace, watch *watchdog, out *begun, p *progress) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(pooled)
 	var held eventBuffer
-	pace := newPace(time.Now(), r.Scheduling, id)
 	for {
 		n, readErr := answer.Read(pooled[:])
 		if n > 0 {
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -273,7 +273,7 @@
 		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
 	}
 	if a.Call.Events && answer.Status() < http.StatusMultipleChoices {
-		err = r.copyEvents(ctx, answer, id, watch, out, p)
+		err = r.copyEvents(ctx, answer, newPace(m.begin, r.Scheduling, id), watch, out, p)
 	} else if out.started {
 		err = fmt.Errorf("the answer to a resumed stream has status %d", answer.Status())
 	} else {
