Keep engines from strain, first of all by what organisations ask beyond their share

Change: an engine whose streams' events come slower than 170 ms apart on average gets no new work, and nothing of an organisation above its share from 119 ms on.

--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -29,6 +29,8 @@
 	// pauseLimit is the pause between two parts of its answers above which an
 	// engine gets no more work.
 	pauseLimit = 280 * time.Millisecond
+	// paceLimit is the same for the mean time between two events of a stream.
+	paceLimit = 170 * time.Millisecond
 	// silentAfter is the time without a sign of life from an endpoint that
 	// runs requests after which it is taken for silent.
 	silentAfter = 1200 * time.Millisecond
@@ -78,6 +80,8 @@
 	speed  float64
 	learnt bool
 	pause  average
+	// pace is the mean time between two events of its streams.
+	pace average
 	// heardAt is when the endpoint last gave a sign of life, or when work was
 	// first sent to it after a time without any.
 	heardAt time.Time
@@ -145,7 +149,16 @@
 	if e.MemoryTokens > 0 && t.requests > 0 && float64(t.memory+w.memory) > memoryShare*float64(e.MemoryTokens) {
 		return false
 	}
-	return t.requests == 0 || e.pause.value < float64(pauseLimit)
+	return true
+}
+
+// strain is how slow the endpoint's streams are against what they may be; from
+// 1 on it should get no more work.
+func (e *endpoint) strain(t load) float64 {
+	if t.requests == 0 {
+		return 0
+	}
+	return max(e.pause.value/float64(pauseLimit), e.pace.value/float64(paceLimit))
 }
 
 // begins is the time after which the endpoint is expected to begin its answer
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -136,6 +136,9 @@
 	}
 	e := r.endpoint
 	e.heardAt = now
+	if in.Pace > 0 {
+		e.pace.add(float64(in.Pace))
+	}
 	if in.Pause > 0 {
 		e.pause.add(float64(in.Pause))
 	}
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -21,6 +21,9 @@
 	depthShare = 0.55
 	// excessShare is the same for an organisation that has had its share.
 	excessShare = 0.3
+	// excessStrain is how slow the streams of an engine may be, against what they
+	// may be for others, that such an organisation adds work to.
+	excessStrain = 0.7
 	// startMargin is the part of the time left to the objective in which the
 	// first token must be expected, since expectations err.
 	startMargin = 0.9
@@ -28,6 +31,9 @@
 	// an engine has to read although another one holds it. It makes a request
 	// wait for the engine that holds its beginning as long as that is in time.
 	rereadPenalty = 400 * time.Microsecond
+	// strainPenalty is the time that an endpoint counts more whose streams are
+	// twice as slow as they may be.
+	strainPenalty = time.Second
 	// minRetry and maxRetry bound the time after which a refused caller is
 	// asked to come back.
 	minRetry, maxRetry = 200 * time.Millisecond, 2 * time.Second
@@ -39,6 +45,8 @@
 type choice struct {
 	endpoint *endpoint
 	work     work
+	// strain is the endpoint's; see there.
+	strain float64
 	// begins is when the first token is expected, from now.
 	begins time.Duration
 	ahead  int64
@@ -152,7 +160,8 @@
 	}
 	c.ahead = l.backlog + c.work.unread
 	c.begins = e.begins(c.ahead)
-	c.score = c.begins + e.standing.penalty()
+	c.strain = e.strain(l)
+	c.score = c.begins + e.standing.penalty() + time.Duration(max(c.strain-1, 0)*float64(strainPenalty))
 	if !home {
 		shared := min(c.work.unread, sharedTokens(w.request.Prompt))
 		c.score += time.Duration(shared) * rereadPenalty
@@ -223,9 +232,12 @@
 		return true
 	}
 	whole, left := w.objective(now)
-	depth := depthShare
+	depth, strain := depthShare, 1.0
 	if excess {
-		depth = excessShare
+		depth, strain = excessShare, excessStrain
+	}
+	if c.strain >= strain {
+		return false
 	}
 	own := c.endpoint.begins(c.work.unread)
 	return c.begins <= max(time.Duration(depth*float64(whole)), own) &&
@@ -245,7 +257,7 @@
 	if !found {
 		return now.Sub(w.arrived) > time.Duration(excessShare*float64(whole))
 	}
-	if excess && now.Sub(w.arrived) > whole/8 {
+	if (excess || c.strain >= 1) && now.Sub(w.arrived) > whole/8 {
 		return true
 	}
 	return c.begins+ahead > left
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -82,8 +82,9 @@
 	// took to begin its answer.
 	FirstToken time.Duration
 	// Pause is the longest time between two parts of the answer since the
-	// last report.
+	// last report, and Pace the mean time between two events.
 	Pause time.Duration
+	Pace  time.Duration
 }
 
 // Result says how a started request ended.
