Expect a stream's end by the caller's hint of its length

Change: what an engine generates is expected by Length-Hint, at the engine's pace; what would not end in 0.85 of its time waits or is refused.

--- a/internal/coordination/admission/parts.go
+++ b/internal/coordination/admission/parts.go
@@ -88,3 +88,11 @@
 	}
 	return tokens
 }
+
+// outputTokens is what the engine is expected to generate; zero without a prompt.
+func outputTokens(p *schedule.Prompt) int64 {
+	if p == nil {
+		return 0
+	}
+	return p.OutputTokens
+}
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -42,6 +42,7 @@
 type pool struct {
 	name            string
 	tokensPerSecond float64
+	tokensPerEvent  float64
 	endpoints       []*endpoint
 	lines           lines
 }
@@ -206,7 +207,7 @@
 	}
 	for name, l := range p.pools {
 		slices.SortFunc(l.endpoints, func(a, b *endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
-		l.tokensPerSecond = v.Pools[name].TokensPerSecond
+		l.tokensPerSecond, l.tokensPerEvent = v.Pools[name].TokensPerSecond, v.Pools[name].TokensPerEvent
 		for _, e := range l.endpoints {
 			e.expect(l.tokensPerSecond / float64(len(l.endpoints)))
 			e.keepPeers(v.Routers)
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -34,6 +34,9 @@
 	// strainPenalty is the time that an endpoint counts more whose streams are
 	// twice as slow as they may be.
 	strainPenalty = time.Second
+	// endMargin is the part of the time to its deadline in which an answer must
+	// be expected to end, since paces change.
+	endMargin = 0.85
 	// minRetry and maxRetry bound the time after which a refused caller is
 	// asked to come back.
 	minRetry, maxRetry = 200 * time.Millisecond, 2 * time.Second
@@ -160,7 +163,7 @@
 	}
 	c.ahead = l.backlog + c.work.unread
 	c.begins = e.begins(c.ahead)
-	c.strain = e.strain(l)
+	c.strain = max(e.strain(l), p.lateness(now, w, &c))
 	c.score = c.begins + e.standing.penalty() + time.Duration(max(c.strain-1, 0)*float64(strainPenalty))
 	if !home {
 		shared := min(c.work.unread, sharedTokens(w.request.Prompt))
@@ -169,6 +172,18 @@
 	return c
 }
 
+// lateness is when the answer is expected to end at the endpoint's pace, as a
+// part of the time that there is for it.
+func (p *Policy) lateness(now time.Time, w *waiter, c *choice) float64 {
+	perEvent := p.pools[c.endpoint.Pool].tokensPerEvent
+	if perEvent <= 0 {
+		return 0
+	}
+	events := float64(w.request.Prompt.OutputTokens) / perEvent
+	ends := float64(c.begins) + events*c.endpoint.pace.value
+	return ends / max(endMargin*float64(w.request.Deadline.Sub(now)), 1)
+}
+
 const (
 	// plainTime is the usual time of a call to a plain service.
 	plainTime = 15 * time.Millisecond
@@ -270,8 +285,9 @@
 	p.usage.take(now, w.request.Organisation, w.cost)
 	p.emit(schedule.Start{
 		ID: w.request.ID, Endpoint: c.endpoint.ID,
-		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f",
-			now.Sub(w.arrived).Round(time.Millisecond), c.begins.Round(time.Millisecond), c.ahead, c.work.unread, c.home, c.endpoint.speed),
+		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f,pace=%v,output=%d",
+			now.Sub(w.arrived).Round(time.Millisecond), c.begins.Round(time.Millisecond), c.ahead, c.work.unread, c.home, c.endpoint.speed,
+			time.Duration(c.endpoint.pace.value).Round(time.Millisecond), outputTokens(w.request.Prompt)),
 	})
 }
 
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -52,8 +52,8 @@
 	// Parts are the parts of the prompt in order. Requests share parts; the
 	// last one belongs to the request or its session.
 	Parts []PromptPart
-	// InputTokens is the length of the whole prompt, and OutputTokens the
-	// most that the engine may generate, in tokens.
+	// InputTokens is the length of the whole prompt, and OutputTokens what the
+	// engine is expected to generate, in tokens.
 	InputTokens  int64
 	OutputTokens int64
 }
--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -71,6 +71,9 @@
 	// TokensPerSecond is the work of all endpoints together; zero if it
 	// isn't known.
 	TokensPerSecond float64
+	// TokensPerEvent is the number of tokens in one event of a stream; zero
+	// if it isn't known.
+	TokensPerEvent float64
 }
 
 // Organisation is an organisation with its keys.
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -65,6 +65,9 @@
 	// TokensPerSecond is the work that the endpoints of the pool can do
 	// together, as the operators state it; zero if they don't.
 	TokensPerSecond float64
+	// TokensPerEvent is the number of tokens that one event of a stream holds;
+	// zero if it isn't known.
+	TokensPerEvent float64
 }
 
 // Snapshot is the state of the fleet as one router sees it.
--- a/internal/transport/router/hosted_fleet.go
+++ b/internal/transport/router/hosted_fleet.go
@@ -53,7 +53,7 @@
 	s.Revision = f.table.Version
 	s.Pools = make(map[string]view.Pool, len(f.table.Services))
 	for name, service := range f.table.Services {
-		s.Pools[name] = view.Pool{TokensPerSecond: service.TokensPerSecond}
+		s.Pools[name] = view.Pool{TokensPerSecond: service.TokensPerSecond, TokensPerEvent: service.TokensPerEvent}
 	}
 	s.Endpoints = slices.Clone(s.Endpoints)
 	for i := range s.Endpoints {
