--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -62,6 +62,12 @@
 	l.memory += o.memory
 }
 
+func (l *load) subtract(o load) {
+	l.requests -= o.requests
+	l.backlog -= o.backlog
+	l.memory -= o.memory
+}
+
 // peerLoad is what a peer keeps at an endpoint.
 type peerLoad struct {
 	load
@@ -71,8 +77,12 @@
 // endpoint is one start of an endpoint as this router knows it.
 type endpoint struct {
 	view.Endpoint
-	own      load
-	peers    map[view.RouterID]peerLoad
+	own   load
+	peers map[view.RouterID]peerLoad
+	// others is the sum of what peers keep here.
+	others load
+	// hash stands for the endpoint in rendezvous hashing.
+	hash     uint64
 	parts    parts
 	standing standing
 	// speed is in tokens per millisecond; learnt is set once it comes from
@@ -113,21 +123,30 @@
 }
 
 // total is what runs at the endpoint, as far as it is known.
-func (e *endpoint) total(now time.Time) load {
+func (e *endpoint) total() load {
 	t := e.own
-	for _, l := range e.peers {
-		if now.Sub(l.at) < peerLife {
-			t.add(l.load)
-		}
-	}
+	t.add(e.others)
 	return t
 }
 
-// keepPeers forgets what routers told that have gone.
-func (e *endpoint) keepPeers(routers []view.Router) {
-	for id := range e.peers {
-		if !listed(routers, id) {
-			delete(e.peers, id)
+// tell replaces what a peer keeps at the endpoint; zero requests stand for
+// nothing.
+func (e *endpoint) tell(from view.RouterID, l peerLoad) {
+	e.others.subtract(e.peers[from].load)
+	if l.requests == 0 {
+		delete(e.peers, from)
+		return
+	}
+	e.peers[from] = l
+	e.others.add(l.load)
+}
+
+// expire forgets what peers told that have gone, or that have been silent for
+// too long.
+func (e *endpoint) expire(now time.Time, routers []view.Router) {
+	for id, l := range e.peers {
+		if now.Sub(l.at) > peerLife || !listed(routers, id) {
+			e.tell(id, peerLoad{})
 		}
 	}
 }
--- a/internal/coordination/admission/lines.go
+++ b/internal/coordination/admission/lines.go
@@ -25,6 +25,17 @@
 
 func newLines() lines { return lines{} }
 
+// of returns how many requests of the organisation wait.
+func (l *lines) of(organisation string) int {
+	n := 0
+	for _, w := range l.waiting {
+		if w.request.Organisation == organisation {
+			n++
+		}
+	}
+	return n
+}
+
 func (l *lines) len() int { return len(l.waiting) }
 
 func (l *lines) add(w *waiter) { l.waiting = append(l.waiting, w) }
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/view"
 )
@@ -16,6 +18,10 @@
 	scanInterval = 20 * time.Millisecond
 	// idleInterval is the time between two looks while nothing waits.
 	idleInterval = 100 * time.Millisecond
+	// maxLine bounds the requests of one organisation that wait for a pool; a
+	// line of that length is as long as the time in which requests wait at
+	// all.
+	maxLine = 32
 )
 
 // Options are what a Policy is made with.
@@ -26,8 +32,10 @@
 
 // Policy is the scheduler of one router; see the package comment.
 type Policy struct {
-	random    *rand.Rand
-	view      *view.Snapshot
+	random *rand.Rand
+	view   *view.Snapshot
+	// domain is this router's FailureDomain.
+	domain    string
 	pools     map[string]*pool
 	endpoints map[view.EndpointID]*endpoint
 	running   map[schedule.RequestID]*running
@@ -118,6 +126,11 @@
 		w.key = sharedKey(r.Prompt)
 	}
 	p.usage.ask(now, r.Organisation, w.cost)
+	if l.lines.of(r.Organisation) >= maxLine {
+		// Those before it would be refused first.
+		p.refuse(now, w, choice{}, 0)
+		return
+	}
 	l.lines.add(w)
 	p.scan(now, l)
 }
@@ -183,7 +196,12 @@
 // change takes a new view. What is known of an endpoint stays as long as the
 // same start of it is listed.
 func (p *Policy) change(now time.Time, v *view.Snapshot) {
-	p.view = v
+	p.view, p.domain = v, ""
+	for i := range v.Routers {
+		if v.Routers[i].ID == v.Self {
+			p.domain = v.Routers[i].FailureDomain
+		}
+	}
 	p.usage.keep(v.Routers)
 	before := p.endpoints
 	p.endpoints = make(map[view.EndpointID]*endpoint, len(v.Endpoints))
@@ -210,7 +228,8 @@
 		l.tokensPerSecond, l.tokensPerEvent = v.Pools[name].TokensPerSecond, v.Pools[name].TokensPerEvent
 		for _, e := range l.endpoints {
 			e.expect(l.tokensPerSecond / float64(len(l.endpoints)))
-			e.keepPeers(v.Routers)
+			e.expire(now, v.Routers)
+			e.hash = xxhash.Sum64String(string(e.ID))
 		}
 		if len(l.endpoints) == 0 && l.lines.len() == 0 {
 			delete(p.pools, name)
@@ -229,6 +248,7 @@
 	p.silentAt = now.Add(idleInterval)
 	for _, l := range p.pools {
 		for _, e := range l.endpoints {
+			e.expire(now, p.view.Routers)
 			if e.silent(now) {
 				e.standing.avoidUntil = now.Add(silentPause)
 				p.emit(schedule.Decision{Event: "EndpointSilent", Fields: []string{
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -62,11 +62,11 @@
 // receive takes a peer's pulse, which replaces its earlier one.
 func (p *Policy) receive(now time.Time, from view.RouterID, m *schedule.Pulse) {
 	for _, e := range p.endpoints {
-		delete(e.peers, from)
+		e.tell(from, peerLoad{})
 	}
 	for _, l := range m.Endpoints {
 		if e := p.endpoints[l.Endpoint]; e != nil {
-			e.peers[from] = peerLoad{load{l.Requests, l.Backlog, l.Memory}, now}
+			e.tell(from, peerLoad{load{l.Requests, l.Backlog, l.Memory}, now})
 		}
 	}
 	told := make(map[string]use, len(m.Organisations))
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -5,10 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"hyssopreach/internal/coordination/schedule"
-	"hyssopreach/internal/state/view"
 )
 
 const (
@@ -75,7 +72,7 @@
 	l.lines.order(all, level)
 	loads := make([]load, len(l.endpoints))
 	for i, e := range l.endpoints {
-		loads[i] = e.total(now)
+		loads[i] = e.total()
 	}
 	// ahead is the time that the requests earlier in the order will take.
 	ahead := time.Duration(0)
@@ -87,10 +84,7 @@
 		switch {
 		case found && best.soon:
 			p.start(now, w, best)
-			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total(now)
-			o := all[w.request.Organisation]
-			o.received += w.cost / usageLife.Seconds()
-			all[w.request.Organisation] = o
+			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total()
 		case p.hopeless(now, w, best, found, ahead, excess):
 			p.refuse(now, w, best, ahead)
 		default:
@@ -193,10 +187,8 @@
 
 // distance prefers the router's own FailureDomain where little else differs.
 func (p *Policy) distance(e *endpoint) time.Duration {
-	for i := range p.view.Routers {
-		if r := &p.view.Routers[i]; r.ID == p.view.Self && r.FailureDomain != e.FailureDomain {
-			return otherDomain
-		}
+	if p.domain != e.FailureDomain {
+		return otherDomain
 	}
 	return 0
 }
@@ -213,15 +205,15 @@
 		if !p.usable(now, e) {
 			continue
 		}
-		if s := rendezvous(w.key, e.ID); best == nil || s > most {
+		if s := rendezvous(w.key, e.hash); best == nil || s > most {
 			best, most = e, s
 		}
 	}
 	return best
 }
 
-func rendezvous(key uint64, id view.EndpointID) uint64 {
-	h := xxhash.Sum64String(string(id)) ^ key
+func rendezvous(key, endpoint uint64) uint64 {
+	h := endpoint ^ key
 	// The finaliser of splitmix64 spreads what is left of the structure.
 	h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9
 	h = (h ^ (h >> 27)) * 0x94d049bb133111eb
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -13,6 +13,9 @@
 // averaged. It is in the range of the operators' window for shares, 4 s.
 const usageLife = 3 * time.Second
 
+// sumInterval is the time for which a sum over the fleet is used.
+const sumInterval = 25 * time.Millisecond
+
 // outputWeight is how many tokens read one generated token counts for, as the
 // operators count the work of a pool.
 const outputWeight = 2
@@ -51,6 +54,9 @@
 type usage struct {
 	own   map[string]*account
 	peers map[view.RouterID]map[string]use
+	// all is the sum as of summed, with what has been received here since.
+	all    map[string]use
+	summed time.Time
 }
 
 func newUsage() *usage {
@@ -72,10 +78,21 @@
 
 func (u *usage) take(now time.Time, organisation string, cost float64) {
 	u.account(organisation).received.add(now, cost)
+	u.note(organisation, cost)
+}
+
+// note keeps the sum up to date until it is made anew.
+func (u *usage) note(organisation string, cost float64) {
+	if u.all != nil {
+		o := u.all[organisation]
+		o.received = max(0, o.received+cost/usageLife.Seconds())
+		u.all[organisation] = o
+	}
 }
 
 func (u *usage) giveBack(now time.Time, organisation string, cost float64) {
 	u.account(organisation).received.add(now, -cost)
+	u.note(organisation, -cost)
 }
 
 // keep forgets what routers told that have gone.
@@ -89,6 +106,9 @@
 
 // fleet sums up the use of all organisations, in tokens per second.
 func (u *usage) fleet(now time.Time) map[string]use {
+	if u.all != nil && now.Sub(u.summed) < sumInterval {
+		return u.all
+	}
 	all := make(map[string]use, len(u.own))
 	for name, a := range u.own {
 		all[name] = use{a.asked.perSecond(now), a.received.perSecond(now)}
@@ -99,6 +119,7 @@
 			all[name] = use{sum.asked + o.asked, sum.received + o.received}
 		}
 	}
+	u.all, u.summed = all, now
 	return all
 }
 
--- a/internal/transport/logline/writer.go
+++ b/internal/transport/logline/writer.go
@@ -1,6 +1,7 @@
 package logline
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -10,59 +11,65 @@
 	// flushInterval is the longest time that a line waits in the buffer.
 	flushInterval = 50 * time.Millisecond
 	// maxBytes bounds the buffer.
-	maxBytes = 256 << 10
+	maxBytes = 1 << 20
+	// closeWithin bounds the time that Close waits for a log that hangs.
+	closeWithin = 500 * time.Millisecond
 )
 
 // Writer buffers what is written to it and passes it on in the background.
 type Writer struct {
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	buffer []byte
-	closed bool
-
-	// out is guarded by outMu, which is taken before mu.
-	outMu sync.Mutex
-	out   io.Writer
-	spare []byte // guarded by outMu
+	buffer  []byte
+	dropped int
+	closed  bool
 
+	out io.Writer
+	// spare is used by run alone.
+	spare []byte
 	// filled has room for one signal, sent with the first bytes of a buffer, so
 	// that an idle log costs nothing.
 	filled chan struct{}
 	stop   chan struct{}
-	ended  sync.WaitGroup
+	ended  chan struct{}
 }
 
 // NewWriter returns a Writer over out, which must be closed.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, filled: make(chan struct{}, 1), stop: make(chan struct{})}
-	w.ended.Go(w.run)
+	w := &Writer{out: out, filled: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{})}
+	go w.run()
 	return w
 }
 
-// Write keeps the bytes for the next flush. It fails only after Close.
+// Write keeps the bytes for the next flush, or drops and counts them when the
+// buffer is full. It never waits, and fails only after Close.
 func (w *Writer) Write(p []byte) (int, error) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.closed {
-		w.mu.Unlock()
 		return 0, io.ErrClosedPipe
 	}
-	first := len(w.buffer) == 0
+	if len(w.buffer)+len(p) > maxBytes {
+		w.dropped++
+		return len(p), nil
+	}
 	w.buffer = append(w.buffer, p...)
-	full := len(w.buffer) >= maxBytes
-	w.mu.Unlock()
-	switch {
-	case full:
-		w.flush()
-	case first:
-		select {
-		case w.filled <- struct{}{}:
-		default:
-		}
+	select {
+	case w.filled <- struct{}{}:
+	default:
 	}
 	return len(p), nil
 }
 
-// Close writes what is left and waits.
+// Dropped returns the number of lines dropped that no line has told of yet.
+func (w *Writer) Dropped() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dropped
+}
+
+// Close writes what is left and waits, but not for long for a log that nobody
+// takes.
 func (w *Writer) Close() error {
 	w.mu.Lock()
 	closed := w.closed
@@ -71,11 +78,16 @@
 	if !closed {
 		close(w.stop)
 	}
-	w.ended.Wait()
-	return nil
+	select {
+	case <-w.ended:
+		return nil
+	case <-time.After(closeWithin):
+		return fmt.Errorf("close log: its reader takes nothing")
+	}
 }
 
 func (w *Writer) run() {
+	defer close(w.ended)
 	for {
 		select {
 		case <-w.filled:
@@ -91,14 +103,16 @@
 	}
 }
 
-// flush passes on what the buffer holds. There is nowhere to report a log that
-// can't be written.
+// flush passes on what the buffer holds, without holding up those who write.
+// There is nowhere to report a log that can't be written.
 func (w *Writer) flush() {
-	w.outMu.Lock()
-	defer w.outMu.Unlock()
 	w.mu.Lock()
 	full := w.buffer
 	w.buffer = w.spare[:0]
+	if w.dropped > 0 {
+		full = fmt.Appendf(full, "timestamp=%s level=warn message=LinesDropped Count=%d\n", time.Now().UTC().Format(time.RFC3339Nano), w.dropped)
+		w.dropped = 0
+	}
 	w.mu.Unlock()
 	if len(full) > 0 {
 		_, _ = w.out.Write(full)
