--- a/internal/coordination/admission/pattern_test.go
+++ b/internal/coordination/admission/pattern_test.go
@@ -149,6 +149,48 @@
 	is.True(total >= 0.85*2*engineSpeed*1000*10) // the engines are kept busy
 }
 
+// TestTwoFloodsShareAlike has one organisation ask for ten times its share and
+// another for three times, while a third stays below.
+func TestTwoFloodsShareAlike(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 200_000)
+	for i := range 2400 {
+		for range 4 {
+			w.ask("large", 3000)
+		}
+		if i%2 == 0 {
+			w.ask("middle", 3000)
+		}
+		if i%40 == 0 {
+			w.ask("small", 3000)
+		}
+		w.advance(testStep)
+	}
+	t.Logf("large %d middle %d small %d", w.started["large"], w.started["middle"], w.started["small"])
+	is.True(w.started["small"] >= 57)
+	is.True(w.started["middle"]*2 >= w.started["large"]) // at least half of what the best served gets
+}
+
+// TestRoomFallsWithUse is the pattern of two organisations above their shares
+// that ask different routers, so that no line orders them: at an engine that is
+// strained the one that is further above finds no room.
+func TestRoomFallsWithUse(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 100_000)
+	w.policy.view.Routers = append(w.policy.view.Routers, view.Router{ID: "x"})
+	w.input(schedule.Delivery{From: "x", Message: &schedule.Pulse{
+		Organisations: []schedule.OrganisationUse{
+			{Organisation: "far", Asked: 500_000, Received: 200_000}, {Organisation: "near", Asked: 200_000, Received: 60_000},
+		},
+		Endpoints: []schedule.EndpointLoad{{Endpoint: "e0", Requests: 40, Memory: 1000}},
+	}})
+	w.policy.endpoints["e0"].pace.value = 0.6 * float64(paceLimit)
+	w.ask("far", 100)
+	w.ask("near", 100)
+	is.Equal(w.started["near"], 1)
+	is.Equal(w.started["far"], 0)
+}
+
 func TestCapacityDoesNotIdleWhileWorkWaits(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(3, 300_000)
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -16,11 +17,14 @@
 	// at an engine. What would queue for longer waits here, where requests of
 	// other organisations can still go before it.
 	depthShare = 0.55
-	// excessShare is the same for an organisation that has had its share.
-	excessShare = 0.3
-	// excessStrain is how slow the streams of an engine may be, against what they
-	// may be for others, that such an organisation adds work to.
-	excessStrain = 0.7
+	// leastRoom bounds how far an organisation above its share is held back,
+	// so that capacity is used where nobody else asks for it.
+	leastRoom = 0.45
+	// excessWait is the part of its objective for which such a request waits
+	// here before it is refused, and patience the same for one that finds no
+	// endpoint with room.
+	excessWait = 0.125
+	patience   = 0.3
 	// startMargin is the part of the time left to the objective in which the
 	// first token must be expected, since expectations err.
 	startMargin = 0.9
@@ -79,13 +83,13 @@
 	speed := p.ownSpeed(now, l)
 	kept := l.lines.waiting[:0]
 	for _, w := range l.lines.waiting {
-		excess := all[w.request.Organisation].received >= level
-		best, found := p.choose(now, l, w, loads, excess)
+		share := room(all[w.request.Organisation].received, level)
+		best, found := p.choose(now, l, w, loads, share)
 		switch {
 		case found && best.soon:
 			p.start(now, w, best)
 			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total()
-		case p.hopeless(now, w, best, found, ahead, excess):
+		case p.hopeless(now, w, best, found, ahead, share < 1):
 			p.refuse(now, w, best, ahead)
 		default:
 			if w.request.Prompt != nil {
@@ -116,7 +120,7 @@
 
 // choose returns the endpoint at which the request should begin soonest, the
 // time to read again what another endpoint holds counted in.
-func (p *Policy) choose(now time.Time, l *pool, w *waiter, loads []load, excess bool) (choice, bool) {
+func (p *Policy) choose(now time.Time, l *pool, w *waiter, loads []load, share float64) (choice, bool) {
 	home := p.home(now, l, w)
 	var best choice
 	found := false
@@ -134,7 +138,7 @@
 			if !e.fits(loads[i], c.work) {
 				continue
 			}
-			c.soon = p.starts(now, w, c, excess)
+			c.soon = p.starts(now, w, c, share)
 			if !found || c.better(&best) {
 				best, found = c, true
 			}
@@ -233,21 +237,28 @@
 	return at.Sub(w.arrived), at.Sub(now)
 }
 
+// room is the part of what an engine may be loaded with that an organisation
+// may fill: all of it up to its share, and less the further it is above, so
+// that of two that ask for more than their shares the one that has had less
+// finds room first.
+func room(received, level float64) float64 {
+	if received <= level {
+		return 1
+	}
+	return max(leastRoom, math.Sqrt(level/received))
+}
+
 // starts reports whether the request should be sent to the choice now.
-func (p *Policy) starts(now time.Time, w *waiter, c choice, excess bool) bool {
+func (p *Policy) starts(now time.Time, w *waiter, c choice, share float64) bool {
 	if w.request.Prompt == nil {
 		return true
 	}
 	whole, left := w.objective(now)
-	depth, strain := depthShare, 1.0
-	if excess {
-		depth, strain = excessShare, excessStrain
-	}
-	if c.strain >= strain {
+	if c.strain >= share {
 		return false
 	}
 	own := c.endpoint.begins(c.work.unread)
-	return c.begins <= max(time.Duration(depth*float64(whole)), own) &&
+	return c.begins <= max(time.Duration(share*depthShare*float64(whole)), own) &&
 		c.begins <= max(time.Duration(startMargin*float64(left)), own)
 }
 
@@ -262,9 +273,9 @@
 		return w.request.Deadline.Sub(now) < plainTime || now.Sub(w.arrived) > whole/2
 	}
 	if !found {
-		return now.Sub(w.arrived) > time.Duration(excessShare*float64(whole))
+		return now.Sub(w.arrived) > time.Duration(patience*float64(whole))
 	}
-	if (excess || c.strain >= 1) && now.Sub(w.arrived) > whole/8 {
+	if (excess || c.strain >= 1) && now.Sub(w.arrived) > time.Duration(excessWait*float64(whole)) {
 		return true
 	}
 	return c.begins+ahead > left
@@ -287,7 +298,7 @@
 // some spread so that those refused together do not return together.
 func (p *Policy) refuse(now time.Time, w *waiter, c choice, ahead time.Duration) {
 	whole, _ := w.objective(now)
-	pause := c.begins + ahead - time.Duration(excessShare*float64(whole))
+	pause := c.begins + ahead - time.Duration(patience*float64(whole))
 	pause = min(max(pause, minRetry), maxRetry)
 	pause += time.Duration(p.random.Int64N(int64(pause)/2 + 1))
 	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(pause)})
