--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -133,7 +133,7 @@
 	for _, o := range all {
 		asked = append(asked, o.asked)
 	}
-	slices.SortFunc(asked, func(a, b float64) int { return cmp.Compare(a, b) })
+	slices.SortFunc(asked, cmp.Compare)
 	left := capacity
 	for i, a := range asked {
 		even := left / float64(len(asked)-i)
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -219,7 +219,7 @@
 		a.ID = uuid.NewString()
 	}
 	result, err := schedule.ResultNotSent, error(nil)
-	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok && !(c.MaxAttempts > 0 && e.Leaving) {
+	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok && (c.MaxAttempts == 0 || !e.Leaving) {
 		a.Endpoint = e
 		r.logStart(a, start)
 		for _, w := range r.Watchers {
@@ -272,11 +272,12 @@
 		p.paid = true
 		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
 	}
-	if a.Call.Events && answer.Status() < http.StatusMultipleChoices {
+	switch {
+	case a.Call.Events && answer.Status() < http.StatusMultipleChoices:
 		err = r.copyEvents(ctx, answer, newPace(m.begin, r.Scheduling, id), watch, out, p)
-	} else if out.started {
+	case out.started:
 		err = fmt.Errorf("the answer to a resumed stream has status %d", answer.Status())
-	} else {
+	default:
 		err = r.copyAnswer(ctx, answer, id, m, out)
 	}
 	if err != nil {
