Look at waiting requests every 4 ms at most

Change: a line of several requests is looked at every 4 ms at most, also at alarms, and holds 12 requests of one organisation in place of 32.

--- a/internal/coordination/admission/pattern_test.go
+++ b/internal/coordination/admission/pattern_test.go
@@ -187,6 +187,7 @@
 	w.policy.endpoints["e0"].pace.value = 0.6 * float64(paceLimit)
 	w.ask("far", 100)
 	w.ask("near", 100)
+	w.advance(testStep)
 	is.Equal(w.started["near"], 1)
 	is.Equal(w.started["far"], 0)
 }
@@ -207,6 +208,7 @@
 	for range 60 {
 		w.ask("long", 20_000) // 1.2 million tokens at once: 4 s of work
 	}
+	w.advance(testStep) // lines are looked at within it
 	refusedAtOnce := w.refused["long"]
 	is.True(refusedAtOnce >= 40) // what can't begin in time is refused on arrival
 	for range 60 {
@@ -355,6 +357,26 @@
 	is.True(w.started["poor"] > 3*w.started["rich"])
 }
 
+// TestFloodCostsLittle is the pattern of a flood at one router: what is refused
+// must not take the processor time that everything else needs.
+func TestFloodCostsLittle(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12, 300_000)
+	looks, last := 0, time.Time{}
+	for i := range 4000 { // 2,000 requests a second
+		w.now = w.now.Add(500 * time.Microsecond)
+		w.ask("flood", 4000, schedule.PromptPart{ID: uint64(i%10 + 1), Tokens: 3000})
+		if at := w.policy.pools["p"].scannedAt; !at.Equal(last) {
+			looks, last = looks+1, at
+		}
+		is.True(w.policy.pools["p"].lines.len() <= maxLine)
+		if i%10 == 0 {
+			w.input(schedule.Alarm{})
+		}
+	}
+	is.True(looks <= 1000) // not one for each request
+}
+
 func TestEveryArrivalEndsOnce(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(2, 100_000)
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -16,12 +16,14 @@
 	// scanInterval is the time between two looks at what waits, in which the
 	// endpoints' queues have shortened.
 	scanInterval = 20 * time.Millisecond
+	// scanPause is the least time between two looks at a line of several
+	// requests, each of which costs a look at every endpoint.
+	scanPause = 4 * time.Millisecond
 	// idleInterval is the time between two looks while nothing waits.
 	idleInterval = 100 * time.Millisecond
-	// maxLine bounds the requests of one organisation that wait for a pool; a
-	// line of that length is as long as the time in which requests wait at
-	// all.
-	maxLine = 32
+	// maxLine bounds the requests of one organisation that wait for a pool, so
+	// that refusing a flood costs little.
+	maxLine = 12
 )
 
 // Options are what a Policy is made with.
@@ -53,6 +55,18 @@
 	tokensPerEvent  float64
 	endpoints       []*endpoint
 	lines           lines
+	// scannedAt is when what waits was last looked at, and changed is set if
+	// something has happened since that may let it start.
+	scannedAt time.Time
+	changed   bool
+}
+
+// nextScan is when what waits should be looked at again.
+func (l *pool) nextScan() time.Time {
+	if l.changed {
+		return l.scannedAt.Add(scanPause)
+	}
+	return l.scannedAt.Add(scanInterval)
 }
 
 // running is a request that has been started.
@@ -92,7 +106,11 @@
 		}
 	case schedule.Change:
 		p.change(now, in.View)
-	case schedule.Load, schedule.Alarm:
+	case schedule.Alarm:
+		for _, l := range p.pools {
+			p.scan(now, l)
+		}
+	case schedule.Load:
 	}
 	p.watch(now)
 	p.sendPulse(now)
@@ -104,9 +122,8 @@
 func (p *Policy) wake(now time.Time) {
 	next := now.Add(idleInterval)
 	for _, l := range p.pools {
-		if l.lines.len() > 0 {
-			next = now.Add(scanInterval)
-			break
+		if at := l.nextScan(); l.lines.len() > 0 && at.Before(next) {
+			next = at
 		}
 	}
 	p.emit(schedule.Wake{At: next})
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -40,6 +40,11 @@
 	if l == nil || l.lines.len() == 0 {
 		return
 	}
+	if l.lines.len() > 1 && now.Sub(l.scannedAt) < scanPause {
+		l.changed = true
+		return
+	}
+	l.scannedAt, l.changed = now, false
 	all := p.usage.fleet(now)
 	level := fairLevel(all, l.tokensPerSecond)
 	l.lines.order(all, level)
