--- a/internal/coordination/admission/pattern_test.go
+++ b/internal/coordination/admission/pattern_test.go
@@ -365,11 +365,11 @@
 	looks, last := 0, time.Time{}
 	for i := range 4000 { // 2,000 requests a second
 		w.now = w.now.Add(500 * time.Microsecond)
-		w.ask("flood", 4000, schedule.PromptPart{ID: uint64(i%10 + 1), Tokens: 3000})
+		w.ask(fmt.Sprint("flood", i%20), 4000, schedule.PromptPart{ID: uint64(i%10 + 1), Tokens: 3000})
 		if at := w.policy.pools["p"].scannedAt; !at.Equal(last) {
 			looks, last = looks+1, at
 		}
-		is.True(w.policy.pools["p"].lines.len() <= maxLine)
+		is.True(w.policy.pools["p"].lines.of(fmt.Sprint("flood", i%20)) <= maxLine)
 		if i%10 == 0 {
 			w.input(schedule.Alarm{})
 		}
