Tell in a refusal's log line what decided it

Cause: the line of a refused request said Overloaded and nothing else, so that a full line, a slow engine and a queue could not be told apart. Change: the scheduler's refusal carries its inputs: the time waited, the best endpoint with its backlog and strain, the queue before it and the share.

--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -27,6 +27,8 @@
 	// maxLine bounds the requests of one organisation that wait for a pool, so
 	// that refusing a flood costs little.
 	maxLine = 12
+	// lineFull is the detail of such a refusal.
+	lineFull = "line=full"
 )
 
 // Options are what a Policy is made with.
@@ -149,7 +151,7 @@
 	p.usage.ask(now, r.Organisation, w.cost)
 	if l.lines.of(r.Organisation) >= maxLine {
 		// Those before it would be refused first.
-		p.refuse(now, w, choice{}, 0)
+		p.refuse(now, w, choice{}, 0, lineFull)
 		return
 	}
 	l.lines.add(w)
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -64,7 +64,7 @@
 			p.start(now, w, best)
 			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total()
 		case p.hopeless(now, w, best, found, ahead, share < 1):
-			p.refuse(now, w, best, ahead)
+			p.refuse(now, w, best, ahead, describe(now, w, best, found, ahead, share))
 		default:
 			if w.request.Prompt != nil {
 				ahead += time.Duration(float64(best.work.unread) / speed * float64(time.Millisecond))
@@ -158,12 +158,22 @@
 	})
 }
 
+// describe tells what a request met that is refused.
+func describe(now time.Time, w *waiter, c choice, found bool, ahead time.Duration, share float64) string {
+	waited := now.Sub(w.arrived).Round(time.Millisecond)
+	if !found {
+		return fmt.Sprintf("waited=%v,room=none,share=%.2f", waited, share)
+	}
+	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,share=%.2f",
+		waited, c.endpoint.ID, c.begins.Round(time.Millisecond), c.ahead, ahead.Round(time.Millisecond), c.strain, share)
+}
+
 // refuse tells the caller to come back when the queue should have gone, with
 // some spread so that those refused together do not return together.
-func (p *Policy) refuse(now time.Time, w *waiter, c choice, ahead time.Duration) {
+func (p *Policy) refuse(now time.Time, w *waiter, c choice, ahead time.Duration, detail string) {
 	whole, _ := w.objective(now)
 	pause := c.begins + ahead - time.Duration(patience*float64(whole))
 	pause = min(max(pause, minRetry), maxRetry)
 	pause += time.Duration(p.random.Int64N(int64(pause)/2 + 1))
-	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(pause)})
+	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(pause), Detail: detail})
 }
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -180,6 +180,8 @@
 	Reason RefusalReason
 	// RetryAt is the instant from which the caller may try again.
 	RetryAt time.Time
+	// Detail holds what decided it, for the log; it may be empty.
+	Detail string
 }
 
 // RefusalReason tells why a waiting request is refused.
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -25,11 +25,16 @@
 type RefusedError struct {
 	Reason  schedule.RefusalReason
 	RetryAt time.Time
+	// Detail holds what decided it; it may be empty.
+	Detail string
 }
 
 // Error describes the refusal.
 func (e *RefusedError) Error() string {
-	return fmt.Sprintf("refused while waiting for capacity: %s", e.Reason)
+	if e.Detail == "" {
+		return fmt.Sprintf("refused while waiting for capacity: %s", e.Reason)
+	}
+	return fmt.Sprintf("refused while waiting for capacity: %s (%s)", e.Reason, e.Detail)
 }
 
 // Scheduling connects a scheduler with the goroutines whose requests wait.
@@ -123,7 +128,7 @@
 	case schedule.Start:
 		return o, nil
 	case schedule.Refusal:
-		return schedule.Start{}, &RefusedError{Reason: o.Reason, RetryAt: o.RetryAt}
+		return schedule.Start{}, &RefusedError{Reason: o.Reason, RetryAt: o.RetryAt, Detail: o.Detail}
 	default:
 		return schedule.Start{}, fmt.Errorf("wait for capacity: unexpected decision %T", out)
 	}
