Reckon with a router's part of what is asked for

Cause: a router took its even part of the engines' speed, a 70th, for the queue before a waiting request, but all requests of an organisation came to one router, which refused them for queues of 77 to 475 ms that didn't exist. Change: its part is that of what is asked for in the fleet, the even part at the least.

--- a/internal/coordination/admission/pattern_test.go
+++ b/internal/coordination/admission/pattern_test.go
@@ -357,6 +357,29 @@
 	is.True(w.started["poor"] > 3*w.started["rich"])
 }
 
+// TestAllCallersAtOneRouter is the pattern of a large fleet in which everything
+// that is asked for comes to one router: what waits there has all engines
+// before it, not the router's even part of them.
+func TestAllCallersAtOneRouter(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(6, 1_000_000)
+	for i := range 69 {
+		w.policy.view.Routers = append(w.policy.view.Routers, view.Router{ID: view.RouterID(fmt.Sprint("x", i))})
+	}
+	asked, served := 0, 0
+	for range 10 { // bursts of 0.72 s of the engines' work
+		for i := range 36 {
+			w.ask(fmt.Sprint("o", i%4), 12_000)
+			asked++
+		}
+		w.advance(time.Second)
+	}
+	for _, n := range w.inTime {
+		served += n
+	}
+	is.True(served > asked*9/10)
+}
+
 // TestFloodCostsLittle is the pattern of a flood at one router: what is refused
 // must not take the processor time that everything else needs.
 func TestFloodCostsLittle(t *testing.T) {
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -77,7 +77,8 @@
 }
 
 // ownSpeed is this router's part of the pool's reading speed, in tokens per
-// millisecond.
+// millisecond: its part of what is asked for, since callers may all come to
+// one router, but an even part at the least.
 func (p *Policy) ownSpeed(now time.Time, l *pool) float64 {
 	sum := 0.0
 	for _, e := range l.endpoints {
@@ -85,7 +86,8 @@
 			sum += e.speed
 		}
 	}
-	return max(sum, minSpeed) / float64(max(len(p.view.Routers), 1))
+	even := 1 / float64(max(len(p.view.Routers), 1))
+	return max(sum, minSpeed) * max(p.usage.part, even)
 }
 
 // objective is the time that the request was given until its answer begins,
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -57,6 +57,9 @@
 	// all is the sum as of summed, with what has been received here since.
 	all    map[string]use
 	summed time.Time
+	// part is this router's part of what the fleet is asked for, 0 to 1, as of
+	// summed.
+	part float64
 }
 
 func newUsage() *usage {
@@ -110,16 +113,20 @@
 		return u.all
 	}
 	all := make(map[string]use, len(u.own))
+	own, whole := 0.0, 0.0
 	for name, a := range u.own {
 		all[name] = use{a.asked.perSecond(now), a.received.perSecond(now)}
+		own += all[name].asked
 	}
+	whole = own
 	for _, told := range u.peers {
 		for name, o := range told {
 			sum := all[name]
 			all[name] = use{sum.asked + o.asked, sum.received + o.received}
+			whole += o.asked
 		}
 	}
-	u.all, u.summed = all, now
+	u.all, u.summed, u.part = all, now, own/max(whole, 1)
 	return all
 }
 
