Accept connections as fast as their requests are read

Cause: under a flood of new connections a router of 0.192 cores accepted all of them at once: descriptors ran out (273 failed accepts, dials failed with them), thousands of goroutines ran before those that read the configuration, and requests waited for seconds until they were read.

--- /dev/null
+++ b/internal/transport/intake/listener_test.go
@@ -0,0 +1,116 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// serve runs a server over a listener for at most the given number of
+// connections.
+func serve(t *testing.T, most int, handler http.HandlerFunc) (*Listener, string) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := New(inner, most)
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	l.Watch(s)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(l) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		is.Equal(<-ended, http.ErrServerClosed)
+	})
+	return l, inner.Addr().String()
+}
+
+// ask sends a request on a connection of its own, which it leaves open.
+func ask(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	is := is.New(t)
+	c, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	return c, bufio.NewReader(c)
+}
+
+func answered(r *bufio.Reader) error {
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+func TestFloodIsAcceptedAsFastAsItIsRead(t *testing.T) {
+	is := is.New(t)
+	inside, gate := make(chan struct{}, 100), make(chan struct{})
+	l, address := serve(t, 100, func(_ http.ResponseWriter, r *http.Request) {
+		inside <- struct{}{}
+		<-gate
+		Read(r.Context())
+	})
+	var readers []*bufio.Reader
+	for range 2 * newAtOnce {
+		_, r := ask(t, address)
+		readers = append(readers, r)
+	}
+	time.Sleep(newFor / 3)
+	is.True(len(inside) <= newAtOnce) // the others wait with the host
+	is.True(len(l.open) <= newAtOnce)
+	close(gate)
+	for _, r := range readers {
+		is.NoErr(answered(r))
+	}
+	is.Equal(len(l.fresh), 1) // only the next Accept holds a place
+}
+
+func TestSlowCallersDoNotKeepOthersOut(t *testing.T) {
+	is := is.New(t)
+	_, address := serve(t, 100, func(_ http.ResponseWriter, r *http.Request) { Read(r.Context()) })
+	for range newAtOnce {
+		c, err := net.Dial("tcp", address) // sends nothing
+		is.NoErr(err)
+		defer c.Close()
+	}
+	begun := time.Now()
+	_, r := ask(t, address)
+	is.NoErr(answered(r))
+	is.True(time.Since(begun) < 5*time.Second)
+}
+
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	l, address := serve(t, 3, func(_ http.ResponseWriter, r *http.Request) { Read(r.Context()) })
+	for range 3 {
+		_, r := ask(t, address)
+		is.NoErr(answered(r))
+	}
+	time.Sleep(idleFor + 100*time.Millisecond)
+	_, r := ask(t, address)
+	is.NoErr(answered(r))
+	is.True(len(l.open) <= 3)
+}
+
+func TestCloseEndsAccept(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := New(inner, 1)
+	for range newAtOnce {
+		l.fresh <- struct{}{} // nothing is read
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		ended <- err
+	}()
+	is.NoErr(l.Close())
+	is.Equal(<-ended, net.ErrClosed)
+}
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -22,6 +22,7 @@
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
+	"hyssopreach/internal/transport/intake"
 	"hyssopreach/internal/transport/peer"
 )
 
@@ -62,6 +63,9 @@
 	Name    string
 	Address netip.AddrPort
 	Handler http.Handler
+	// Connections bounds those that are open; zero stands for no bound. With
+	// one the handler tells package intake when it has read a request.
+	Connections int
 }
 
 // Hosting are the options of a router that a platform hosts.
@@ -171,6 +175,11 @@
 		Handler: f.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: r.hosting.IdleTimeout,
 		MaxHeaderBytes: int(r.hosting.Settings.Limits.HeaderBytes),
 	}
+	if f.Connections > 0 {
+		bounded := intake.New(l, f.Connections)
+		bounded.Watch(s)
+		l = bounded
+	}
 	r.servers = append(r.servers, s)
 	r.serving.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
