Refuse a request of a full line before its body is read

Cause: most of what a flood cost a router was spent on requests that the scheduler refused because their organisation had 12 waiting: the body was read, contexts and timers made, and the scheduler's queue passed. Change: such a request is refused once its head has been judged.

--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -24,9 +24,9 @@
 	// expireInterval is the time between two looks for peers that have been
 	// silent, a part of the time for which their words count.
 	expireInterval = peerLife / 3
-	// maxLine bounds the requests of one organisation that wait for a pool, so
+	// MaxLine bounds the requests of one organisation that wait for a pool, so
 	// that refusing a flood costs little.
-	maxLine = 12
+	MaxLine = 12
 	// lineFull is the detail of such a refusal.
 	lineFull = "line=full"
 )
@@ -149,7 +149,7 @@
 		w.key = sharedKey(r.Prompt)
 	}
 	p.usage.ask(now, r.Organisation, w.cost)
-	if l.lines.of(r.Organisation) >= maxLine {
+	if l.lines.of(r.Organisation) >= MaxLine {
 		// Those before it would be refused first.
 		p.refuse(now, w, choice{}, 0, lineFull)
 		return
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -189,6 +189,15 @@
 	return w, true
 }
 
+// Full reports whether the scheduler would refuse a further request of the
+// organisation because as many wait as may. It saves a router under a flood
+// most of what such a refusal costs.
+func (d *Scheduling) Full(organisation string, most int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lines[organisation].Waiting >= most
+}
+
 // Line returns what is known of the organisation's waiting requests.
 func (d *Scheduling) Line(organisation string) Line {
 	d.mu.Lock()
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	local "hyssopreach/internal/coordination/admission"
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/route"
@@ -23,6 +24,10 @@
 	// unknownPause is how long a caller is asked to stay away while this
 	// router's configuration is not known to be the newest.
 	unknownPause = 300 * time.Millisecond
+	// crowdedPause is the least time for which a caller is asked to stay away
+	// while its organisation's line is full; what waits there is started or
+	// refused within about that time.
+	crowdedPause = 200 * time.Millisecond
 	// stoppingPause is the same while the router stops; another one serves.
 	stoppingPause = 50 * time.Millisecond
 	// streamSilence is the time without a byte after which a resumable stream
@@ -115,7 +120,18 @@
 	if problem := c.stopping(matched, now); problem != nil {
 		return nil, problem
 	}
-	return newCall(a, matched, organisation, now), nil
+	call := newCall(a, matched, organisation, now)
+	if call.Prompt != nil && c.scheduling.Full(organisation.Name, local.MaxLine) {
+		return nil, crowded(now)
+	}
+	return call, nil
+}
+
+// crowded refuses a request whose organisation has as many waiting as may.
+func crowded(now time.Time) *caller.Problem {
+	p := entry.Reject(http.StatusTooManyRequests, "Admit", "as many requests of the organisation wait as may")
+	p.RetryAt = now.Add(crowdedPause + rand.N(crowdedPause))
+	return p
 }
 
 // identify finds the organisation that holds the caller's key.
