Give the rest of a stream a time of its own

Change: it has 0.6 s from its failure, and is not held back for the share. Two tests fail without it.

--- a/internal/coordination/admission/pattern_test.go
+++ b/internal/coordination/admission/pattern_test.go
@@ -416,3 +416,29 @@
 		is.Equal(e.own, load{}) // nothing is left on the books
 	}
 }
+
+// TestResumedStreamGoesBeforeNewOnes is the pattern of an engine that crashes
+// under an organisation above its share: the rest of its streams isn't held
+// back like what it asks for anew.
+func TestResumedStreamGoesBeforeNewOnes(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, 100_000)
+	for _, e := range w.policy.endpoints {
+		e.pace.value = float64(paceLimit) * 0.8
+		e.own.requests = 1
+	}
+	w.policy.usage.take(w.now, "rich", 3_000_000)
+	w.policy.usage.ask(w.now, "rich", 3_000_000)
+	w.policy.usage.ask(w.now, "poor", 3_000_000)
+	w.ask("rich", 100)
+	is.Equal(w.started["rich"], 0) // a new one waits
+	w.policy.Step(w.now, schedule.Departure{ID: w.last})
+	w.last++
+	r := &schedule.Request{
+		ID: w.last, Organisation: "rich", Pool: "p", MayWait: true, Resumes: true, Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
+		Prompt: &schedule.Prompt{InputTokens: 100, OutputTokens: 100},
+	}
+	w.asked[r.ID], w.arrived[r.ID] = r, w.now
+	w.input(schedule.Arrival{Request: *r})
+	is.Equal(w.started["rich"], 1)
+}
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -58,6 +58,10 @@
 	kept := l.lines.waiting[:0]
 	for _, w := range l.lines.waiting {
 		share := room(all[w.request.Organisation].received, level)
+		if w.request.Resumes {
+			// What its organisation has had of it would be lost.
+			share = 1
+		}
 		best, found := p.choose(now, l, w, loads, share)
 		switch {
 		case found && best.soon:
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -24,6 +24,10 @@
 	maxAttempts = 4
 	// copyBytes is the size of the buffer between endpoint and caller.
 	copyBytes = 16 << 10
+	// resumeWithin is the time in which the rest of a stream must go on. Callers
+	// give up after some two seconds without an event, of which the silence
+	// that ended the attempt before has taken a part.
+	resumeWithin = 600 * time.Millisecond
 	// retryPause is what a refused caller is told to wait when the scheduler
 	// names no instant.
 	retryPause = time.Second
@@ -150,7 +154,7 @@
 			return schedule.Start{}, err
 		}
 		c.Exclusive = alone
-		start, err := r.Scheduling.Wait(ctx, request(p))
+		start, err := r.Scheduling.Wait(ctx, request(p, time.Now()))
 		if err != nil {
 			r.Gate.Over(c, "", schedule.ResultNotSent)
 			return schedule.Start{}, err
@@ -188,9 +192,9 @@
 	return r.Budget.Spend(p.call)
 }
 
-func request(p *progress) schedule.Request {
+func request(p *progress, now time.Time) schedule.Request {
 	c := p.call
-	return schedule.Request{
+	r := schedule.Request{
 		Organisation: c.Organisation.Name,
 		Service:      c.Service.Name,
 		Pool:         c.Service.Pool,
@@ -206,7 +210,13 @@
 		BodyBytes:    int64(len(c.Body)),
 		Exclusive:    c.Exclusive,
 		Nested:       c.Parent != "",
+		Resumes:      p.resumes(),
 	}
+	if r.Resumes {
+		// The objective was for the beginning of the answer.
+		r.Objective = now.Add(resumeWithin)
+	}
+	return r
 }
 
 // attempt sends the call to the endpoint that the scheduler chose and copies
--- a/internal/transport/execution/runner_test.go
+++ b/internal/transport/execution/runner_test.go
@@ -177,3 +177,20 @@
 	m.count([]byte(`tokens": 41}}`), now)
 	is.Equal(m.rest(now), 41.0)
 }
+
+// TestRestOfAStreamHasATimeOfItsOwn checks that a stream which goes on
+// elsewhere isn't judged by the objective for its beginning, which has passed.
+func TestRestOfAStreamHasATimeOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	call := &Call{
+		Organisation: &text.Organisation{}, Service: &text.Service{}, Class: &text.Class{},
+		Objective: now.Add(-time.Second), Deadline: now.Add(10 * time.Second), Stream: true, Resumable: true,
+	}
+	fresh := request(&progress{call: call}, now)
+	is.True(!fresh.Resumes)
+	is.Equal(fresh.Objective, call.Objective)
+	rest := request(&progress{call: call, events: 3, lastEvent: "3"}, now)
+	is.True(rest.Resumes)
+	is.True(rest.Objective.After(now))
+}
