Add hyssopreach trace, which tells a request's story from several logs

Cause: the way from a failed request to its cause was a row of greps. Change: the command gathers the lines of a request, organisation, endpoint or router, in order, with what was believed of the request's endpoints meanwhile.

--- a/cmd/hyssopreach/main.go
+++ b/cmd/hyssopreach/main.go
@@ -6,11 +6,12 @@
 	"os"
 
 	"hyssopreach/internal/tool/demo"
+	"hyssopreach/internal/tool/trace"
 	"hyssopreach/internal/transport/command"
 	"hyssopreach/platform"
 )
 
 func main() {
 	os.Exit(command.Run("hyssopreach", "A router fleet that shares model capacity fairly among organisations.",
-		append(command.Commands(), &demo.Command{}, &platform.Command{}), os.Args[1:]))
+		append(command.Commands(), &demo.Command{}, &trace.Command{}, &platform.Command{}), os.Args[1:]))
 }
