--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	stdlog "log"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -174,6 +176,7 @@
 	s := &http.Server{
 		Handler: f.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: r.hosting.IdleTimeout,
 		MaxHeaderBytes: int(r.hosting.Settings.Limits.HeaderBytes),
+		ErrorLog:       stdlog.New(&serverLog{r.hosting.Logger.WithField("Face", f.Name)}, "", 0),
 	}
 	if f.Connections > 0 {
 		bounded := intake.New(l, f.Connections)
@@ -189,6 +192,16 @@
 	return nil
 }
 
+// serverLog takes what net/http says of its own accord, such as connections
+// that can't be accepted.
+type serverLog struct{ logger log.Interface }
+
+// Write logs one message.
+func (l *serverLog) Write(p []byte) (int, error) {
+	l.logger.WithField("Detail", string(bytes.TrimSpace(p))).Warn("ServerComplained")
+	return len(p), nil
+}
+
 // Drain is a planned stop: callers are no longer sent here, those that still
 // come are served as long as their requests can end in time, and every request
 // inside ends.
