--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -40,10 +40,10 @@
 	// it; nil for all others.
 	Prompt *Prompt
 	// Tried are the endpoints at which earlier attempts failed.
+	Tried []view.EndpointID
 	// Resumes is set for the rest of an answer that its caller has begun to
 	// get.
 	Resumes bool
-	Tried   []view.EndpointID
 	// Nested marks a call made on behalf of a request that is already
 	// running; it goes before its organisation's other requests, since its
 	// parent holds capacity until it is answered.
