--- a/internal/transport/intake/listener.go
+++ b/internal/transport/intake/listener.go
@@ -32,6 +32,8 @@
 	open   chan struct{}
 	closed chan struct{}
 	once   sync.Once
+	// newFor is the constant; tests give it more time.
+	newFor time.Duration
 
 	mu sync.Mutex
 	// idle holds the idle connections and since when; guarded by mu.
@@ -43,7 +45,7 @@
 func New(inner net.Listener, most int) *Listener {
 	return &Listener{
 		Listener: inner, fresh: make(chan struct{}, newAtOnce), open: make(chan struct{}, max(most, 1)),
-		closed: make(chan struct{}), idle: map[*conn]time.Time{},
+		closed: make(chan struct{}), idle: map[*conn]time.Time{}, newFor: newFor,
 	}
 }
 
@@ -65,7 +67,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: inner, listener: l}
-	c.late = time.AfterFunc(newFor, c.read)
+	c.late = time.AfterFunc(l.newFor, c.read)
 	return c, nil
 }
 
--- a/internal/transport/intake/listener_test.go
+++ b/internal/transport/intake/listener_test.go
@@ -13,11 +13,12 @@
 
 // serve runs a server over a listener for at most the given number of
 // connections.
-func serve(t *testing.T, most int, handler http.HandlerFunc) (*Listener, string) {
+func serve(t *testing.T, most int, patience time.Duration, handler http.HandlerFunc) (*Listener, string) {
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	l := New(inner, most)
+	l.newFor = patience
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	l.Watch(s)
 	ended := make(chan error, 1)
@@ -51,7 +52,7 @@
 func TestFloodIsAcceptedAsFastAsItIsRead(t *testing.T) {
 	is := is.New(t)
 	inside, gate := make(chan struct{}, 100), make(chan struct{})
-	l, address := serve(t, 100, func(_ http.ResponseWriter, r *http.Request) {
+	l, address := serve(t, 100, time.Minute, func(_ http.ResponseWriter, r *http.Request) {
 		inside <- struct{}{}
 		<-gate
 		Read(r.Context())
@@ -61,19 +62,25 @@
 		_, r := ask(t, address)
 		readers = append(readers, r)
 	}
-	time.Sleep(newFor / 3)
-	is.True(len(inside) <= newAtOnce) // the others wait with the host
-	is.True(len(l.open) <= newAtOnce)
+	for begun := time.Now(); len(inside) < newAtOnce && time.Since(begun) < 10*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(len(inside), newAtOnce) // the others wait with the host
+	is.Equal(len(l.open), newAtOnce)
 	close(gate)
 	for _, r := range readers {
 		is.NoErr(answered(r))
 	}
+	for begun := time.Now(); len(l.fresh) != 1 && time.Since(begun) < 10*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
 	is.Equal(len(l.fresh), 1) // only the next Accept holds a place
 }
 
 func TestSlowCallersDoNotKeepOthersOut(t *testing.T) {
 	is := is.New(t)
-	_, address := serve(t, 100, func(_ http.ResponseWriter, r *http.Request) { Read(r.Context()) })
+	_, address := serve(t, 100, newFor, func(_ http.ResponseWriter, r *http.Request) { Read(r.Context()) })
 	for range newAtOnce {
 		c, err := net.Dial("tcp", address) // sends nothing
 		is.NoErr(err)
@@ -87,7 +94,7 @@
 
 func TestIdleConnectionsMakeRoom(t *testing.T) {
 	is := is.New(t)
-	l, address := serve(t, 3, func(_ http.ResponseWriter, r *http.Request) { Read(r.Context()) })
+	l, address := serve(t, 3, newFor, func(_ http.ResponseWriter, r *http.Request) { Read(r.Context()) })
 	for range 3 {
 		_, r := ask(t, address)
 		is.NoErr(answered(r))
