Answer a caller only once all routers know what its request broke

In a trace of another failure the news of a crash was sent and lost, since a link drops what it is given for 250 ms after it could not be opened; the caller was answered at once and asked the router that had not heard. Change: routers confirm evidence (SuspectTaken), it is told again each 50 ms, and the caller is answered when all have confirmed it or after 0.5 s. The test ends its goroutines before its routers, also when a check fails. TestFailureIsToldOnceRoutersKnow fails without the change. Conclusion: mended; what is left is a router that cannot be reached for longer.

--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -25,7 +25,17 @@
 type Message interface{ suspectMessage() }
 
 // News spreads evidence.
-type News struct{ Evidence []Evidence }
+type News struct {
+	Evidence []Evidence
+	// Reply asks for a Taken for each piece of it.
+	Reply bool
+}
+
+// Taken answers News: this evidence is known here.
+type Taken struct {
+	Fingerprint Fingerprint
+	Endpoint    view.EndpointID
+}
 
 // Ask asks the owner of a fingerprint for a permit to run a suspect.
 type Ask struct {
@@ -45,6 +55,7 @@
 type Done struct{ Fingerprint Fingerprint }
 
 func (News) suspectMessage()   {}
+func (Taken) suspectMessage()  {}
 func (Ask) suspectMessage()    {}
 func (Permit) suspectMessage() {}
 func (Done) suspectMessage()   {}
@@ -63,8 +74,10 @@
 // Withdraw says that nobody waits for the answer to a Judge any more.
 type Withdraw struct{ ID uint64 }
 
-// Broken says that an endpoint failed under a request.
+// Broken says that an endpoint failed under a request. It is answered by one
+// Told.
 type Broken struct {
+	ID          uint64
 	Fingerprint Fingerprint
 	Endpoint    view.EndpointID
 }
@@ -130,6 +143,10 @@
 	Until time.Time
 }
 
+// Told answers a Broken: every router that can be reached knows the evidence,
+// so that the caller may learn of the failure and try again.
+type Told struct{ ID uint64 }
+
 // Send delivers a message to another router.
 type Send struct {
 	To      view.RouterID
@@ -147,6 +164,7 @@
 }
 
 func (Judged) suspectOutput()   {}
+func (Told) suspectOutput()     {}
 func (Send) suspectOutput()     {}
 func (Wake) suspectOutput()     {}
 func (Decision) suspectOutput() {}
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -64,8 +64,10 @@
 	view   *view.Snapshot
 	files  map[Fingerprint]*file
 	trials []*trial
-	wakeAt time.Time
-	out    []Output
+	// tellings are the failures whose callers wait until all routers know.
+	tellings []*telling
+	wakeAt   time.Time
+	out      []Output
 }
 
 // New returns an empty table of the given router.
@@ -160,12 +162,11 @@
 		Fingerprint: in.Fingerprint, Endpoint: in.Endpoint,
 		At: now, Until: now.Add(evidenceLife),
 	}
-	if !t.learn(now, e) {
-		return
+	if t.learn(now, e) {
+		t.files[in.Fingerprint].originate(now)
 	}
-	c := t.files[in.Fingerprint]
-	c.originate(now)
-	t.spread([]Evidence{e})
+	// Evidence that another router has learnt first may not have spread yet.
+	t.tellAll(now, in, e)
 }
 
 // originate makes this router repeat the news of a file.
@@ -277,7 +278,12 @@
 	case News:
 		for _, e := range m.Evidence {
 			t.learn(now, e)
+			if m.Reply {
+				t.send(now, in.From, Taken{e.Fingerprint, e.Endpoint})
+			}
 		}
+	case Taken:
+		t.taken(in.From, m)
 	case Ask:
 		t.asked(now, in.From, m)
 	case Permit:
@@ -296,6 +302,7 @@
 		known[t.view.Routers[i].ID] = t.view.Routers[i].Incarnation
 	}
 	t.view = v
+	t.forgetGone()
 	var news []Evidence
 	for _, f := range sortedKeys(t.files) {
 		if slices.Contains(t.owners(f), t.self) {
@@ -331,7 +338,7 @@
 
 func (t *Table) tell(to view.RouterID, news []Evidence) {
 	for part := range slices.Chunk(news, newsLength) {
-		t.emit(Send{to, News{part}})
+		t.emit(Send{to, News{Evidence: part}})
 	}
 }
 
@@ -370,6 +377,9 @@
 	for _, r := range t.trials {
 		sooner(r.askAt)
 	}
+	if next := t.proceedTelling(now); !next.IsZero() {
+		sooner(next)
+	}
 	if !at.IsZero() && !at.Equal(t.wakeAt) {
 		t.wakeAt = at
 		t.emit(Wake{at})
--- a/internal/coordination/suspect/table_test.go
+++ b/internal/coordination/suspect/table_test.go
@@ -31,12 +31,13 @@
 	ids    []view.RouterID
 	lose   func(from, to view.RouterID) bool
 	judged map[uint64]Judged
+	told   map[uint64]bool
 	lastID uint64
 	sent   int
 }
 
 func newFleet(routers int) *fleet {
-	f := &fleet{now: time.Unix(1e6, 0), tables: map[view.RouterID]*Table{}, judged: map[uint64]Judged{}, lose: lossless}
+	f := &fleet{now: time.Unix(1e6, 0), tables: map[view.RouterID]*Table{}, judged: map[uint64]Judged{}, told: map[uint64]bool{}, lose: lossless}
 	for i := range routers {
 		id := view.RouterID(fmt.Sprint("r", i))
 		f.ids = append(f.ids, id)
@@ -70,6 +71,8 @@
 			}
 		case Judged:
 			f.judged[o.ID] = o
+		case Told:
+			f.told[o.ID] = true
 		}
 	}
 }
@@ -103,9 +106,9 @@
 	is := is.New(t)
 	f := newFleet(3)
 	is.Equal(f.judge("r0", 7), VerdictFree)
-	f.step("r0", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
 	is.Equal(f.judge("r1", 7), VerdictAlone)
-	f.step("r1", Broken{7, "e2"})
+	f.step("r1", Broken{1, 7, "e2"})
 	f.step("r1", Ended{7, false})
 	for _, id := range f.ids {
 		is.Equal(f.judge(id, 7), VerdictConvicted)
@@ -115,21 +118,53 @@
 	is.Equal(f.tables["r2"].Len(), 0)
 }
 
+// TestFailureIsToldOnceRoutersKnow is a link that drops what it is given for a
+// while after it could not be opened: a caller that hears of the failure may
+// ask the router behind it at once.
+func TestFailureIsToldOnceRoutersKnow(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3)
+	opens := f.now.Add(250 * time.Millisecond)
+	f.lose = func(from, to view.RouterID) bool { return from == "r0" && to == "r2" && f.now.Before(opens) }
+	f.step("r0", Broken{41, 7, "e1"})
+	is.True(!f.told[41])
+	is.Equal(f.judge("r1", 7), VerdictAlone)
+	f.step("r1", Ended{7, false})
+	for f.now.Before(opens) {
+		is.True(!f.told[41])
+		f.pass(tellEvery)
+	}
+	f.pass(tellEvery)
+	is.True(f.told[41])
+	is.Equal(f.tables["r2"].count(f.now, 7), 1) // and now it knows
+
+	// One that cannot be reached, or that leaves, holds nobody up for long.
+	f.lose = func(from, to view.RouterID) bool { return from == "r0" && to == "r2" }
+	f.step("r0", Broken{42, 7, "e2"})
+	f.pass(tellWithin)
+	is.True(f.told[42])
+	f.step("r0", Broken{43, 8, "e2"})
+	is.True(!f.told[43])
+	f.ids = []view.RouterID{"r0", "r1"}
+	f.publish()
+	is.True(f.told[43])
+}
+
 func TestOneEndpointConvictsNobody(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", Broken{7, "e1"})
-	f.step("r1", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
+	f.step("r1", Broken{1, 7, "e1"})
 	is.Equal(f.judge("r2", 7), VerdictAlone)
 }
 
 func TestFinishingClears(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
 	is.Equal(f.judge("r1", 7), VerdictAlone)
 	f.step("r1", Ended{7, true})
-	f.step("r2", Delivery{"r0", News{[]Evidence{{Fingerprint: 7, Endpoint: "e1", At: f.now, Until: f.now.Add(time.Minute)}}}}) // late news
+	f.step("r2", Delivery{"r0", News{Evidence: []Evidence{{Fingerprint: 7, Endpoint: "e1", At: f.now, Until: f.now.Add(time.Minute)}}}}) // late news
 	for _, id := range f.ids {
 		is.Equal(f.judge(id, 7), VerdictFree)
 	}
@@ -138,7 +173,7 @@
 func TestEndpointThatLivesClears(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
 	asked := f.now
 	f.step("r0", Alive{"e1", asked}) // asked before the failure, or at it
 	is.Equal(f.judge("r1", 7), VerdictAlone)
@@ -150,7 +185,7 @@
 func TestSuspectRunsOnceAtATimeInTheFleet(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(5)
-	f.step("r0", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
 	is.Equal(f.judge("r1", 7), VerdictAlone)
 	is.Equal(f.judge("r2", 7), VerdictBusy)
 	is.Equal(f.judge("r1", 7), VerdictBusy) // nor twice at one router
@@ -161,7 +196,7 @@
 func TestEvidenceSurvivesItsRouterAndReachesNewOnes(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(4)
-	f.step("r0", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
 	delete(f.tables, "r0")
 	f.ids = []view.RouterID{"r1", "r2", "r3"}
 	f.publish()
@@ -174,7 +209,7 @@
 func TestUnsuspectedRequestsCostNoMessage(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", Broken{7, "e1"})
+	f.step("r0", Broken{1, 7, "e1"})
 	before := f.sent
 	for i := range 1000 {
 		is.Equal(f.judge("r1", Fingerprint(100+i)), VerdictFree)
@@ -210,11 +245,11 @@
 			beside := Fingerprint(100 + send)
 			switch f.judge(at, killer) {
 			case VerdictFree, VerdictAlone:
-				f.step(at, Broken{killer, endpoint(send)})
+				f.step(at, Broken{1, killer, endpoint(send)})
 				f.step(at, Ended{killer, false})
 				lost++
 				innocents = append(innocents, beside)
-				f.step(router(), Broken{beside, endpoint(send)})
+				f.step(router(), Broken{1, beside, endpoint(send)})
 			}
 			f.pass(repeatFirst) // the caller's pause, in which news is repeated
 			f.pass(2 * repeatFirst)
--- a/internal/protocol/peer/conversion_suspect.go
+++ b/internal/protocol/peer/conversion_suspect.go
@@ -10,7 +10,9 @@
 func FromSuspect(m suspect.Message) *Message {
 	switch m := m.(type) {
 	case suspect.News:
-		return &Message{Kind: &Message_SuspectNews{SuspectNews: &SuspectNews{Suspects: fromEvidence(m.Evidence)}}}
+		return &Message{Kind: &Message_SuspectNews{SuspectNews: &SuspectNews{Suspects: fromEvidence(m.Evidence), Reply: m.Reply}}}
+	case suspect.Taken:
+		return &Message{Kind: &Message_SuspectTaken{SuspectTaken: &SuspectTaken{Fingerprint: uint64(m.Fingerprint), Endpoint: string(m.Endpoint)}}}
 	case suspect.Ask:
 		return &Message{Kind: &Message_SuspectAsk{SuspectAsk: &SuspectAsk{
 			Fingerprint: uint64(m.Fingerprint), UntilUnixMillis: toMillis(m.Until),
@@ -30,7 +32,11 @@
 func ToSuspect(m *Message) (suspect.Message, bool) {
 	switch k := m.GetKind().(type) {
 	case *Message_SuspectNews:
-		return suspect.News{Evidence: toEvidence(k.SuspectNews.GetSuspects())}, true
+		return suspect.News{Evidence: toEvidence(k.SuspectNews.GetSuspects()), Reply: k.SuspectNews.GetReply()}, true
+	case *Message_SuspectTaken:
+		return suspect.Taken{
+			Fingerprint: suspect.Fingerprint(k.SuspectTaken.GetFingerprint()), Endpoint: view.EndpointID(k.SuspectTaken.GetEndpoint()),
+		}, true
 	case *Message_SuspectAsk:
 		return suspect.Ask{
 			Fingerprint: suspect.Fingerprint(k.SuspectAsk.GetFingerprint()),
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -25,21 +25,24 @@
 	table  *suspect.Table
 	peers  *peers
 	logger log.Interface
+	// stopped is closed by Close.
+	stopped chan struct{}
 	// any is set while there is evidence, so that calls cost nothing else.
 	any atomic.Bool
 
 	mu      sync.Mutex
 	lastID  uint64                         // guarded by mu
 	waiting map[uint64]chan suspect.Judged // guarded by mu
+	told    map[uint64]chan struct{}       // guarded by mu
 }
 
 func startSuspects(r *Router) *suspects {
 	s := &suspects{
 		table: suspect.New(r.self.ID), peers: r.peers, logger: r.options.Logger,
-		waiting: map[uint64]chan suspect.Judged{},
+		waiting: map[uint64]chan suspect.Judged{}, told: map[uint64]chan struct{}{}, stopped: make(chan struct{}),
 	}
 	s.driver = driver.New(s.step, suspect.Input(suspect.Alarm{}), s.apply)
-	for _, kind := range []string{"SuspectNews", "SuspectAsk", "SuspectPermit", "SuspectDone"} {
+	for _, kind := range []string{"SuspectNews", "SuspectAsk", "SuspectPermit", "SuspectDone", "SuspectTaken"} {
 		r.peers.On(kind, func(from view.RouterID, _ uint64, w *wire.Message) {
 			if m, ok := wire.ToSuspect(w); ok {
 				s.driver.Input(suspect.Delivery{From: from, Message: m})
@@ -50,8 +53,11 @@
 	return s
 }
 
-// Close stops the table.
-func (s *suspects) Close() { s.driver.Close() }
+// Close stops the table. Nobody is told anything more.
+func (s *suspects) Close() {
+	close(s.stopped)
+	s.driver.Close()
+}
 
 func (s *suspects) step(now time.Time, in suspect.Input) []suspect.Output {
 	out := s.table.Step(now, in)
@@ -68,6 +74,13 @@
 			decided <- o
 		}
 		s.mu.Unlock()
+	case suspect.Told:
+		s.mu.Lock()
+		if told, ok := s.told[o.ID]; ok {
+			delete(s.told, o.ID)
+			close(told)
+		}
+		s.mu.Unlock()
 	case suspect.Send:
 		if m := wire.FromSuspect(o.Message); m != nil {
 			s.peers.Send(o.To, m)
@@ -176,11 +189,27 @@
 	}
 }
 
-// Over notes how a try ended. A broken answer is evidence, which goes to the
-// peers before the caller can be told.
+// tell tells all routers that an endpoint failed under a request, and waits
+// until they know or can't be reached.
+func (s *suspects) tell(f suspect.Fingerprint, id view.EndpointID) {
+	told := make(chan struct{})
+	s.mu.Lock()
+	s.lastID++
+	number := s.lastID
+	s.told[number] = told
+	s.mu.Unlock()
+	s.driver.Input(suspect.Broken{ID: number, Fingerprint: f, Endpoint: id})
+	select {
+	case <-told:
+	case <-s.stopped:
+	}
+}
+
+// Over notes how a try ended. A broken answer is evidence, which the peers
+// know before the caller can be told.
 func (s *suspects) Over(c *execution.Call, id view.EndpointID, result schedule.Result) {
 	if result == schedule.ResultBroken {
-		s.driver.Input(suspect.Broken{Fingerprint: fingerprint(c), Endpoint: id})
+		s.tell(fingerprint(c), id)
 	}
 	if s.any.Load() {
 		s.driver.Input(suspect.Ended{Fingerprint: fingerprint(c), Finished: result == schedule.ResultFinished})
--- a/internal/transport/router/suspects_test.go
+++ b/internal/transport/router/suspects_test.go
@@ -43,6 +43,11 @@
 			}
 		})
 	}
+	// It runs before the routers are closed, also when a check fails.
+	t.Cleanup(func() {
+		stop()
+		innocents.Wait()
+	})
 	var last caller.Problem
 	for send := range 9 {
 		url := "http://" + r.Routers[send%3].CallerAddress().String() + caller.PathChatCompletions
