Move the fault soak out of the adapter's folder

Change: internal/tool/disruption breaks programs, internal/tool/soak plays and checks, and platform/standin (170 lines) speaks for it through soak.Dialect. Conclusion: no behaviour changes.

--- a/cmd/hyssopreach-soak/main.go
+++ b/cmd/hyssopreach-soak/main.go
@@ -17,11 +17,12 @@
 
 	"github.com/integrii/flaggy"
 
-	"hyssopreach/platform/soak"
+	"hyssopreach/internal/tool/soak"
+	"hyssopreach/platform/standin"
 )
 
 func main() {
-	o := soak.Options{Seed: 1, For: time.Minute, Interval: time.Second, Routers: 4, Endpoints: 4, Callers: 12}
+	o := soak.Options{Dialect: standin.Dialect{}, Seed: 1, For: time.Minute, Interval: time.Second, Routers: 4, Endpoints: 4, Callers: 12}
 	verbose := false
 	flaggy.SetName("hyssopreach-soak")
 	flaggy.SetDescription("breaks hosted routers by faults drawn from a seed and checks the promises")
--- a/internal/tool/soak/plan.go
+++ b/internal/tool/disruption/plan.go
@@ -1,4 +1,4 @@
-package soak
+package disruption
 
 import (
 	"cmp"
--- a/platform/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,8 +11,6 @@
 	"net/netip"
 	"strings"
 	"time"
-
-	"hyssopreach/platform/contract"
 )
 
 const (
@@ -109,7 +106,7 @@
 func (c *caller) resolve(ctx context.Context, directory netip.AddrPort) ([]netip.AddrPort, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+directory.String()+contract.PathResolve+"?name=h", http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.soak.options.Dialect.EntryURL(directory), http.NoBody)
 	if err != nil {
 		return nil, err
 	}
@@ -118,14 +115,9 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	var answer struct {
-		Addresses []netip.AddrPort `json:"addresses"`
-	}
-	return answer.Addresses, decodeInto(response.Body, &answer)
+	return c.soak.options.Dialect.ParseEntries(response.Body)
 }
 
-func decodeInto(r io.Reader, into any) error { return json.NewDecoder(r).Decode(into) }
-
 // The outcomes of requests.
 const (
 	outcomeServed  = "served"
@@ -145,10 +137,11 @@
 		c.soak.Ledger.violate("soak", "%v", err)
 		return 0, outcomeFailed
 	}
-	request.Host, request.GetBody = "h", nil
-	request.Header.Set(headerID, a.ID)
-	request.Header.Set(contract.HeaderKey, a.Key)
-	request.Header.Set(contract.HeaderDeadline, fmt.Sprint(callerDeadline.Milliseconds()))
+	names := c.soak.options.Dialect.Names()
+	request.Host, request.GetBody = host, nil
+	request.Header.Set(names.ID, a.ID)
+	request.Header.Set(names.Key, a.Key)
+	request.Header.Set(names.Deadline, fmt.Sprint(callerDeadline.Milliseconds()))
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, c.failed(ctx, a, err)
@@ -176,7 +169,7 @@
 
 func (c *caller) judge(a *ask, response *http.Response, body string) string {
 	l := c.soak.Ledger
-	stamped := response.Header.Get(headerStamp) != ""
+	stamped := response.Header.Get(c.soak.options.Dialect.Names().Stamp) != ""
 	switch status := response.StatusCode; {
 	case status == http.StatusOK && !stamped:
 		l.violate("own answer", "%s got a success that no endpoint signed", a.ID)
--- a/internal/tool/soak/doc.go
+++ b/internal/tool/soak/doc.go
@@ -1,8 +1,8 @@
-// Package soak breaks running programs from outside: a loopback proxy that
-// delays, resets, silences or cuts connections one way, processes that are
-// stopped, paused, killed and started again by signals, and a plan of such
-// faults drawn from a seed, in series and overlapping.
+// Package soak runs hosted routers as processes of their own before stand-ins
+// of the store and of endpoints, breaks them by a plan drawn from a seed, and
+// checks the promises from what callers and endpoints see.
 //
-// It knows nothing of what the programs speak. It ends only the processes that
-// it has started, by their ids.
+// Promises without a time bound are checked always. Those with one are checked
+// where the router, the store and the endpoints concerned have been left alone
+// for long enough.
 package soak
--- a/platform/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -12,13 +12,10 @@
 	"sync"
 	"time"
 
-	"hyssopreach/internal/tool/soak"
-	"hyssopreach/platform/contract"
+	"hyssopreach/internal/tool/disruption"
 )
 
 const (
-	headerID    = contract.HeaderAttempt
-	headerStamp = "Server-Stamp"
 	// The kinds of requests, which are the first parts of their paths.
 	kindOnce, kindSafe, kindStream = "once", "safe", "stream"
 	// streamEvents and eventPause shape a stream.
@@ -29,13 +26,15 @@
 	plainTime = 250 * time.Millisecond
 	slots     = 16
 	service   = "pool"
+	host      = "h"
 )
 
 // endpoint stands in for one endpoint over its starts.
 type endpoint struct {
 	number int
-	proxy  *soak.Proxy
+	proxy  *disruption.Proxy
 	ledger *Ledger
+	speak  Dialect
 	// judge is told of every run, and since when its endpoint has been leaving.
 	judge func(endpoint string, draining time.Time, a *ask)
 
@@ -55,12 +54,12 @@
 	draining time.Time
 }
 
-func newEndpoint(number int, l *Ledger, judge func(string, time.Time, *ask)) (*endpoint, error) {
-	p, err := soak.NewProxy(netip.AddrPort{})
+func newEndpoint(number int, speak Dialect, l *Ledger, judge func(string, time.Time, *ask)) (*endpoint, error) {
+	p, err := disruption.NewProxy(netip.AddrPort{})
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{number: number, proxy: p, ledger: l, judge: judge}
+	e := &endpoint{number: number, proxy: p, speak: speak, ledger: l, judge: judge}
 	return e, e.begin()
 }
 
@@ -115,18 +114,21 @@
 	if e.current == nil {
 		return "", "", false
 	}
-	state := contract.StateReady
-	if !e.current.draining.IsZero() {
-		state = contract.StateDraining
-	}
-	return e.current.id, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z%d","slots":%d,"state":%q,"sequence":%d}`,
-		service, e.proxy.Address, e.number%2, slots, state, time.Now().UnixMilli()), true
+	return e.current.id, e.speak.Entry(&Entry{
+		Service: service, FailureDomain: domain(e.number), Address: e.proxy.Address, Slots: slots,
+		Leaving: !e.current.draining.IsZero(), Sequence: time.Now().UnixMilli(),
+	}), true
 }
 
+// domain is the FailureDomain of the router or endpoint of a number.
+func domain(number int) string { return fmt.Sprint("z", number%2) }
+
 func (e *endpoint) serve(s *start, w http.ResponseWriter, r *http.Request) {
-	if wanted := r.Header.Get(contract.HeaderInstance); wanted != s.id {
-		w.Header().Set(contract.HeaderNotRun, "1")
-		w.Header().Set(headerID, r.Header.Get(headerID))
+	names := e.speak.Names()
+	id := r.Header.Get(names.ID)
+	w.Header().Set(names.ID, id)
+	if wanted := r.Header.Get(names.Instance); wanted != s.id {
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -134,7 +136,7 @@
 	if err != nil {
 		return // The router has gone; nothing runs.
 	}
-	a := e.ledger.ran(time.Now(), s.id, r, string(body))
+	a := e.ledger.ran(time.Now(), s.id, id, r, string(body))
 	if a == nil {
 		return
 	}
@@ -142,10 +144,9 @@
 	draining := s.draining
 	e.mu.Unlock()
 	e.judge(s.id, draining, a)
-	w.Header().Set(headerID, a.ID)
-	w.Header().Set(headerStamp, s.id)
+	w.Header().Set(names.Stamp, s.id)
 	if a.Kind == kindStream {
-		stream(w, r, a)
+		stream(w, r, a, r.Header.Get(names.LastEvent))
 		return
 	}
 	time.Sleep(plainTime * time.Duration(len(body)%10) / 10)
@@ -162,9 +163,9 @@
 }
 
 // stream sends the events after the one that the router says it has.
-func stream(w http.ResponseWriter, r *http.Request, a *ask) {
+func stream(w http.ResponseWriter, r *http.Request, a *ask, lastEvent string) {
 	first := 1
-	if last, err := strconv.Atoi(r.Header.Get(contract.HeaderLastEvent)); err == nil {
+	if last, err := strconv.Atoi(lastEvent); err == nil {
 		first = last + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
--- a/platform/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -7,7 +7,7 @@
 	"syscall"
 	"time"
 
-	"hyssopreach/internal/tool/soak"
+	"hyssopreach/internal/tool/disruption"
 )
 
 // group is what a fault disturbs, and so which promises are not checked
@@ -24,7 +24,7 @@
 
 // fault is what one kind of fault does: it begins and it ends.
 type fault struct {
-	soak.Kind
+	disruption.Kind
 	group      group
 	begin, end func(s *Soak, target int)
 }
@@ -32,7 +32,7 @@
 // onRouter is a fault of one router.
 func onRouter(g group, name string, least, most time.Duration, begin, end func(s *Soak, r *router)) fault {
 	return fault{
-		Kind: soak.Kind{Name: name, Least: least, Most: most}, group: g,
+		Kind: disruption.Kind{Name: name, Least: least, Most: most}, group: g,
 		begin: func(s *Soak, i int) { begin(s, s.routers[i]) },
 		end: func(s *Soak, i int) {
 			if end != nil {
@@ -50,7 +50,7 @@
 	}
 }
 
-func storeProxy(m soak.Mode) func(s *Soak, r *router) {
+func storeProxy(m disruption.Mode) func(s *Soak, r *router) {
 	return func(_ *Soak, r *router) { r.store.Set(m) }
 }
 
@@ -58,9 +58,9 @@
 var faults = []fault{
 	onRouter(groupRouter, "router killed", 0, 0, signal(syscall.SIGKILL), nil),
 	onRouter(groupRouter, "router paused", 300*time.Millisecond, 6*time.Second, signal(syscall.SIGSTOP), signal(syscall.SIGCONT)),
-	onRouter(groupRouter, "router cut from the store", time.Second, 7*time.Second, storeProxy(soak.ModeSilent), storeProxy(soak.ModePass)),
-	onRouter(groupRouter, "store's answers lost", time.Second, 5*time.Second, storeProxy(soak.ModeOneWay), storeProxy(soak.ModePass)),
-	onRouter(groupRouter, "store refuses the router", time.Second, 7*time.Second, storeProxy(soak.ModeRefuse), storeProxy(soak.ModePass)),
+	onRouter(groupRouter, "router cut from the store", time.Second, 7*time.Second, storeProxy(disruption.ModeSilent), storeProxy(disruption.ModePass)),
+	onRouter(groupRouter, "store's answers lost", time.Second, 5*time.Second, storeProxy(disruption.ModeOneWay), storeProxy(disruption.ModePass)),
+	onRouter(groupRouter, "store refuses the router", time.Second, 7*time.Second, storeProxy(disruption.ModeRefuse), storeProxy(disruption.ModePass)),
 	onRouter(groupRouter, "connections to the store reset", 0, 0, func(_ *Soak, r *router) { r.store.Reset() }, nil),
 	onRouter(groupStop, "router stopped", stopWithin, stopWithin, func(s *Soak, r *router) {
 		r.mu.Lock()
@@ -69,20 +69,20 @@
 		signal(syscall.SIGTERM)(s, r)
 	}, nil),
 	onRouter(groupStop, "settings looked at", 0, 0, signal(syscall.SIGHUP), nil),
-	{soak.Kind{Name: "store busy", Least: time.Second, Most: 12 * time.Second}, groupStore, func(s *Soak, _ int) { s.store.set(storeBusy) }, func(s *Soak, _ int) { s.store.set(storeWell) }},
-	{soak.Kind{Name: "store slow", Least: time.Second, Most: 8 * time.Second}, groupStore, func(s *Soak, _ int) { s.store.set(storeSlow) }, func(s *Soak, _ int) { s.store.set(storeWell) }},
-	{soak.Kind{Name: "key changed as the store goes", Least: revoke + 2*time.Second, Most: revoke + 6*time.Second}, groupStore, func(s *Soak, i int) {
+	{disruption.Kind{Name: "store busy", Least: time.Second, Most: 12 * time.Second}, groupStore, func(s *Soak, _ int) { s.store.set(storeBusy) }, func(s *Soak, _ int) { s.store.set(storeWell) }},
+	{disruption.Kind{Name: "store slow", Least: time.Second, Most: 8 * time.Second}, groupStore, func(s *Soak, _ int) { s.store.set(storeSlow) }, func(s *Soak, _ int) { s.store.set(storeWell) }},
+	{disruption.Kind{Name: "key changed as the store goes", Least: revoke + 2*time.Second, Most: revoke + 6*time.Second}, groupStore, func(s *Soak, i int) {
 		changeKey(s, i)
 		s.store.set(storeBusy)
 	}, func(s *Soak, _ int) { s.store.set(storeWell) }},
-	{soak.Kind{Name: "endpoint crashed", Least: 500 * time.Millisecond, Most: 3 * time.Second}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].end() }, restart},
-	{soak.Kind{Name: "endpoint silent", Least: 500 * time.Millisecond, Most: 4 * time.Second}, groupEndpoint, endpointProxy(soak.ModeSilent), endpointProxy(soak.ModePass)},
-	{soak.Kind{Name: "endpoint's answers lost", Least: 500 * time.Millisecond, Most: 3 * time.Second}, groupEndpoint, endpointProxy(soak.ModeOneWay), endpointProxy(soak.ModePass)},
-	{soak.Kind{Name: "endpoint delayed", Least: time.Second, Most: 4 * time.Second}, groupEndpoint, endpointProxy(soak.ModeDelay), endpointProxy(soak.ModePass)},
-	{soak.Kind{Name: "connections to the endpoint reset"}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].proxy.Reset() }, nothing},
-	{soak.Kind{Name: "endpoint fails", Least: time.Second, Most: 4 * time.Second}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].setFailing(true) }, func(s *Soak, i int) { s.endpoints[i].setFailing(false) }},
-	{soak.Kind{Name: "key changed"}, groupEndpoint, changeKey, nothing},
-	{soak.Kind{Name: "endpoint leaves", Least: drainAfter + time.Second, Most: drainAfter + 3*time.Second}, groupEndpoint, leave, func(s *Soak, i int) {
+	{disruption.Kind{Name: "endpoint crashed", Least: 500 * time.Millisecond, Most: 3 * time.Second}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].end() }, restart},
+	{disruption.Kind{Name: "endpoint silent", Least: 500 * time.Millisecond, Most: 4 * time.Second}, groupEndpoint, endpointProxy(disruption.ModeSilent), endpointProxy(disruption.ModePass)},
+	{disruption.Kind{Name: "endpoint's answers lost", Least: 500 * time.Millisecond, Most: 3 * time.Second}, groupEndpoint, endpointProxy(disruption.ModeOneWay), endpointProxy(disruption.ModePass)},
+	{disruption.Kind{Name: "endpoint delayed", Least: time.Second, Most: 4 * time.Second}, groupEndpoint, endpointProxy(disruption.ModeDelay), endpointProxy(disruption.ModePass)},
+	{disruption.Kind{Name: "connections to the endpoint reset"}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].proxy.Reset() }, nothing},
+	{disruption.Kind{Name: "endpoint fails", Least: time.Second, Most: 4 * time.Second}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].setFailing(true) }, func(s *Soak, i int) { s.endpoints[i].setFailing(false) }},
+	{disruption.Kind{Name: "key changed"}, groupEndpoint, changeKey, nothing},
+	{disruption.Kind{Name: "endpoint leaves", Least: drainAfter + time.Second, Most: drainAfter + 3*time.Second}, groupEndpoint, leave, func(s *Soak, i int) {
 		s.endpoints[i].end()
 		restart(s, i)
 	}},
@@ -90,7 +90,7 @@
 
 func nothing(*Soak, int) {}
 
-func endpointProxy(m soak.Mode) func(s *Soak, i int) {
+func endpointProxy(m disruption.Mode) func(s *Soak, i int) {
 	return func(s *Soak, i int) { s.endpoints[i].proxy.Set(m) }
 }
 
@@ -123,8 +123,8 @@
 }
 
 // kinds lists what may happen.
-func (s *Soak) kinds() []soak.Kind {
-	all := make([]soak.Kind, len(faults))
+func (s *Soak) kinds() []disruption.Kind {
+	all := make([]disruption.Kind, len(faults))
 	for i := range faults {
 		all[i] = faults[i].Kind
 		all[i].Targets = len(s.routers)
@@ -136,7 +136,7 @@
 }
 
 // play does what the plan says and returns when all has ended.
-func (s *Soak) play(ctx context.Context, plan []soak.Fault) {
+func (s *Soak) play(ctx context.Context, plan []disruption.Fault) {
 	begun := time.Now()
 	var under sync.WaitGroup
 	for _, planned := range plan {
@@ -154,7 +154,7 @@
 }
 
 // inflict begins a fault and ends it after its time.
-func (s *Soak) inflict(ctx context.Context, planned soak.Fault) {
+func (s *Soak) inflict(ctx context.Context, planned disruption.Fault) {
 	i := slices.IndexFunc(faults, func(f fault) bool { return f.Name == planned.Kind })
 	f := &faults[i]
 	s.disturb(f.group, planned.Target, planned.For)
@@ -180,7 +180,7 @@
 	case groupEndpoint:
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.endsAt = later(s.endsAt, until)
+		s.endpointsEnded = later(s.endpointsEnded, until)
 	case groupStop:
 	}
 }
--- a/platform/soak/ledger.go
+++ b/internal/tool/soak/ledger.go
@@ -54,10 +54,9 @@
 
 // ran notes that an endpoint begins a request, and returns it; nil if no
 // caller sent it.
-func (l *Ledger) ran(now time.Time, endpoint string, r *http.Request, body string) *ask {
+func (l *Ledger) ran(now time.Time, endpoint, id string, r *http.Request, body string) *ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	id := r.Header.Get(headerID)
 	a := l.asks[id]
 	switch {
 	case a == nil:
--- a/platform/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -15,7 +14,7 @@
 	"time"
 
 	"hyssopreach/internal/standin/loopback"
-	"hyssopreach/internal/tool/soak"
+	"hyssopreach/internal/tool/disruption"
 )
 
 // The bounds of the promises, as the settings of the routers state them.
@@ -41,12 +40,16 @@
 	recoveredCallers              = 6
 	// retryRatio and retryExtra bound the runs of requests beyond the first.
 	retryRatio, retryExtra = 0.2, 54
+	retryWindow            = 10 * time.Second
+	// memoryMB and descriptors are what a router may use.
+	memoryMB, descriptors = 128, 1024
 )
 
 // Options say what to run.
 type Options struct {
-	Seed uint64
-	For  time.Duration
+	Dialect Dialect
+	Seed    uint64
+	For     time.Duration
 	// Interval is the mean time between two faults.
 	Interval time.Duration
 	// Binary is the program of the routers, and Folder a folder for their
@@ -62,7 +65,7 @@
 	Broken         []string
 	Outcomes       map[string]int
 	Requests, Runs int
-	Faults         []soak.Fault
+	Faults         []disruption.Fault
 }
 
 // Soak is a soak under way.
@@ -75,11 +78,11 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	keys       map[string]keyTimes
-	current    string
-	removed    []string
-	storeEnded time.Time // when the last fault of the store ends or ended
-	endsAt     time.Time // when the last fault of endpoints ends or ended
+	keys           map[string]keyTimes
+	current        string
+	removed        []string
+	storeEnded     time.Time // when the last fault of the store ends or ended
+	endpointsEnded time.Time // when the last fault of endpoints ends or ended
 }
 
 // keyTimes are when a key came into force and when it was removed.
@@ -88,8 +91,8 @@
 // router is one router's process.
 type router struct {
 	front, directory netip.AddrPort
-	store            *soak.Proxy
-	process          *soak.Process
+	store            *disruption.Proxy
+	process          *disruption.Process
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -115,7 +118,7 @@
 	if err := s.startRouters(ctx); err != nil {
 		return nil, err
 	}
-	plan := soak.Plan(o.Seed, o.For, o.Interval, s.kinds())
+	plan := disruption.Plan(o.Seed, o.For, o.Interval, s.kinds())
 	for i := range o.Callers {
 		working.Go(func() { newCaller(s, i, o.Seed).run(loading) })
 	}
@@ -126,7 +129,7 @@
 	working.Wait()
 	r := &Report{Faults: plan}
 	r.Broken, r.Outcomes, r.Requests, r.Runs = s.Ledger.Report()
-	if most := float64(r.Requests)*(1+retryRatio) + retryExtra*o.For.Seconds()/10; float64(r.Runs) > most {
+	if most := float64(r.Requests)*(1+retryRatio) + retryExtra*o.For.Seconds()/retryWindow.Seconds(); float64(r.Runs) > most {
 		r.Broken = append(r.Broken, fmt.Sprintf("budget: %d runs of %d requests", r.Runs, r.Requests))
 	}
 	return r, ctx.Err()
@@ -134,13 +137,13 @@
 
 func (s *Soak) startStandins() error {
 	var err error
-	if s.store, err = newStore(); err != nil {
+	if s.store, err = newStore(s.options.Dialect); err != nil {
 		return err
 	}
 	s.current = keyName(1)
 	s.keys[s.current] = keyTimes{added: time.Now()}
 	for i := range s.options.Endpoints {
-		e, err := newEndpoint(i, s.Ledger, s.judgeRun)
+		e, err := newEndpoint(i, s.options.Dialect, s.Ledger, s.judgeRun)
 		if err != nil {
 			return err
 		}
@@ -176,7 +179,7 @@
 
 // prepareRouters writes the routers' settings.
 func (s *Soak) prepareRouters() error {
-	var controls []netip.AddrPort
+	var peers []netip.AddrPort
 	for i := range s.options.Routers {
 		r := &router{disturbed: time.Now()}
 		own, err := loopback.Address()
@@ -187,30 +190,28 @@
 		for j := range addresses {
 			addresses[j] = netip.AddrPortFrom(own.Addr(), firstPort+uint16(j))
 		}
-		if r.store, err = soak.NewProxy(s.store.address); err != nil {
+		if r.store, err = disruption.NewProxy(s.store.address); err != nil {
 			return err
 		}
 		r.front, r.directory = addresses[0], addresses[1]
-		controls = append(controls, addresses[2])
+		peers = append(peers, addresses[2])
 		s.routers = append(s.routers, r)
 		path := filepath.Join(s.options.Folder, fmt.Sprintf("router-%d", i))
-		boot := map[string]any{
-			"node": fmt.Sprint("router-", i), "zone": fmt.Sprint("z", i%2), "ip": addresses[0].Addr(), "heartbeat_ms": heartbeat.Milliseconds(),
-			"listen": map[string]any{"front": r.front, "directory": r.directory, "control": addresses[2], "ready": addresses[3]},
-			"seeds":  controls[:min(len(controls), 3)], "limits": map[string]any{"memory_mb": 128, "fd_limit": 1024},
-			"bounds": map[string]any{
-				"revoke_ms": revoke.Milliseconds(), "grace_s": stopWithin.Seconds(), "retry_budget_ratio": retryRatio, "budget_window_s": 10, "budget_extra": retryExtra,
-			},
-			"platform": map[string]any{"address": r.store.Address},
-		}
-		data, err := json.Marshal(boot)
+		data, err := s.options.Dialect.Settings(&RouterSettings{
+			Name: fmt.Sprint("router-", i), FailureDomain: domain(i),
+			Callers: r.front, Directory: r.directory, Peers: addresses[2], Ready: addresses[3],
+			Seeds: peers[:min(len(peers), 3)], Store: r.store.Address,
+			Heartbeat: heartbeat, Revoke: revoke, StopWithin: stopWithin, Window: retryWindow,
+			MemoryMB: memoryMB, Descriptors: descriptors, RetryRatio: retryRatio, RetryExtra: retryExtra,
+		})
 		if err != nil {
 			return err
 		}
 		if err := os.WriteFile(path+".json", data, 0o600); err != nil {
 			return err
 		}
-		r.process = soak.NewProcess(s.options.Binary, []string{"hosted"}, []string{"HYSSOPREACH_BOOT=" + path + ".json"}, path+".log")
+		arguments, environment := s.options.Dialect.Program(path + ".json")
+		r.process = disruption.NewProcess(s.options.Binary, arguments, environment, path+".log")
 	}
 	return nil
 }
@@ -330,7 +331,7 @@
 	r := s.routers[a.Router]
 	now := time.Now()
 	s.mu.Lock()
-	quiet := s.endsAt.Before(a.SentAt.Add(-calm)) && s.storeEnded.Before(a.SentAt.Add(-calm))
+	quiet := s.endpointsEnded.Before(a.SentAt.Add(-calm)) && s.storeEnded.Before(a.SentAt.Add(-calm))
 	s.mu.Unlock()
 	r.mu.Lock()
 	quiet = quiet && r.disturbed.Before(a.SentAt)
--- a/platform/soak/store.go
+++ b/internal/tool/soak/store.go
@@ -1,15 +1,12 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
-
-	"hyssopreach/platform/contract"
 )
 
 // storeMode is how the store answers.
@@ -26,6 +23,9 @@
 // slowBy is how late a slow store answers.
 const slowBy = 500 * time.Millisecond
 
+// objective is the time in which answers should begin.
+const objective = 500 * time.Millisecond
+
 // lapse is the time after which the entry of a silent endpoint is removed.
 const lapse = 3 * heartbeat
 
@@ -33,6 +33,7 @@
 type store struct {
 	server  *http.Server
 	address netip.AddrPort
+	speak   Dialect
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -47,12 +48,12 @@
 	at    time.Time
 }
 
-func newStore() (*store, error) {
+func newStore(speak Dialect) (*store, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // It is closed with the store.
 	if err != nil {
 		return nil, fmt.Errorf("start the store: %w", err)
 	}
-	s := &store{address: netip.MustParseAddrPort(l.Addr().String()), entries: map[string]stored{}, version: 1, keys: []string{keyName(1)}}
+	s := &store{speak: speak, address: netip.MustParseAddrPort(l.Addr().String()), entries: map[string]stored{}, version: 1, keys: []string{keyName(1)}}
 	s.server = &http.Server{Handler: s, ReadHeaderTimeout: time.Minute}
 	go func() { _ = s.server.Serve(l) }() // It always ends with an error, ErrServerClosed.
 	return s, nil
@@ -89,12 +90,7 @@
 	return true
 }
 
-type item struct {
-	Key   string `json:"key"`
-	Value []byte `json:"value"`
-}
-
-// ServeHTTP answers a read of the newest records.
+// ServeHTTP answers a read.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	mode := s.mode
@@ -106,32 +102,24 @@
 	case storeSlow:
 		time.Sleep(slowBy)
 	}
-	var items []item
-	s.mu.Lock()
-	if r.URL.Query().Get("topic") == contract.TopicOp {
-		items = append(items, item{contract.KeyConfig, []byte(s.configuration())})
-	} else {
-		for key, e := range s.entries {
-			if time.Since(e.at) > lapse {
-				delete(s.entries, key)
-				continue
-			}
-			items = append(items, item{key, []byte(e.value)})
-		}
-	}
-	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "has_more": false}) // The router may have gone.
+	configuration, entries := s.holds(time.Now())
+	s.speak.ServeStore(w, r, configuration, entries)
 }
 
-// configuration requires that mu is held.
-func (s *store) configuration() string {
-	keys, _ := json.Marshal(s.keys) // Strings always encode.
-	route := func(name, kind, more string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"h","path_prefix":"/%s/","type":%q,"timeout_ms":%d,"slo_ms":500,"service":%q,"max_attempts":3%s}`,
-			name, name, kind, callerDeadline.Milliseconds(), service, more)
+// holds returns what the store holds, without entries that have lapsed.
+func (s *store) holds(now time.Time) (configuration string, entries map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries = make(map[string]string, len(s.entries))
+	for key, e := range s.entries {
+		if now.Sub(e.at) > lapse {
+			delete(s.entries, key)
+			continue
+		}
+		entries[key] = e.value
 	}
-	return fmt.Sprintf(`{"version":%d,"services":[{"name":%q,"max_conns":400}],"limits":{"max_body_bytes":100000},`+
-		`"tenants":[{"name":"org","api_keys":%s}],"routes":[%s,%s,%s]}`, s.version, service, keys,
-		route(kindOnce, "non_idempotent", ""), route(kindSafe, contract.TypeIdempotent, ""),
-		route(kindStream, contract.TypeStreaming, `,"resumable":true`))
+	return s.speak.Configuration(&Configuration{
+		Version: s.version, Service: service, Keys: s.keys, Once: kindOnce, Safe: kindSafe, Stream: kindStream,
+		Host: host, Timeout: callerDeadline, Objective: objective,
+	}), entries
 }
