Take decisions out of the adapter, and name all routers

Cause: platform/ decided shares of memory and descriptors, the margin of key revocation and which connections are closed; and it cut entry answers to the first 64 routers by name, so that 6 of 70 were never named to callers. Change: these stand in transport/router (resources.go, KeepsConnection); Entry names at most so many at random; a full line's Retry-After stands once, in coordination/admission. TestEntryLeavesNoRouterOut fails with the first three taken.

--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -151,7 +151,7 @@
 	p.usage.ask(now, r.Organisation, w.cost)
 	if l.lines.of(r.Organisation) >= MaxLine {
 		// Those before it would be refused first.
-		p.refuse(now, w, choice{}, 0, lineFull)
+		p.emit(schedule.Refusal{ID: r.ID, Reason: schedule.RefusalOverload, RetryAt: RetryWhenFull(now, p.random.Float64()), Detail: lineFull})
 		return
 	}
 	l.lines.add(w)
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -174,6 +174,13 @@
 		waited, c.endpoint.ID, c.begins.Round(time.Millisecond), c.ahead, ahead.Round(time.Millisecond), c.strain, share)
 }
 
+// RetryWhenFull is when a caller should come back whose organisation has
+// MaxLine requests waiting; these are started or refused within about minRetry.
+// The spread, 0 to 1, is drawn anew for each caller.
+func RetryWhenFull(now time.Time, spread float64) time.Time {
+	return now.Add(minRetry + time.Duration(spread*float64(minRetry)))
+}
+
 // refuse tells the caller to come back when the queue should have gone, with
 // some spread so that those refused together do not return together.
 func (p *Policy) refuse(now time.Time, w *waiter, c choice, ahead time.Duration, detail string) {
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -24,10 +24,6 @@
 	// unknownPause is how long a caller is asked to stay away while this
 	// router's configuration is not known to be the newest.
 	unknownPause = 300 * time.Millisecond
-	// crowdedPause is the least time for which a caller is asked to stay away
-	// while its organisation's line is full; what waits there is started or
-	// refused within about that time.
-	crowdedPause = 200 * time.Millisecond
 	// stoppingPause is the same while the router stops; another one serves.
 	stoppingPause = 50 * time.Millisecond
 	// streamSilence is the time without a byte after which a resumable stream
@@ -81,12 +77,20 @@
 // it needs no key, or the configuration that holds its key was confirmed
 // lately.
 func (c *Core) MayAccept(o *text.Organisation) bool {
-	return o.Name == "" || c.sources.confirmedWithin(c.hosting.ConfirmFor)
+	return o.Name == "" || c.sources.confirmedWithin(c.hosting.confirmFor())
 }
 
-// Entry returns the addresses of the routers that callers may use, and false
-// if this router does not know the fleet yet.
-func (c *Core) Entry() ([]netip.AddrPort, bool) {
+// KeepsConnection reports whether a caller's connection is kept after an
+// answer with the status. A refused caller comes back on a new one; what a
+// flood leaves open would take the memory that requests need.
+func (c *Core) KeepsConnection(status int) bool {
+	return !c.Stopping() && status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable
+}
+
+// Entry returns the addresses of at most so many routers that callers may use,
+// and false if this router does not know the fleet yet. Of more it names some
+// at random, so that none is left without callers.
+func (c *Core) Entry(most int) ([]netip.AddrPort, bool) {
 	v := c.fleet.View()
 	var usable []netip.AddrPort
 	for i := range v.Routers {
@@ -97,6 +101,10 @@
 		usable = append(usable, r.CallerAddress)
 	}
 	alone := len(v.Routers) == 1 && len(c.hosting.Settings.Peers) > 0 && time.Since(c.started) < joinTime
+	if len(usable) > most {
+		rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+		usable = usable[:most]
+	}
 	return usable, len(usable) > 0 && !alone
 }
 
@@ -130,7 +138,7 @@
 // crowded refuses a request whose organisation has as many waiting as may.
 func crowded(now time.Time) *caller.Problem {
 	p := entry.Reject(http.StatusTooManyRequests, "Admit", "as many requests of the organisation wait as may")
-	p.RetryAt = now.Add(crowdedPause + rand.N(crowdedPause))
+	p.RetryAt = local.RetryWhenFull(now, rand.Float64())
 	return p
 }
 
@@ -139,7 +147,7 @@
 	if matched.Anonymous || !table.Keyed() {
 		return &text.Organisation{}, nil
 	}
-	if !c.sources.confirmedWithin(c.hosting.ConfirmFor) {
+	if !c.sources.confirmedWithin(c.hosting.confirmFor()) {
 		return nil, notKnown(now, "keys cannot be judged by a configuration that has not been confirmed lately")
 	}
 	o := table.Organisation(a.Key)
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -65,18 +65,20 @@
 	Name    string
 	Address netip.AddrPort
 	Handler http.Handler
-	// Connections bounds those that are open; zero stands for no bound. With
-	// one the handler tells package intake when it has read a request.
-	Connections int
+	// Bounded is set where callers send their requests: connections are then
+	// accepted as package intake does, and the handler tells it when it has read
+	// a request.
+	Bounded bool
 }
 
 // Hosting are the options of a router that a platform hosts.
 type Hosting struct {
 	Options
-	Platform Platform
-	// ConfirmFor is the time after a read of the configuration for which a
-	// caller's key may still be accepted.
-	ConfirmFor time.Duration
+	Platform  Platform
+	Resources Resources
+	// RevokeWithin is the time after which no key may be accepted that was
+	// removed from the configuration.
+	RevokeWithin time.Duration
 	// Listing says how entries of endpoints lapse and come back.
 	Listing listing.Limits
 	// StopWithin is the time that a planned stop may take.
@@ -87,6 +89,10 @@
 	IdleTimeout time.Duration
 }
 
+// confirmFor is the time after a read of the configuration for which a
+// caller's key may still be accepted.
+func (h *Hosting) confirmFor() time.Duration { return h.RevokeWithin - confirmMargin }
+
 // Hosted is a router that a platform hosts.
 type Hosted struct {
 	hosting Hosting
@@ -143,7 +149,7 @@
 	r.members = startMembers(
 		membership.Options{Self: r.self, Seeds: s.Peers, Random: random(h.Incarnation, "membership")}, r.fleet, p, h.Logger)
 	r.core = &Core{
-		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodies(s.Limits.WaitingBytes),
+		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodies(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
 		started: time.Now(), hosting: &r.hosting, logger: h.Logger,
 	}
 	r.sources = startSources(r, p)
@@ -178,8 +184,8 @@
 		MaxHeaderBytes: int(r.hosting.Settings.Limits.HeaderBytes),
 		ErrorLog:       stdlog.New(&serverLog{r.hosting.Logger.WithField("Face", f.Name)}, "", 0),
 	}
-	if f.Connections > 0 {
-		bounded := intake.New(l, f.Connections)
+	if f.Bounded {
+		bounded := intake.New(l, r.hosting.Resources.connections())
 		bounded.Watch(s)
 		l = bounded
 	}
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -93,13 +93,13 @@
 	for i := range fleet {
 		own := settings.Default()
 		own.Name, own.FailureDomain, own.PeerAddress, own.Peers = view.RouterID(fmt.Sprint("r", i)), "d", addresses[i], addresses
-		own.CallerAddress = netip.MustParseAddrPort("127.0.0.1:1")
+		own.CallerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
 		r, err := StartHosted(t.Context(), Hosting{
 			Options: Options{
 				Settings: own, Incarnation: uint64(time.Now().UnixNano()), Network: NewNetwork(netip.Addr{}),
 				Logger: &log.Logger{Handler: discard.Default}, Registry: metrics.NewRegistry(),
 			},
-			Platform: &hostedPlatform{s, own.Name}, ConfirmFor: 2 * time.Second, Listing: listing.Limits{Lapse: time.Second, Relisted: time.Second},
+			Platform: &hostedPlatform{s, own.Name}, RevokeWithin: 2700 * time.Millisecond, Listing: listing.Limits{Lapse: time.Second, Relisted: time.Second},
 			StopWithin: time.Second, Repeats: retry.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		})
 		is.NoErr(err)
@@ -152,6 +152,24 @@
 	}
 }
 
+// TestEntryLeavesNoRouterOut is a fleet larger than what one answer may name.
+func TestEntryLeavesNoRouterOut(t *testing.T) {
+	is := is.New(t)
+	fleet := startHostedFleet(t, &store{version: 1, refused: map[view.RouterID]bool{}}, 4)
+	named := map[netip.AddrPort]int{}
+	for range 400 {
+		addresses, ok := fleet[0].core.Entry(3)
+		is.True(ok)
+		is.Equal(len(addresses), 3)
+		for _, a := range addresses {
+			named[a]++
+		}
+	}
+	is.Equal(len(named), len(fleet))
+	all, _ := fleet[0].core.Entry(len(fleet))
+	is.Equal(len(all), len(fleet))
+}
+
 func indexOf(fleet []*Hosted, r *Hosted) int {
 	for i := range fleet {
 		if fleet[i] == r {
