Bound the questions that have been given up

Cause: a question to a peer that outlasts its time goes on in the background, and one more could be added each 0.45 s.

--- a/internal/transport/peer/asker.go
+++ b/internal/transport/peer/asker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -11,11 +12,18 @@
 	wire "hyssopreach/internal/protocol/peer"
 )
 
+// maxCalls bounds the calls under way, of which all but one have been given
+// up. An asker beyond it has others to ask.
+const maxCalls = 4
+
+var errTooManyCalls = errors.New("earlier questions have been given up and have not ended")
+
 // Asker asks one router at a time over a connection that it keeps.
 type Asker struct {
 	links *Links
-	// calls are those under way, of which all but one have been given up.
-	calls sync.WaitGroup
+	// calls are those under way, and places has room for as many as may be.
+	calls  sync.WaitGroup
+	places chan struct{}
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -25,7 +33,7 @@
 }
 
 // NewAsker returns an asker that connects as the links do.
-func (l *Links) NewAsker() *Asker { return &Asker{links: l} }
+func (l *Links) NewAsker() *Asker { return &Asker{links: l, places: make(chan struct{}, maxCalls)} }
 
 // confirmed is the end of a call.
 type confirmed struct {
@@ -35,12 +43,21 @@
 }
 
 // Confirm asks the router at the address what it has read of the store. It
-// returns when the context ends, also while the connection hangs; drpc waits
-// for the other end to take what closes a call.
+// returns when the context ends, also while the call goes on: a call of drpc
+// has been seen to outlast its context by seconds on a router without processor
+// time.
 func (a *Asker) Confirm(ctx context.Context, from netip.AddrPort, q *wire.ConfirmationQuery) (*wire.Confirmation, error) {
+	select {
+	case a.places <- struct{}{}:
+	default:
+		return nil, fmt.Errorf("confirm configuration at %s: %w", from, errTooManyCalls)
+	}
 	conn := a.take(from)
 	ended := make(chan confirmed, 1)
-	a.calls.Go(func() { ended <- a.call(ctx, conn, from, q) })
+	a.calls.Go(func() {
+		defer func() { <-a.places }()
+		ended <- a.call(ctx, conn, from, q)
+	})
 	select {
 	case c := <-ended:
 		if c.err != nil {
--- a/internal/transport/peer/asker_test.go
+++ b/internal/transport/peer/asker_test.go
@@ -54,6 +54,14 @@
 	case <-time.After(5 * time.Second):
 		t.Error("the call hangs after its context has ended")
 	}
+	// Those that are given up do not pile up.
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var err error
+	for range maxCalls {
+		_, err = a.Confirm(ctx, netip.MustParseAddrPort("127.0.0.1:9"), &wire.ConfirmationQuery{})
+	}
+	is.True(errors.Is(err, errTooManyCalls))
 	close(d.released)
 	a.Close()
 }
