Read nothing more from a connection given up for a new one

Cause: an idle connection chosen to make room could get a request between the choice and its closing; the request could run and its answer be lost. Change: a connection that has been given up reads nothing, and reading makes a connection active under the same lock.

--- a/internal/transport/intake/listener.go
+++ b/internal/transport/intake/listener.go
@@ -121,8 +121,8 @@
 }
 
 // closeIdle closes the connection that has been idle longest, if any has been
-// for long enough. A caller that sends at this moment finds it closed and
-// opens another one.
+// for long enough. A caller that sends at this moment finds it closed, nothing
+// of its request is read, and it opens another one.
 func (l *Listener) closeIdle(now time.Time) {
 	l.mu.Lock()
 	var oldest *conn
@@ -133,6 +133,7 @@
 	}
 	if oldest != nil {
 		delete(l.idle, oldest)
+		oldest.given = true
 	}
 	l.mu.Unlock()
 	if oldest != nil {
@@ -158,6 +159,28 @@
 	late     *time.Timer
 	readOnce sync.Once
 	ended    sync.Once
+	// given is set once the connection has been given up for a new one; guarded
+	// by the listener's mu.
+	given bool
+}
+
+// Read reads unless the connection has been given up. What it reads makes the
+// connection active at once, before the server says so.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.listener.wake(c) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// wake takes a connection from the idle ones; it returns false if it has been
+// given up.
+func (l *Listener) wake(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.idle, c)
+	return !c.given
 }
 
 func (c *conn) read() {
--- a/internal/transport/intake/listener_test.go
+++ b/internal/transport/intake/listener_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,6 +106,35 @@
 	is.True(len(l.open) <= 3)
 }
 
+// TestRequestOfAConnectionGivenUpIsNotRead is a caller that sends just as its
+// idle connection is given up: its request must not reach the handler, since
+// the answer would be lost.
+func TestRequestOfAConnectionGivenUpIsNotRead(t *testing.T) {
+	is := is.New(t)
+	var handled atomic.Int64
+	l, address := serve(t, 1, newFor, func(_ http.ResponseWriter, r *http.Request) {
+		handled.Add(1)
+		Read(r.Context())
+	})
+	c, r := ask(t, address)
+	is.NoErr(answered(r))
+	var idle *conn
+	for begun := time.Now(); idle == nil && time.Since(begun) < 10*time.Second; {
+		l.mu.Lock()
+		for one := range l.idle {
+			idle = one
+		}
+		l.mu.Unlock()
+	}
+	l.mu.Lock()
+	idle.given = true // closeIdle has chosen it and not closed it yet
+	l.mu.Unlock()
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	is.True(answered(r) != nil)
+	is.Equal(handled.Load(), int64(1))
+}
+
 func TestCloseEndsAccept(t *testing.T) {
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
