Log the ages that decide where a request goes, and the lateness of the process

RequestRouted now carries the age of the list and, like a refusal, that of the event interval's last sample. Package lateness measures by how much timers fire late, as a histogram and as the events ProcessLate and ProcessOnTime.

--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -105,6 +105,9 @@
 	// nanoseconds.
 	eventGap      average
 	eventInterval average
+	// eventIntervalAt is the instant of the last sample of eventInterval; zero if
+	// there is none.
+	eventIntervalAt time.Time
 	// lastActivityAt is the instant of the last activity of the endpoint, or of
 	// the first request sent to it after a time without requests.
 	lastActivityAt time.Time
@@ -124,6 +127,15 @@
 	}
 }
 
+// eventIntervalAge returns the age of the last sample of eventInterval, for the
+// log.
+func (e *endpoint) eventIntervalAge(now time.Time) string {
+	if e.eventIntervalAt.IsZero() {
+		return "none"
+	}
+	return now.Sub(e.eventIntervalAt).Round(time.Millisecond).String()
+}
+
 // measureSpeed updates the prefill speed with the measured time to first token
 // of a request.
 func (e *endpoint) measureSpeed(r *running, timeToFirstToken time.Duration) {
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -184,6 +184,7 @@
 	e.lastActivityAt = now
 	if in.EventInterval > 0 {
 		e.eventInterval.add(float64(in.EventInterval))
+		e.eventIntervalAt = now
 	}
 	if in.LongestGap > 0 {
 		e.eventGap.add(float64(in.LongestGap))
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -168,8 +168,8 @@
 }
 
 // start starts the request on the candidate. In the reason, begins stands for
-// the time to first token, ahead for tokensAhead, unread for the prefill and
-// pace for the event interval.
+// the time to first token, ahead for tokensAhead, unread for the prefill, pace
+// for the event interval and measured for the age of its last sample.
 func (p *Policy) start(now time.Time, w *queuedRequest, c candidate) {
 	r := &running{request: w.request, endpoint: c.endpoint, work: c.work, tokensAhead: c.tokensAhead}
 	p.running[w.request.ID] = r
@@ -177,9 +177,10 @@
 	p.usage.addReceived(now, w.request.Organisation, w.cost)
 	p.emit(schedule.Start{
 		ID: w.request.ID, Endpoint: c.endpoint.ID,
-		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f,pace=%v,output=%d",
+		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f,pace=%v,measured=%s,output=%d",
 			now.Sub(w.arrived).Round(time.Millisecond), c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, c.work.prefill, c.home, c.endpoint.speed,
-			time.Duration(c.endpoint.eventInterval.value).Round(time.Millisecond), outputTokens(w.request.Prompt)),
+			time.Duration(c.endpoint.eventInterval.value).Round(time.Millisecond),
+			c.endpoint.eventIntervalAge(now), outputTokens(w.request.Prompt)),
 	})
 }
 
@@ -192,8 +193,9 @@
 	if !found {
 		return fmt.Sprintf("waited=%v,room=none,share=%.2f", waited, capacityShare)
 	}
-	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,share=%.2f",
-		waited, c.endpoint.ID, c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, queueTime.Round(time.Millisecond), c.saturation, capacityShare)
+	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,measured=%s,share=%.2f",
+		waited, c.endpoint.ID, c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, queueTime.Round(time.Millisecond), c.saturation,
+		c.endpoint.eventIntervalAge(now), capacityShare)
 }
 
 // RetryWhenFull returns the instant at which a caller should retry if its
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -102,6 +102,9 @@
 	Gate       Gate
 	Budget     RetryBudget
 	Logger     log.Interface
+	// EndpointsAge returns the age of the list of endpoints, for the log; nil if
+	// it is unknown.
+	EndpointsAge func() time.Duration
 }
 
 // NewRunner returns a Runner with a gate that admits every call and the default
@@ -260,10 +263,14 @@
 }
 
 func (r *Runner) logStart(a *Attempt, start schedule.Start) {
-	r.Logger.WithFields(log.Fields{
+	fields := log.Fields{
 		"RequestID": a.Call.RequestID, "Attempt": a.ID, "Organisation": a.Call.Organisation.Name,
 		"Service": a.Call.Service.Name, "Endpoint": start.Endpoint, "Reason": start.Reason,
-	}).Info("RequestRouted")
+	}
+	if r.EndpointsAge != nil {
+		fields["EndpointsAge"] = r.EndpointsAge().Round(time.Millisecond)
+	}
+	r.Logger.WithFields(fields).Info("RequestRouted")
 }
 
 func findEndpoint(v *view.Snapshot, id view.EndpointID) (view.Endpoint, bool) {
--- /dev/null
+++ b/internal/transport/lateness/meter.go
@@ -0,0 +1,107 @@
+package lateness
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// sampleInterval is the time between two measurements.
+	sampleInterval = 20 * time.Millisecond
+	// window is the time over which Recent takes the maximum, in two halves.
+	window = time.Second
+	// lateThreshold is the lateness from which the process counts as late. A
+	// process that is late by half of it or less throughout the window is on
+	// time again.
+	lateThreshold = 100 * time.Millisecond
+	// MetricLateness is the histogram of the measured lateness in microseconds.
+	MetricLateness = "ProcessLatenessMicros"
+	// sampleSize and sampleDecay are the size of the histogram and the weight of
+	// the newer values in it.
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
+// Meter measures how late this process runs. Its methods may be called
+// concurrently.
+type Meter struct {
+	logger    log.Interface
+	histogram metrics.Histogram
+	// recent is the greatest lateness within the window, in nanoseconds.
+	recent atomic.Int64
+	cancel context.CancelFunc
+	loop   sync.WaitGroup
+
+	// The fields below belong to the goroutine of run.
+
+	// current and previous are the greatest lateness of the current and the
+	// previous half of the window.
+	current, previous time.Duration
+	halfEndsAt        time.Time
+	late              bool
+}
+
+// Start returns a Meter that measures until it is closed.
+func Start(registry metrics.Registry, logger log.Interface) *Meter {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := newMeter(registry, logger, cancel)
+	m.loop.Go(func() { m.run(ctx) })
+	return m
+}
+
+func newMeter(registry metrics.Registry, logger log.Interface, cancel context.CancelFunc) *Meter {
+	return &Meter{
+		logger: logger, cancel: cancel,
+		histogram: metrics.GetOrRegisterHistogram(MetricLateness, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
+	}
+}
+
+// Recent returns the greatest lateness within the last half to one second.
+func (m *Meter) Recent() time.Duration { return time.Duration(m.recent.Load()) }
+
+// Close stops the measurement and waits until it has ended.
+func (m *Meter) Close() {
+	m.cancel()
+	m.loop.Wait()
+}
+
+func (m *Meter) run(ctx context.Context) {
+	timer := time.NewTimer(sampleInterval)
+	defer timer.Stop()
+	for {
+		due := time.Now().Add(sampleInterval)
+		timer.Reset(sampleInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		m.record(now, now.Sub(due))
+	}
+}
+
+// record processes one measurement.
+func (m *Meter) record(now time.Time, lateness time.Duration) {
+	lateness = max(lateness, 0)
+	m.histogram.Update(lateness.Microseconds())
+	if !now.Before(m.halfEndsAt) {
+		m.previous, m.current, m.halfEndsAt = m.current, 0, now.Add(window/2)
+	}
+	m.current = max(m.current, lateness)
+	recent := max(m.current, m.previous)
+	m.recent.Store(int64(recent))
+	switch {
+	case !m.late && recent >= lateThreshold:
+		m.late = true
+		m.logger.WithField("Lateness", recent).Warn("ProcessLate")
+	case m.late && recent <= lateThreshold/2:
+		m.late = false
+		m.logger.WithField("Lateness", recent).Info("ProcessOnTime")
+	}
+}
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -25,6 +25,7 @@
 	"hyssopreach/internal/transport/connlimit"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
+	"hyssopreach/internal/transport/lateness"
 	"hyssopreach/internal/transport/peer"
 )
 
@@ -111,9 +112,12 @@
 	server  *peer.Server
 	members *members
 	sources *sources
-	servers []*http.Server
-	serving sync.WaitGroup
-	closing sync.Once
+	// lateness measures whether this process gets the processor time that it
+	// needs.
+	lateness *lateness.Meter
+	servers  []*http.Server
+	serving  sync.WaitGroup
+	closing  sync.Once
 }
 
 // Core is the part of a hosted router that is available to the platform's
@@ -162,10 +166,12 @@
 		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodyLimiter(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
 		started: time.Now(), options: &r.options, logger: h.Logger,
 	}
+	r.lateness = lateness.Start(h.Registry, h.Logger)
 	r.sources = startSources(r, p)
 	r.core.sources = r.sources
 	r.fleet.watch(func(v *view.Snapshot) { scheduling.Input(schedule.Change{View: v}) })
 	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, h.Logger)
+	r.core.runner.EndpointsAge = r.sources.listAge
 	r.core.runner.Budget = &fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
 		r.closeComponents()
@@ -283,6 +289,7 @@
 	r.members.Close()
 	r.core.scheduling.Close()
 	r.links.Close()
+	r.lateness.Close()
 }
 
 // fleetBudget limits the retries of this router to its part of the retry budget
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -323,6 +323,13 @@
 	return uint64(max(now.Sub(at), 0)/time.Millisecond) + 1
 }
 
+// listAge returns the time since the list of endpoints was read from the store.
+func (s *sources) listAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clock.Now().Sub(s.list.at)
+}
+
 // confirmedWithin reports whether the configuration in force was the newest one
 // at some instant within the last maxAge.
 func (s *sources) confirmedWithin(maxAge time.Duration) bool {
