--- /dev/null
+++ b/internal/coordination/admission/pacedfleet_test.go
@@ -0,0 +1,200 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/view"
+)
+
+// The tests in this file run the policies of several routers against common
+// simulated engines in virtual time. An engine's streams get slower the more of
+// them it runs, and a router measures only its own streams.
+
+const (
+	// An engine's event interval is baseInterval plus intervalPerStream for each
+	// of its streams.
+	baseInterval      = 20 * time.Millisecond
+	intervalPerStream = 6 * time.Millisecond
+	// streamEvents is the number of events of a stream.
+	streamEvents = 4
+	// progressInterval is the time between two reports on a stream.
+	progressInterval = 100 * time.Millisecond
+	fleetObjective   = 400 * time.Millisecond
+)
+
+// fleetEngine is a simulated engine and its streams in order of arrival.
+type fleetEngine struct{ streams []*fleetStream }
+
+// fleetStream is a stream on an engine.
+type fleetStream struct {
+	router    int
+	id        schedule.RequestID
+	prefill   float64
+	startedAt time.Time
+	// events is the number of events sent, reportedEvents that at reportedAt.
+	events, reportedEvents float64
+	reportedAt             time.Time
+}
+
+// pacedFleet is a fleet of routers and engines.
+type pacedFleet struct {
+	now      time.Time
+	policies []*Policy
+	engines  map[view.EndpointID]*fleetEngine
+	order    []view.EndpointID
+	requests []map[schedule.RequestID]string
+	last     schedule.RequestID
+	started  map[string]int
+}
+
+func newPacedFleet(routers, engines int, tokensPerSecond float64) *pacedFleet {
+	f := &pacedFleet{now: time.Unix(5000, 0), engines: map[view.EndpointID]*fleetEngine{}, started: map[string]int{}}
+	v := view.Snapshot{Pools: map[string]view.Pool{"p": {TokensPerSecond: tokensPerSecond}}}
+	for i := range engines {
+		id := view.EndpointID(fmt.Sprint("e", i))
+		f.engines[id], f.order = &fleetEngine{}, append(f.order, id)
+		v.Endpoints = append(v.Endpoints, view.Endpoint{ID: id, Pool: "p", Slots: 32, MemoryTokens: 600_000})
+	}
+	for i := range routers {
+		v.Routers = append(v.Routers, view.Router{ID: routerID(i)})
+	}
+	for i := range routers {
+		own := v
+		own.Self = routerID(i)
+		f.policies = append(f.policies, New(Options{Source: rand.NewPCG(uint64(i), 2)}))
+		f.requests = append(f.requests, map[schedule.RequestID]string{})
+		f.input(i, schedule.Change{View: &own})
+	}
+	return f
+}
+
+func routerID(i int) view.RouterID { return view.RouterID(fmt.Sprint("r", i)) }
+
+// input passes an input to a router's policy and carries out its outputs.
+func (f *pacedFleet) input(router int, in schedule.Input) {
+	for _, out := range append([]schedule.Output{}, f.policies[router].Step(f.now, in)...) {
+		switch o := out.(type) {
+		case schedule.Start:
+			f.started[f.requests[router][o.ID]]++
+			e := f.engines[o.Endpoint]
+			e.streams = append(e.streams, &fleetStream{router: router, id: o.ID, prefill: 1000, startedAt: f.now})
+		case schedule.Send:
+			for i := range f.policies {
+				if routerID(i) == o.To {
+					f.input(i, schedule.Delivery{From: routerID(router), Message: o.Message})
+				}
+			}
+		}
+	}
+}
+
+// send sends a request of an organisation to a router.
+func (f *pacedFleet) send(router int, organisation string) {
+	f.last++
+	f.requests[router][f.last] = organisation
+	f.input(router, schedule.Arrival{Request: schedule.Request{
+		ID: f.last, Organisation: organisation, Pool: "p", MayWait: true, Objective: f.now.Add(fleetObjective), Deadline: f.now.Add(deadline),
+		Prompt: &schedule.Prompt{InputTokens: 1000, OutputTokens: 20, Parts: []schedule.PromptPart{{ID: uint64(f.last) << 20, Tokens: 1000}}},
+	}})
+}
+
+// advance lets one step of time pass on all engines.
+func (f *pacedFleet) advance() {
+	f.now = f.now.Add(testStep)
+	for _, id := range f.order {
+		f.advanceEngine(f.engines[id])
+	}
+	for i := range f.policies {
+		f.input(i, schedule.Alarm{})
+	}
+}
+
+func (f *pacedFleet) advanceEngine(e *fleetEngine) {
+	interval := baseInterval + time.Duration(len(e.streams))*intervalPerStream
+	budget := engineSpeed * milliseconds(testStep)
+	running := e.streams
+	e.streams = nil
+	var inputs []func()
+	for _, s := range running {
+		processed := min(s.prefill, budget)
+		s.prefill -= processed
+		budget -= processed
+		ended := false
+		switch {
+		case s.prefill > 0:
+		case s.reportedAt.IsZero():
+			s.reportedAt = f.now
+			inputs = append(inputs, func() {
+				f.input(s.router, schedule.Progress{ID: s.id, FirstToken: s.reportedAt.Sub(s.startedAt), Service: 1})
+			})
+		default:
+			s.events += float64(testStep) / float64(interval)
+			if since := f.now.Sub(s.reportedAt); since >= progressInterval && s.events-s.reportedEvents >= 1 {
+				mean := time.Duration(float64(since) / (s.events - s.reportedEvents))
+				s.reportedAt, s.reportedEvents = f.now, s.events
+				inputs = append(inputs, func() {
+					f.input(s.router, schedule.Progress{ID: s.id, Service: 1, EventInterval: mean, LongestGap: mean})
+				})
+			}
+			ended = s.events >= streamEvents
+		}
+		if ended {
+			inputs = append(inputs, func() { f.input(s.router, schedule.Completion{ID: s.id, Result: schedule.ResultFinished}) })
+			continue
+		}
+		e.streams = append(e.streams, s)
+	}
+	// The inputs may start further streams on the engine.
+	for _, apply := range inputs {
+		apply()
+	}
+}
+
+// TestShareDoesNotDependOnNumberOfRouters guards against an organisation that
+// gets a fraction of its share because all of its callers use one router, while
+// an organisation with the same demand uses many routers.
+func TestShareDoesNotDependOnNumberOfRouters(t *testing.T) {
+	is := is.New(t)
+	const routers, engines, seconds = 40, 20, 6
+	f := newPacedFleet(routers, engines, engines*20*1040)
+	sent := 0
+	for range int(seconds * time.Second / testStep) {
+		for range 3 {
+			f.send(0, "single")
+			f.send(sent%routers, "spread")
+			sent++
+		}
+		f.advance()
+	}
+	t.Logf("started: single %d, spread %d", f.started["single"], f.started["spread"])
+	is.True(f.started["single"]*2 >= f.started["spread"]) // half of what the other one gets, as for the operators
+}
+
+// TestRecoveredEngineIsUsedAgain guards against requests that are refused
+// because of an engine that was saturated when this router last used it, seconds
+// ago.
+func TestRecoveredEngineIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	w.policy.view.Routers = append(w.policy.view.Routers, view.Router{ID: "x"})
+	w.send("o", 1000)
+	for range 100 {
+		w.input(schedule.Progress{ID: w.last, FirstToken: 50 * time.Millisecond, Service: 1, EventInterval: 2 * maxEventInterval})
+	}
+	w.input(schedule.Completion{ID: w.last, Result: schedule.ResultFinished})
+	w.runs = nil
+	for range 100 { // 5 s, in which the router has no request on the engine
+		w.input(schedule.Delivery{From: "x", Message: &schedule.Pulse{Endpoints: []schedule.EndpointLoad{{Endpoint: "e0", Requests: 1, Memory: 1000}}}})
+		w.advance(50 * time.Millisecond)
+	}
+	is.Equal(w.started["o"], 1)
+	w.send("o", 1000)
+	w.advance(100 * time.Millisecond)
+	is.Equal(w.started["o"], 2)
+}
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -31,6 +31,9 @@
 	version uint64                 // guarded by mu
 	leaving bool                   // guarded by mu
 	refused map[view.RouterID]bool // guarded by mu
+	// stalled holds the routers whose reads do not return until the channel is
+	// closed, not even when their contexts end.
+	stalled map[view.RouterID]chan struct{} // guarded by mu
 }
 
 // hostedPlatform is one router's access to the store.
@@ -42,6 +45,13 @@
 var errRefused = errors.New("refused")
 
 func (p *hostedPlatform) read(data func() string) ([]byte, error) {
+	p.store.mu.Lock()
+	stalled := p.store.stalled[p.self]
+	p.store.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+		return nil, errRefused
+	}
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	if p.store.refused[p.self] {
@@ -210,3 +220,42 @@
 	_, problem = fleet[0].core.Admit(&IncomingRequest{ID: "4", Host: "h", Path: "/open/x"}, time.Now())
 	is.Equal(problem, nil)
 }
+
+// TestRouterThatRunsLateStartsNothingByOldList guards against requests that are
+// sent to an endpoint which left seconds ago, because the router had too little
+// processor time to read the list of endpoints again.
+func TestRouterThatRunsLateStartsNothingByOldList(t *testing.T) {
+	is := is.New(t)
+	stalled := make(chan struct{})
+	defer close(stalled)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}, stalled: map[view.RouterID]chan struct{}{}}
+	r := startHostedFleet(t, s, 1)[0]
+	open := &text.Organisation{}
+	is.True(r.core.MaySend(open))
+	s.mu.Lock()
+	s.stalled[r.self.ID] = stalled
+	s.mu.Unlock()
+	waitFor(t, "the list is no longer used", func() bool { return !r.core.MaySend(open) || r.sources.listAge() > 4*time.Second })
+	is.True(!r.core.MaySend(open))
+	_, problem := r.core.Admit(&IncomingRequest{ID: "1", Host: "h", Path: "/open/x"}, time.Now())
+	is.True(problem != nil) // refused at once, before it waits for capacity
+	is.Equal(problem.Status, http.StatusServiceUnavailable)
+}
+
+// TestOutageOfStoreDoesNotStopRequests guards against a bound on the age of the
+// list of endpoints that refuses requests while the store is down for everybody.
+func TestOutageOfStoreDoesNotStopRequests(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	r := startHostedFleet(t, s, 1)[0]
+	s.mu.Lock()
+	s.refused[r.self.ID] = true
+	s.mu.Unlock()
+	open := &text.Organisation{}
+	waitFor(t, "the list is old", func() bool {
+		is.True(r.core.MaySend(open))
+		return r.sources.listAge() > 4*time.Second
+	})
+	_, problem := r.core.Admit(&IncomingRequest{ID: "1", Host: "h", Path: "/open/x"}, time.Now())
+	is.Equal(problem, nil)
+}
