Measure lateness by the time that goroutines wait, too

A goroutine whose timer fires runs next, ahead of all that wait, so timers alone don't show a process that has more work than time. The runtime's histogram of scheduling latencies does.

--- a/internal/transport/lateness/meter.go
+++ b/internal/transport/lateness/meter.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	runtimemetrics "runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +14,7 @@
 
 const (
 	// sampleInterval is the time between two measurements.
-	sampleInterval = 20 * time.Millisecond
+	sampleInterval = 50 * time.Millisecond
 	// window is the time over which Recent takes the maximum, in two halves.
 	window = time.Second
 	// lateThreshold is the lateness from which the process counts as late. A
@@ -25,6 +27,11 @@
 	// the newer values in it.
 	sampleSize  = 1028
 	sampleDecay = 0.015
+	// waitMetric is the runtime's histogram of the time that goroutines were
+	// runnable before they ran, and waitQuantile the part of them that must have
+	// run within the time that is taken from it.
+	waitMetric   = "/sched/latencies:seconds"
+	waitQuantile = 0.9
 )
 
 // Meter measures how late this process runs. Its methods may be called
@@ -39,6 +46,7 @@
 
 	// The fields below belong to the goroutine of run.
 
+	waits waits
 	// current and previous are the greatest lateness of the current and the
 	// previous half of the window.
 	current, previous time.Duration
@@ -64,6 +72,10 @@
 // Recent returns the greatest lateness within the last half to one second.
 func (m *Meter) Recent() time.Duration { return time.Duration(m.recent.Load()) }
 
+// Late reports whether the process has recently run so late that times which it
+// measures say more about itself than about others.
+func (m *Meter) Late() bool { return m.Recent() >= lateThreshold }
+
 // Close stops the measurement and waits until it has ended.
 func (m *Meter) Close() {
 	m.cancel()
@@ -73,6 +85,7 @@
 func (m *Meter) run(ctx context.Context) {
 	timer := time.NewTimer(sampleInterval)
 	defer timer.Stop()
+	m.waits.sinceLast()
 	for {
 		due := time.Now().Add(sampleInterval)
 		timer.Reset(sampleInterval)
@@ -82,13 +95,12 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		m.record(now, now.Sub(due))
+		m.record(now, max(now.Sub(due), m.waits.sinceLast()))
 	}
 }
 
 // record processes one measurement.
 func (m *Meter) record(now time.Time, lateness time.Duration) {
-	lateness = max(lateness, 0)
 	m.histogram.Update(lateness.Microseconds())
 	if !now.Before(m.halfEndsAt) {
 		m.previous, m.current, m.halfEndsAt = m.current, 0, now.Add(window/2)
@@ -105,3 +117,46 @@
 		m.logger.WithField("Lateness", recent).Info("ProcessOnTime")
 	}
 }
+
+// waits reads the runtime's histogram of the times that goroutines wait.
+type waits struct {
+	sample [1]runtimemetrics.Sample
+	// counts are the counts of the last reading, by bucket.
+	counts []uint64
+}
+
+// sinceLast returns the time within which waitQuantile of the goroutines that
+// have become runnable since the last call have run.
+func (w *waits) sinceLast() time.Duration {
+	w.sample[0].Name = waitMetric
+	runtimemetrics.Read(w.sample[:])
+	if w.sample[0].Value.Kind() != runtimemetrics.KindFloat64Histogram {
+		return 0
+	}
+	h := w.sample[0].Value.Float64Histogram()
+	added := make([]uint64, len(h.Counts))
+	total := uint64(0)
+	for i, n := range h.Counts {
+		if i < len(w.counts) {
+			n -= w.counts[i]
+		}
+		added[i] = n
+		total += n
+	}
+	w.counts = append(w.counts[:0], h.Counts...)
+	return quantile(added, h.Buckets, total)
+}
+
+// quantile returns the lower bound of the bucket that holds the waitQuantile of
+// the counts; zero if there are none. Bucket i holds the values from bounds[i] up
+// to bounds[i+1], in seconds.
+func quantile(counts []uint64, bounds []float64, total uint64) time.Duration {
+	rank := uint64(math.Ceil(waitQuantile * float64(total)))
+	for i, n := range counts {
+		if n >= rank && n > 0 {
+			return time.Duration(max(bounds[i], 0) * float64(time.Second))
+		}
+		rank -= n
+	}
+	return 0
+}
--- a/internal/transport/lateness/meter_test.go
+++ b/internal/transport/lateness/meter_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"math"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -52,3 +55,31 @@
 	time.Sleep(3 * sampleInterval)
 	is.Equal(h.Count(), count)
 }
+
+// TestQuantile checks the bucket that is chosen from a histogram.
+func TestQuantile(t *testing.T) {
+	is := is.New(t)
+	bounds := []float64{math.Inf(-1), 0, 0.01, 0.1, math.Inf(1)}
+	is.Equal(quantile([]uint64{0, 0, 0, 0}, bounds, 0), time.Duration(0))
+	is.Equal(quantile([]uint64{0, 9, 0, 1}, bounds, 10), time.Duration(0))
+	is.Equal(quantile([]uint64{0, 8, 2, 0}, bounds, 10), 10*time.Millisecond)
+	is.Equal(quantile([]uint64{0, 1, 2, 7}, bounds, 10), 100*time.Millisecond)
+}
+
+// TestWaitingGoroutinesAreMeasured checks that goroutines that wait behind
+// others are noticed although the timers of the process fire on time.
+func TestWaitingGoroutinesAreMeasured(t *testing.T) {
+	is := is.New(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var w waits
+	w.sinceLast()
+	var running sync.WaitGroup
+	for range 200 {
+		running.Go(func() {
+			for end := time.Now().Add(time.Millisecond); time.Now().Before(end); {
+			}
+		})
+	}
+	running.Wait()
+	is.True(w.sinceLast() >= 20*time.Millisecond)
+}
