Measure engines for the whole fleet and forget old samples

Cause: each router judged an engine's saturation by its own streams alone. The average began at zero, so a router with few streams took every engine for idle; and it had no age, so a router that had once measured an engine as saturated, and therefore sent it nothing more, refused by that value for ever. The engine was idle by then, so it was the best candidate, and all requests were refused.

Routers now report their samples in pulses. The mean of all weighs recent ones most and is forgotten 1.5 s after the last sample; until it is measured, an engine with requests is taken for as fast as the mean of its pool. A process that runs late reports no samples, since they would tell of itself.

--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -19,7 +19,7 @@
 	statedSpeedFactor = 2
 	// minSpeed and maxSpeed bound the prefill speed, in tokens per millisecond.
 	minSpeed, maxSpeed = 5.0, 400.0
-	// sampleWeight is the weight of one sample in a moving average.
+	// sampleWeight is the weight of one sample in the moving average of the speed.
 	sampleWeight = 0.1
 	// minSampleTokens is the minimum number of prompt tokens from which a speed
 	// can be measured.
@@ -100,14 +100,10 @@
 	// set once it is based on measurements.
 	speed         float64
 	speedMeasured bool
-	// eventGap is the average of the longest gaps within answers, and
-	// eventInterval that of the mean intervals between events of a stream, in
-	// nanoseconds.
-	eventGap      average
-	eventInterval average
-	// eventIntervalAt is the instant of the last sample of eventInterval; zero if
-	// there is none.
-	eventIntervalAt time.Time
+	// eventGap measures the longest gaps within answers, and eventInterval the
+	// mean intervals between events of a stream.
+	eventGap      measurement
+	eventInterval measurement
 	// lastActivityAt is the instant of the last activity of the endpoint, or of
 	// the first request sent to it after a time without requests.
 	lastActivityAt time.Time
@@ -127,15 +123,6 @@
 	}
 }
 
-// eventIntervalAge returns the age of the last sample of eventInterval, for the
-// log.
-func (e *endpoint) eventIntervalAge(now time.Time) string {
-	if e.eventIntervalAt.IsZero() {
-		return "none"
-	}
-	return now.Sub(e.eventIntervalAt).Round(time.Millisecond).String()
-}
-
 // measureSpeed updates the prefill speed with the measured time to first token
 // of a request.
 func (e *endpoint) measureSpeed(r *running, timeToFirstToken time.Duration) {
@@ -199,14 +186,29 @@
 	return true
 }
 
-// saturation returns how slow the endpoint's streams are in proportion to the
-// slowest accepted streams. From 1 on the endpoint should receive no further
-// requests.
-func (e *endpoint) saturation(t load) float64 {
+// pace is how fast the streams of an endpoint are.
+type pace struct{ eventGap, eventInterval time.Duration }
+
+// pace returns the pace of the endpoint's streams under load t. An endpoint that
+// runs requests but has not been measured lately is taken for as fast as the
+// mean of its pool.
+func (e *endpoint) pace(now time.Time, t load, mean pace) pace {
 	if t.requests == 0 {
-		return 0
+		return pace{}
+	}
+	if gap, ok := e.eventGap.value(now); ok {
+		mean.eventGap = gap
 	}
-	return max(e.eventGap.value/float64(maxEventGap), e.eventInterval.value/float64(maxEventInterval))
+	if interval, ok := e.eventInterval.value(now); ok {
+		mean.eventInterval = interval
+	}
+	return mean
+}
+
+// saturation returns the pace in proportion to the slowest accepted one. From 1
+// on the endpoint should receive no further requests.
+func (c pace) saturation() float64 {
+	return max(float64(c.eventGap)/float64(maxEventGap), float64(c.eventInterval)/float64(maxEventInterval))
 }
 
 // timeToFirstToken returns the expected time to the first token of an answer
@@ -248,11 +250,6 @@
 	return now.Sub(e.lastActivityAt) > silenceTimeout+e.timeToFirstToken(e.own.backlog)
 }
 
-// average is an exponentially weighted moving average.
-type average struct{ value float64 }
-
-func (a *average) add(sample float64) { a.value += sampleWeight * (sample - a.value) }
-
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // workOf returns the work that a request with the prompt causes on the
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -182,19 +182,20 @@
 	}
 	e := r.endpoint
 	e.lastActivityAt = now
-	if in.EventInterval > 0 {
-		e.eventInterval.add(float64(in.EventInterval))
-		e.eventIntervalAt = now
+	if in.EventInterval > 0 && !in.Late {
+		e.eventInterval.addOwn(now, in.EventInterval)
 	}
-	if in.LongestGap > 0 {
-		e.eventGap.add(float64(in.LongestGap))
+	if in.LongestGap > 0 && !in.Late {
+		e.eventGap.addOwn(now, in.LongestGap)
 	}
 	if r.firstTokenSeen {
 		return
 	}
 	r.firstTokenSeen = true
 	e.own.backlog -= r.work.prefill
-	e.measureSpeed(r, in.FirstToken)
+	if !in.Late {
+		e.measureSpeed(r, in.FirstToken)
+	}
 	p.scan(now, p.pools[e.Pool])
 }
 
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -38,13 +38,16 @@
 }
 
 // pulse returns the Pulse of this router, sorted by endpoint and organisation.
+// The samples in it are those taken since the last call.
 func (p *Policy) pulse(now time.Time) *schedule.Pulse {
 	m := &schedule.Pulse{}
 	for _, e := range p.endpoints {
-		if e.own.requests > 0 {
-			m.Endpoints = append(m.Endpoints, schedule.EndpointLoad{
-				Endpoint: e.ID, Requests: e.own.requests, Backlog: e.own.backlog, Memory: e.own.memory,
-			})
+		l := schedule.EndpointLoad{
+			Endpoint: e.ID, Requests: e.own.requests, Backlog: e.own.backlog, Memory: e.own.memory,
+			EventInterval: e.eventInterval.takeUnreported(), LongestGap: e.eventGap.takeUnreported(),
+		}
+		if l.Requests > 0 || l.EventInterval.Count > 0 || l.LongestGap.Count > 0 {
+			m.Endpoints = append(m.Endpoints, l)
 		}
 	}
 	slices.SortFunc(m.Endpoints, func(a, b schedule.EndpointLoad) int {
@@ -71,6 +74,8 @@
 	for _, l := range m.Endpoints {
 		if e := p.endpoints[l.Endpoint]; e != nil {
 			e.setPeerLoad(from, peerLoad{load{l.Requests, l.Backlog, l.Memory}, now})
+			e.eventInterval.add(now, l.EventInterval)
+			e.eventGap.add(now, l.LongestGap)
 		}
 	}
 	reported := make(map[string]usageRates, len(m.Organisations))
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -63,6 +63,7 @@
 	// will take.
 	queueTime := time.Duration(0)
 	speed := p.ownSpeedShare(now, l)
+	meanPace := l.meanPace(now)
 	remaining := l.queue.requests[:0]
 	for _, w := range l.queue.requests {
 		capacityShare := capacityShareFor(rates[w.request.Organisation].received, fairRate)
@@ -71,7 +72,7 @@
 			// would be wasted.
 			capacityShare = 1
 		}
-		best, found := p.choose(now, l, w, loads, capacityShare)
+		best, found := p.choose(now, l, w, loads, meanPace, capacityShare)
 		switch {
 		case found && best.startNow:
 			p.start(now, w, best)
@@ -104,6 +105,24 @@
 	return max(sum, minSpeed) * max(p.usage.ownShare, even)
 }
 
+// meanPace returns the mean pace of the endpoints that have been measured
+// lately; zero if there are none.
+func (l *pool) meanPace(now time.Time) pace {
+	var sum pace
+	gaps, intervals := 0, 0
+	for _, e := range l.endpoints {
+		if gap, ok := e.eventGap.value(now); ok {
+			sum.eventGap += gap
+			gaps++
+		}
+		if interval, ok := e.eventInterval.value(now); ok {
+			sum.eventInterval += interval
+			intervals++
+		}
+	}
+	return pace{sum.eventGap / time.Duration(max(gaps, 1)), sum.eventInterval / time.Duration(max(intervals, 1))}
+}
+
 // objective returns the total time from the arrival of the request until its
 // answer should begin, and the time remaining of it.
 func (w *queuedRequest) objective(now time.Time) (total, remaining time.Duration) {
@@ -179,8 +198,8 @@
 		ID: w.request.ID, Endpoint: c.endpoint.ID,
 		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f,pace=%v,measured=%s,output=%d",
 			now.Sub(w.arrived).Round(time.Millisecond), c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, c.work.prefill, c.home, c.endpoint.speed,
-			time.Duration(c.endpoint.eventInterval.value).Round(time.Millisecond),
-			c.endpoint.eventIntervalAge(now), outputTokens(w.request.Prompt)),
+			c.pace.eventInterval.Round(time.Millisecond),
+			c.endpoint.eventInterval.age(now), outputTokens(w.request.Prompt)),
 	})
 }
 
@@ -195,7 +214,7 @@
 	}
 	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,measured=%s,share=%.2f",
 		waited, c.endpoint.ID, c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, queueTime.Round(time.Millisecond), c.saturation,
-		c.endpoint.eventIntervalAge(now), capacityShare)
+		c.endpoint.eventInterval.age(now), capacityShare)
 }
 
 // RetryWhenFull returns the instant at which a caller should retry if its
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -216,6 +216,16 @@
 	// that the requests will occupy when they end.
 	Backlog int64
 	Memory  int64
+	// EventInterval and LongestGap are the samples of Progress.EventInterval and
+	// Progress.LongestGap since the sender's last Pulse.
+	EventInterval Samples
+	LongestGap    Samples
+}
+
+// Samples are samples of a duration.
+type Samples struct {
+	Count int
+	Mean  time.Duration
 }
 
 // OrganisationUse is the work that an organisation requests from one router
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -96,6 +96,9 @@
 	// stream.
 	LongestGap    time.Duration
 	EventInterval time.Duration
+	// Late is set if this process ran so late that the times above say more about
+	// it than about the endpoint.
+	Late bool
 }
 
 // Result states how a started request ended.
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -145,10 +145,12 @@
 	reportedAt     time.Time
 	longestPause   time.Duration
 	reportedEvents int
+	// late is Runner.Late.
+	late func() bool
 }
 
-func newStreamReporter(begin time.Time, s *Scheduling, id schedule.RequestID) *streamReporter {
-	return &streamReporter{scheduling: s, id: id, begin: begin}
+func newStreamReporter(begin time.Time, s *Scheduling, id schedule.RequestID, late func() bool) *streamReporter {
+	return &streamReporter{scheduling: s, id: id, begin: begin, late: late}
 }
 
 // dataReceived records that data arrived at the given time.
@@ -167,6 +169,7 @@
 		return
 	}
 	report := schedule.Progress{ID: c.id, Service: float64(count - c.reportedEvents), LongestGap: c.longestPause}
+	report.Late = c.late != nil && c.late()
 	if n := count - c.reportedEvents; !first && n > 0 {
 		report.EventInterval = c.lastReceived.Sub(c.reportedAt) / time.Duration(n)
 	}
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -105,6 +105,9 @@
 	// EndpointsAge returns the age of the list of endpoints, for the log; nil if
 	// it is unknown.
 	EndpointsAge func() time.Duration
+	// Late reports whether this process runs late; see schedule.Progress. If it is
+	// nil, the process is taken to run on time.
+	Late func() bool
 }
 
 // NewRunner returns a Runner with a gate that admits every call and the default
@@ -301,7 +304,7 @@
 	}
 	switch {
 	case a.Call.Events && answer.Status() < http.StatusMultipleChoices:
-		err = r.copyEvents(ctx, answer, newStreamReporter(m.begin, r.Scheduling, id), watch, out, p)
+		err = r.copyEvents(ctx, answer, newStreamReporter(m.begin, r.Scheduling, id, r.Late), watch, out, p)
 	case out.started:
 		err = fmt.Errorf("the answer to a resumed stream has status %d", answer.Status())
 	default:
