Let an organisation below its share start on engines that others saturate

Callers saw: an organisation within its share was refused because engines were saturated, by requests of an organisation above its share.

Cause: shares only held back organisations above the fair rate, up to the point where an engine accepts no more. Requests that arrive at many routers see room at slightly different times and keep the engines at that point; those of one router found none left, at a share of 1 as well.

The share is now above 1, up to 1.25, for an organisation below the fair rate. The others find the engine slower than their share allows and make room. The bounds on queueing at the engine and on the end of the answer stay as they were.

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -33,8 +33,10 @@
 	endpoint *endpoint
 	work     work
 	pace     pace
-	// saturation is the greater of pace.saturation and deadlineUse.
-	saturation float64
+	// deadlineUse is the expected end of the answer as a fraction of the time that
+	// it may take; see Policy.deadlineUse. saturation is the greater of it and
+	// pace.saturation.
+	deadlineUse, saturation float64
 	// timeToFirstToken is the expected time from now to the first token, and
 	// tokensAhead the number of prompt tokens that the endpoint has to process
 	// until then.
@@ -105,7 +107,8 @@
 	c.tokensAhead = l.backlog + c.work.prefill
 	c.timeToFirstToken = e.timeToFirstToken(c.tokensAhead)
 	c.pace = e.pace(now, l, meanPace)
-	c.saturation = max(c.pace.saturation(), p.deadlineUse(now, w, &c))
+	c.deadlineUse = p.deadlineUse(now, w, &c)
+	c.saturation = max(c.pace.saturation(), c.deadlineUse)
 	c.score = c.timeToFirstToken + e.health.penalty() + time.Duration(max(c.saturation-1, 0)*float64(saturationPenalty))
 	if !home {
 		shared := min(c.work.prefill, sharedPrefixTokens(w.request.Prompt))
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -22,6 +22,10 @@
 	// far an organisation above its fair rate is held back, so that capacity
 	// that no other organisation requests is used.
 	minCapacityShare = 0.45
+	// maxCapacityShare is the upper bound of capacityShareFor. Streams of an engine
+	// that is saturated to this degree still keep the callers' limit on the pause
+	// between two events.
+	maxCapacityShare = 1.25
 	// maxExcessWaitShare is the fraction of its objective after which a request
 	// is refused if its organisation is above the fair rate or the best
 	// endpoint is saturated.
@@ -137,15 +141,16 @@
 }
 
 // capacityShareFor returns the fraction of an engine's accepted load up to
-// which an organisation's requests are started. It is 1 for an organisation up
-// to the fair rate, and falls the further the organisation is above it. Of two
+// which an organisation's requests are started. It is 1 for an organisation at
+// the fair rate, and falls the further the organisation is above it. Of two
 // organisations above the fair rate, the one that has received less thus finds
-// capacity first.
+// capacity first. It is above 1 for an organisation below the fair rate, for
+// which others, whose requests may have reached the engines first, make room.
 func capacityShareFor(received, fairRate float64) float64 {
-	if received <= fairRate {
+	if received <= 0 || math.IsInf(fairRate, 1) {
 		return 1
 	}
-	return max(minCapacityShare, math.Sqrt(fairRate/received))
+	return min(max(minCapacityShare, math.Sqrt(fairRate/received)), maxCapacityShare)
 }
 
 // canStart reports whether the request should be started on the candidate now.
@@ -155,11 +160,11 @@
 		return true
 	}
 	total, remaining := w.objective(now)
-	if c.saturation >= capacityShare {
+	if c.saturation >= capacityShare || c.deadlineUse >= 1 {
 		return false
 	}
 	unqueued := c.endpoint.timeToFirstToken(c.work.prefill)
-	return c.timeToFirstToken <= max(time.Duration(capacityShare*engineQueueShare*float64(total)), unqueued) &&
+	return c.timeToFirstToken <= max(time.Duration(min(capacityShare, 1)*engineQueueShare*float64(total)), unqueued) &&
 		c.timeToFirstToken <= max(time.Duration(startMargin*float64(remaining)), unqueued)
 }
 
