Stop sending by a list of endpoints that only this router has missed to renew

Cause: nothing looked at the age of the list when an attempt was sent. A router short of processor time reads the list seconds late and goes on sending by it. Keys had such a bound, leaving endpoints had none.

A router now sends by a list up to the drain bound of the settings less 0.3 s and its own lateness, and refuses requests with the time to return otherwise. While the store is down or refuses a router that runs on time, the old list is the best that there is and remains in use; TestOutageOfStoreDoesNotStopRequests guards that. The latest readings are kept in an immutable value, so that requests don't wait for the goroutine that applies them, and an unchanged list isn't decoded again.

--- a/internal/tool/soak/dialect.go
+++ b/internal/tool/soak/dialect.go
@@ -54,12 +54,13 @@
 	// Seeds are the peer addresses through which the router joins the fleet.
 	Seeds []netip.AddrPort
 	Store netip.AddrPort
-	// RevokeTime is the time within which a removed key is rejected, and
+	// RevokeTime is the time within which a removed key is rejected, DrainTime the
+	// one within which a leaving endpoint ceases to get requests, and
 	// StopTimeout the longest time of a planned stop. RetryRatio and RetryExtra
 	// limit the retries within RetryWindow.
-	Heartbeat, RevokeTime, StopTimeout, RetryWindow time.Duration
-	MemoryMB, Descriptors                           int
-	RetryRatio, RetryExtra                          float64
+	Heartbeat, RevokeTime, DrainTime, StopTimeout, RetryWindow time.Duration
+	MemoryMB, Descriptors                                      int
+	RetryRatio, RetryExtra                                     float64
 }
 
 // Configuration holds the values of the operators' configuration.
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -219,7 +219,7 @@
 			Name: fmt.Sprint("router-", i), FailureDomain: failureDomain(i),
 			Callers: r.callerAddress, Directory: r.directoryAddress, Peers: addresses[2], Ready: addresses[3],
 			Seeds: peers[:min(len(peers), 3)], Store: r.store.Address,
-			Heartbeat: heartbeat, RevokeTime: revokeTime, StopTimeout: stopTimeout, RetryWindow: retryWindow,
+			Heartbeat: heartbeat, RevokeTime: revokeTime, DrainTime: drainTime, StopTimeout: stopTimeout, RetryWindow: retryWindow,
 			MemoryMB: memoryMB, Descriptors: descriptors, RetryRatio: retryRatio, RetryExtra: retryExtra,
 		})
 		if err != nil {
--- a/internal/transport/lateness/meter.go
+++ b/internal/transport/lateness/meter.go
@@ -33,10 +33,14 @@
 type Meter struct {
 	logger    log.Interface
 	histogram metrics.Histogram
-	// recent is the greatest lateness within the window, in nanoseconds.
-	recent atomic.Int64
-	cancel context.CancelFunc
-	loop   sync.WaitGroup
+	// observers are called with each sample.
+	observers []func(lateness time.Duration)
+	// recent is the greatest lateness within the window, in nanoseconds, and due
+	// the instant of the next sample in nanoseconds since start.
+	recent, due atomic.Int64
+	start       time.Time
+	cancel      context.CancelFunc
+	loop        sync.WaitGroup
 
 	// The fields below belong to the goroutine of run.
 
@@ -47,23 +51,29 @@
 	late              bool
 }
 
-// Start returns a Meter that measures until it is closed.
-func Start(registry metrics.Registry, logger log.Interface) *Meter {
+// Start returns a Meter that measures until it is closed. The observers are
+// called with each sample and must not block.
+func Start(registry metrics.Registry, logger log.Interface, observers ...func(lateness time.Duration)) *Meter {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := newMeter(registry, logger, cancel)
+	m.observers = observers
 	m.loop.Go(func() { m.run(ctx) })
 	return m
 }
 
 func newMeter(registry metrics.Registry, logger log.Interface, cancel context.CancelFunc) *Meter {
 	return &Meter{
-		logger: logger, cancel: cancel,
+		logger: logger, cancel: cancel, start: time.Now(),
 		histogram: metrics.GetOrRegisterHistogram(MetricLateness, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
 	}
 }
 
-// Recent returns the greatest lateness within the last half to one second.
-func (m *Meter) Recent() time.Duration { return time.Duration(m.recent.Load()) }
+// Recent returns the greatest lateness within the last half to one second,
+// including that of a sample that is overdue.
+func (m *Meter) Recent() time.Duration {
+	overdue := time.Since(m.start) - time.Duration(m.due.Load())
+	return max(time.Duration(m.recent.Load()), overdue)
+}
 
 // Late reports whether the process has recently run so late that times which it
 // measures say more about itself than about others.
@@ -80,6 +90,7 @@
 	defer timer.Stop()
 	for {
 		due := time.Now().Add(sampleInterval)
+		m.due.Store(int64(due.Sub(m.start)))
 		timer.Reset(sampleInterval)
 		select {
 		case <-ctx.Done():
@@ -90,7 +101,11 @@
 		// that are runnable, as does one for which data has arrived.
 		runtime.Gosched()
 		now := time.Now()
-		m.record(now, max(now.Sub(due), 0))
+		lateness := max(now.Sub(due), 0)
+		m.record(now, lateness)
+		for _, observe := range m.observers {
+			observe(lateness)
+		}
 	}
 }
 
--- a/internal/transport/lateness/meter_test.go
+++ b/internal/transport/lateness/meter_test.go
@@ -22,6 +22,7 @@
 	is := is.New(t)
 	var out bytes.Buffer
 	m := newMeter(metrics.NewRegistry(), &log.Logger{Handler: logfmt.New(&out), Level: log.InfoLevel}, func() {})
+	m.due.Store(int64(time.Hour)) // no sample is overdue
 	now := time.Unix(1000, 0)
 	measure := func(lateness time.Duration, count int) {
 		for range count {
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -79,10 +79,10 @@
 }
 
 // MaySend reports whether an attempt for the organisation may still be sent:
-// the request needs no key, or the configuration that holds the key was
-// confirmed recently enough.
+// the list of endpoints is usable, and the request needs no key or the
+// configuration that holds the key was confirmed recently enough.
 func (c *Core) MaySend(o *text.Organisation) bool {
-	return o.Name == "" || c.sources.confirmedWithin(c.options.confirmFor())
+	return c.sources.listUsable(c.options.listFor()) && (o.Name == "" || c.sources.confirmedWithin(c.options.confirmFor()))
 }
 
 // KeepsConnection reports whether a caller's connection is kept open after an
@@ -136,6 +136,10 @@
 	if problem := c.checkStopping(matched, now); problem != nil {
 		return nil, problem
 	}
+	if !c.sources.listUsable(c.options.listFor()) {
+		return nil, unconfirmed(now, fmt.Sprintf("the list of endpoints is %v old, and this router runs %v late",
+			c.sources.listAge().Round(time.Millisecond), c.lateness().Round(time.Millisecond)))
+	}
 	call := newCall(a, matched, organisation, now)
 	if call.Prompt != nil && c.scheduling.QueueFull(organisation.Name, admission.MaxQueuedRequests) {
 		return nil, queueFull(now)
@@ -223,6 +227,8 @@
 	return call
 }
 
+func (c *Core) lateness() time.Duration { return c.sources.router.lateness.Recent() }
+
 // Run runs an admitted call; see execution.Runner.Run.
 func (c *Core) Run(ctx context.Context, call *execution.Call, sink execution.Sink) error {
 	return c.runner.Run(ctx, call, sink)
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -84,6 +84,9 @@
 	// RevokeWithin is the time after the removal of a key from the configuration
 	// by which the key must no longer be accepted.
 	RevokeWithin time.Duration
+	// DrainWithin is the time after an endpoint has announced that it leaves, or is
+	// gone, by which it must get no more attempts.
+	DrainWithin time.Duration
 	// Listing configures how the router detects an outage of the store, during
 	// which entries of running endpoints may lapse, and how long it retains these
 	// endpoints afterwards.
@@ -101,6 +104,10 @@
 // caller's key may still be accepted.
 func (h *HostedOptions) confirmFor() time.Duration { return h.RevokeWithin - confirmMargin }
 
+// listFor returns the age up to which a list of endpoints may be used by a router
+// that could have a newer one.
+func (h *HostedOptions) listFor() time.Duration { return h.DrainWithin - listMargin }
+
 // Hosted is a router that takes its configuration and its endpoints from the
 // store of a platform.
 type Hosted struct {
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -110,7 +110,7 @@
 				Settings: own, Incarnation: uint64(time.Now().UnixNano()), Network: NewNetwork(netip.Addr{}),
 				Logger: &log.Logger{Handler: discard.Default}, Registry: metrics.NewRegistry(),
 			},
-			Platform: &hostedPlatform{s, own.Name}, RevokeWithin: 2700 * time.Millisecond, Listing: listing.Limits{LapseTime: time.Second, RelistTime: time.Second},
+			Platform: &hostedPlatform{s, own.Name}, RevokeWithin: 2700 * time.Millisecond, DrainWithin: 2 * time.Second, Listing: listing.Limits{LapseTime: time.Second, RelistTime: time.Second},
 			StopWithin: time.Second, RetryLimits: retry.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		})
 		is.NoErr(err)
--- a/internal/transport/router/resources.go
+++ b/internal/transport/router/resources.go
@@ -22,6 +22,9 @@
 	// cease to be accepted. It covers the time that an accepted request takes to
 	// reach its endpoint.
 	confirmMargin = 700 * time.Millisecond
+	// listMargin is subtracted from the time within which a leaving endpoint must
+	// cease to get attempts. It covers the dial and the sending of an attempt.
+	listMargin = 300 * time.Millisecond
 )
 
 // Resources are the limits of the process of a hosted router.
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -14,7 +16,6 @@
 
 	"hyssopreach/internal/coordination/listing"
 	wire "hyssopreach/internal/protocol/peer"
-	"hyssopreach/internal/state/route"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/clock"
 	"hyssopreach/internal/transport/peer"
@@ -28,6 +29,12 @@
 	readTimeout = 900 * time.Millisecond
 	// confirmTimeout bounds one query to a peer.
 	confirmTimeout = 300 * time.Millisecond
+	// slowRefresh is the duration from which a refresh is logged. It is longer than
+	// one query to a peer that answers.
+	slowRefresh = 400 * time.Millisecond
+	// stepSlack is the time by which a step of a refresh may end after its timeout
+	// on a router that runs on time.
+	stepSlack = 250 * time.Millisecond
 	// storeReaders is the number of routers that read the store for the fleet.
 	storeReaders = 2
 	// maxReaderAge is the maximum age of data from a store reader. Older data
@@ -50,6 +57,16 @@
 	at   clock.Instant
 }
 
+// readings are the latest results of reads of the store. A value is immutable.
+type readings struct {
+	configuration readResult
+	version       uint64
+	list          readResult
+	listHash      uint64
+	// endpoints is the decoded list.
+	endpoints []view.Endpoint
+}
+
 // sources keeps the configuration and the endpoints of a hosted router up to
 // date. A few routers of the fleet, the store readers, read them from the store.
 // The other routers query the store readers, and read the store themselves if no
@@ -69,12 +86,15 @@
 	// it.
 	storeLost bool
 
-	mu            sync.Mutex
-	configuration readResult     // guarded by mu
-	list          readResult     // guarded by mu
-	table         *listing.Table // guarded by mu
-	version       uint64         // guarded by mu
-	listHash      uint64         // guarded by mu
+	// stepDue is the instant by which the current step of run ends if the process
+	// runs on time: a query, a read or the delay between two refreshes.
+	stepDue atomic.Pointer[clock.Instant]
+	// current holds the latest readings. It is read without a lock because every
+	// request reads it.
+	current atomic.Pointer[readings]
+	// mu is held while current is replaced.
+	mu    sync.Mutex
+	table *listing.Table // guarded by mu
 }
 
 func startSources(r *Hosted, p *peers) *sources {
@@ -83,6 +103,8 @@
 		router: r, peers: p, core: r.core, confirmClient: r.links.NewConfirmationClient(), logger: r.options.Logger, ctx: ctx, cancel: cancel,
 		table: listing.New(r.options.Listing),
 	}
+	s.current.Store(&readings{})
+	s.allowStep(0)
 	p.confirm = s.answerConfirmation
 	s.loop.Go(s.run)
 	return s
@@ -100,11 +122,32 @@
 func (s *sources) run() {
 	random := random(s.router.options.Incarnation, "sources")
 	for s.ctx.Err() == nil {
+		began := clock.Now()
 		s.refresh()
-		sleep(s.ctx, readInterval*3/4+time.Duration(random.Int64N(int64(readInterval/2))))
+		if took := clock.Now().Sub(began); took > slowRefresh {
+			s.logger.WithFields(log.Fields{
+				"Took": took, "EndpointsAge": s.listAge(), "Lateness": s.router.lateness.Recent(), "StoreLost": s.storeLost,
+			}).Warn("RefreshSlow")
+		}
+		delay := readInterval*3/4 + time.Duration(random.Int64N(int64(readInterval/2)))
+		s.allowStep(delay)
+		sleep(s.ctx, delay)
 	}
 }
 
+// allowStep sets the time that the next step of run takes at most if the process
+// runs on time.
+func (s *sources) allowStep(timeout time.Duration) {
+	due := clock.Now().Add(timeout + stepSlack)
+	s.stepDue.Store(&due)
+}
+
+// runsLate reports whether this router, and not the store or another router, is
+// the reason that it has no newer data.
+func (s *sources) runsLate() bool {
+	return s.router.lateness.Late() || clock.Now().After(*s.stepDue.Load())
+}
+
 // refresh updates the data from the first source that has recent data: the store
 // readers, the store, the fallback peers. While the store is lost, refresh
 // queries the store and the fallback peers concurrently, since a call to the
@@ -123,6 +166,7 @@
 		s.refreshFromAny(v)
 		return
 	}
+	s.allowStep(readTimeout)
 	err := s.readStore()
 	if err == nil {
 		return
@@ -139,6 +183,7 @@
 	var err error
 	storeDone.Go(func() { err = s.readStore() })
 	s.confirmFromFirst(s.fallbackPeers(v), maxRelayedAge)
+	s.allowStep(readTimeout)
 	storeDone.Wait()
 	if err == nil {
 		s.markStoreRegained()
@@ -157,6 +202,7 @@
 func (s *sources) confirmFromFirst(routers []view.RouterID, maxAge time.Duration) []error {
 	errs := []error{}
 	for _, id := range routers {
+		s.allowStep(confirmTimeout)
 		fresh, err := s.confirmFrom(id, maxAge)
 		if fresh {
 			return nil
@@ -206,9 +252,8 @@
 	if !ok {
 		return false, fmt.Errorf("query router %s: it is no longer in the membership view", id)
 	}
-	s.mu.Lock()
-	q := &wire.ConfirmationQuery{Version: s.version, ListHash: s.listHash}
-	s.mu.Unlock()
+	c := s.current.Load()
+	q := &wire.ConfirmationQuery{Version: c.version, ListHash: c.listHash}
 	return s.confirmFromAddress(address, id, q, maxAge)
 }
 
@@ -247,72 +292,70 @@
 func (s *sources) applyConfiguration(r readResult, from view.RouterID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(r.data) > 0 && string(r.data) != string(s.configuration.data) {
+	next := *s.current.Load()
+	if len(r.data) > 0 && !bytes.Equal(r.data, next.configuration.data) {
 		table, err := s.router.options.Platform.ParseConfiguration(r.data)
 		if err != nil {
 			return err
 		}
-		if table.Version < s.version {
-			return fmt.Errorf("read configuration: version %d is older than %d, which is in force", table.Version, s.version)
+		if table.Version < next.version {
+			return fmt.Errorf("read configuration: version %d is older than %d, which is in force", table.Version, next.version)
 		}
-		if table.Version > s.version {
-			s.setTable(table, r, from)
+		if table.Version > next.version {
+			s.logger.WithFields(log.Fields{
+				"Version": table.Version, "Before": next.version, "From": from, "Age": clock.Now().Sub(r.at),
+			}).Info("ConfigurationInForce")
+			next.version, next.configuration.data = table.Version, r.data
+			s.core.table.Store(table)
+			s.router.fleet.setTable(table)
 		}
 	}
-	if r.at.After(s.configuration.at) {
-		s.configuration.at = r.at
+	if r.at.After(next.configuration.at) {
+		next.configuration.at = r.at
 	}
+	s.current.Store(&next)
 	return nil
 }
 
-// setTable puts a parsed configuration in force. It requires that mu is held.
-func (s *sources) setTable(table *route.Table, r readResult, from view.RouterID) {
-	s.logger.WithFields(log.Fields{
-		"Version": table.Version, "Before": s.version, "From": from, "Age": clock.Now().Sub(r.at),
-	}).Info("ConfigurationInForce")
-	s.version, s.configuration.data = table.Version, r.data
-	s.core.table.Store(table)
-	s.router.fleet.setTable(table)
-}
-
 // applyList applies a list of endpoints unless it is older than the current
 // one. A result without data confirms the current list as of r.at.
 func (s *sources) applyList(r readResult) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !r.at.After(s.list.at) {
+	next := *s.current.Load()
+	if !r.at.After(next.list.at) {
 		return nil
 	}
-	if len(r.data) == 0 {
-		r.data = s.list.data
-	}
-	list, err := s.router.options.Platform.ParseEndpoints(r.data)
-	if err != nil {
-		return err
+	if len(r.data) > 0 && !bytes.Equal(r.data, next.list.data) {
+		endpoints, err := s.router.options.Platform.ParseEndpoints(r.data)
+		if err != nil {
+			return err
+		}
+		next.endpoints, next.list.data, next.listHash = endpoints, r.data, xxhash.Sum64(r.data)
 	}
-	s.list, s.listHash = r, xxhash.Sum64(r.data)
-	s.router.fleet.setListed(s.table.Update(r.at.Time(), list), s.logger)
+	next.list.at = r.at
+	s.current.Store(&next)
+	s.router.fleet.setListed(s.table.Update(r.at.Time(), next.endpoints), s.logger)
 	return nil
 }
 
 // answerConfirmation answers a peer's query with the versions and ages of this
 // router's data, and with the data itself where the peer's differs.
 func (s *sources) answerConfirmation(q *wire.ConfirmationQuery) (*wire.Confirmation, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.configuration.at.IsZero() || s.list.at.IsZero() {
+	c := s.current.Load()
+	if c.configuration.at.IsZero() || c.list.at.IsZero() {
 		return nil, errors.New("confirm configuration: this router has read none yet")
 	}
 	now := clock.Now()
 	answer := &wire.Confirmation{
-		Version: s.version, AgeMillis: ageMillis(now, s.configuration.at),
-		ListAgeMillis: ageMillis(now, s.list.at), ListHash: s.listHash,
+		Version: c.version, AgeMillis: ageMillis(now, c.configuration.at),
+		ListAgeMillis: ageMillis(now, c.list.at), ListHash: c.listHash,
 	}
-	if q.GetVersion() < s.version {
-		answer.Configuration = s.configuration.data
+	if q.GetVersion() < c.version {
+		answer.Configuration = c.configuration.data
 	}
-	if q.GetListHash() != s.listHash {
-		answer.List = s.list.data
+	if q.GetListHash() != c.listHash {
+		answer.List = c.list.data
 	}
 	return answer, nil
 }
@@ -325,15 +368,20 @@
 
 // listAge returns the time since the list of endpoints was read from the store.
 func (s *sources) listAge() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return clock.Now().Sub(s.list.at)
+	return clock.Now().Sub(s.current.Load().list.at)
+}
+
+// listUsable reports whether attempts may be sent by the current list of
+// endpoints: it is not older than maxAge, including the time by which the attempt
+// may be late, or is old only because the store can't be read. In the latter case
+// it is the best that any router has.
+func (s *sources) listUsable(maxAge time.Duration) bool {
+	return s.listAge()+s.router.lateness.Recent() <= maxAge || !s.runsLate()
 }
 
 // confirmedWithin reports whether the configuration in force was the newest one
 // at some instant within the last maxAge.
 func (s *sources) confirmedWithin(maxAge time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version > 0 && clock.Now().Sub(s.configuration.at) <= maxAge
+	c := s.current.Load()
+	return c.version > 0 && clock.Now().Sub(c.configuration.at) <= maxAge
 }
