--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -100,10 +100,8 @@
 	// set once it is based on measurements.
 	speed         float64
 	speedMeasured bool
-	// eventGap measures the longest gaps within answers, and eventInterval the
-	// mean intervals between events of a stream.
-	eventGap      measurement
-	eventInterval measurement
+	// measured is the measured pace of the streams.
+	measured measurement
 	// lastActivityAt is the instant of the last activity of the endpoint, or of
 	// the first request sent to it after a time without requests.
 	lastActivityAt time.Time
@@ -186,9 +184,6 @@
 	return true
 }
 
-// pace is how fast the streams of an endpoint are.
-type pace struct{ eventGap, eventInterval time.Duration }
-
 // pace returns the pace of the endpoint's streams under load t. An endpoint that
 // runs requests but has not been measured lately is taken for as fast as the
 // mean of its pool.
@@ -196,21 +191,12 @@
 	if t.requests == 0 {
 		return pace{}
 	}
-	if gap, ok := e.eventGap.value(now); ok {
-		mean.eventGap = gap
-	}
-	if interval, ok := e.eventInterval.value(now); ok {
-		mean.eventInterval = interval
+	if measured, ok := e.measured.value(now); ok {
+		return measured
 	}
 	return mean
 }
 
-// saturation returns the pace in proportion to the slowest accepted one. From 1
-// on the endpoint should receive no further requests.
-func (c pace) saturation() float64 {
-	return max(float64(c.eventGap)/float64(maxEventGap), float64(c.eventInterval)/float64(maxEventInterval))
-}
-
 // timeToFirstToken returns the expected time to the first token of an answer
 // before which the endpoint has to process the given number of prompt tokens.
 func (e *endpoint) timeToFirstToken(tokens int64) time.Duration {
--- a/internal/coordination/admission/measurement.go
+++ b/internal/coordination/admission/measurement.go
@@ -17,14 +17,26 @@
 	maxMeasurementAge = peerLoadLifetime
 )
 
-// measurement is the mean of the samples that all routers have taken of a
-// property of an endpoint. The older a sample is, the less it counts.
+// pace is how fast the streams of an endpoint are: the mean interval between two
+// events, and the mean of the longest gaps between two parts of an answer.
+type pace struct{ eventInterval, longestGap time.Duration }
+
+// saturation returns the pace in proportion to the slowest accepted one. From 1
+// on the endpoint should receive no further requests.
+func (p pace) saturation() float64 {
+	return max(float64(p.longestGap)/float64(maxEventGap), float64(p.eventInterval)/float64(maxEventInterval))
+}
+
+// measurement is the mean of the samples that all routers have taken of the pace
+// of an endpoint. The older a sample is, the less it counts.
 //
 // Routers must judge an endpoint alike, since an organisation whose callers use
 // many routers would otherwise be treated differently from one whose callers use
 // a few. Each router therefore reports its own samples to the others.
 type measurement struct {
-	sum, weight float64
+	// weight is the sum of the weights of the samples, and intervals and gaps are
+	// the weighted sums of their values.
+	weight, intervals, gaps float64
 	// at is the instant of the last sample.
 	at time.Time
 	// unreported are this router's samples since its last Pulse.
@@ -32,12 +44,12 @@
 }
 
 // addOwn adds a sample that this router has taken.
-func (m *measurement) addOwn(now time.Time, sample time.Duration) {
-	s := schedule.Samples{Count: 1, Mean: sample}
-	m.add(now, s)
-	count := m.unreported.Count + 1
-	m.unreported.Mean += (sample - m.unreported.Mean) / time.Duration(count)
-	m.unreported.Count = count
+func (m *measurement) addOwn(now time.Time, eventInterval, longestGap time.Duration) {
+	m.add(now, schedule.Samples{Count: 1, EventInterval: eventInterval, LongestGap: longestGap})
+	u := &m.unreported
+	u.Count++
+	u.EventInterval += (eventInterval - u.EventInterval) / time.Duration(u.Count)
+	u.LongestGap += (longestGap - u.LongestGap) / time.Duration(u.Count)
 }
 
 // add adds samples that were taken until now.
@@ -47,20 +59,22 @@
 	}
 	if passed := now.Sub(m.at); passed > 0 {
 		remaining := math.Exp(-float64(passed) / float64(measurementTimeConstant))
-		m.sum *= remaining
 		m.weight *= remaining
+		m.intervals *= remaining
+		m.gaps *= remaining
 		m.at = now
 	}
-	m.sum += float64(s.Count) * float64(s.Mean)
 	m.weight += float64(s.Count)
+	m.intervals += float64(s.Count) * float64(s.EventInterval)
+	m.gaps += float64(s.Count) * float64(s.LongestGap)
 }
 
 // value returns the mean. It returns false if the last sample is too old.
-func (m *measurement) value(now time.Time) (time.Duration, bool) {
+func (m *measurement) value(now time.Time) (pace, bool) {
 	if m.weight <= 0 || now.Sub(m.at) > maxMeasurementAge {
-		return 0, false
+		return pace{}, false
 	}
-	return time.Duration(m.sum / m.weight), true
+	return pace{time.Duration(m.intervals / m.weight), time.Duration(m.gaps / m.weight)}, true
 }
 
 // age returns the age of the last sample, for the log.
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -183,10 +183,7 @@
 	e := r.endpoint
 	e.lastActivityAt = now
 	if in.EventInterval > 0 && !in.Late {
-		e.eventInterval.addOwn(now, in.EventInterval)
-	}
-	if in.LongestGap > 0 && !in.Late {
-		e.eventGap.addOwn(now, in.LongestGap)
+		e.measured.addOwn(now, in.EventInterval, in.LongestGap)
 	}
 	if r.firstTokenSeen {
 		return
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -44,9 +44,9 @@
 	for _, e := range p.endpoints {
 		l := schedule.EndpointLoad{
 			Endpoint: e.ID, Requests: e.own.requests, Backlog: e.own.backlog, Memory: e.own.memory,
-			EventInterval: e.eventInterval.takeUnreported(), LongestGap: e.eventGap.takeUnreported(),
+			Samples: e.measured.takeUnreported(),
 		}
-		if l.Requests > 0 || l.EventInterval.Count > 0 || l.LongestGap.Count > 0 {
+		if l.Requests > 0 || l.Samples.Count > 0 {
 			m.Endpoints = append(m.Endpoints, l)
 		}
 	}
@@ -74,8 +74,7 @@
 	for _, l := range m.Endpoints {
 		if e := p.endpoints[l.Endpoint]; e != nil {
 			e.setPeerLoad(from, peerLoad{load{l.Requests, l.Backlog, l.Memory}, now})
-			e.eventInterval.add(now, l.EventInterval)
-			e.eventGap.add(now, l.LongestGap)
+			e.measured.add(now, l.Samples)
 		}
 	}
 	reported := make(map[string]usageRates, len(m.Organisations))
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -113,18 +113,15 @@
 // lately; zero if there are none.
 func (l *pool) meanPace(now time.Time) pace {
 	var sum pace
-	gaps, intervals := 0, 0
+	count := time.Duration(0)
 	for _, e := range l.endpoints {
-		if gap, ok := e.eventGap.value(now); ok {
-			sum.eventGap += gap
-			gaps++
-		}
-		if interval, ok := e.eventInterval.value(now); ok {
-			sum.eventInterval += interval
-			intervals++
+		if measured, ok := e.measured.value(now); ok {
+			sum.eventInterval += measured.eventInterval
+			sum.longestGap += measured.longestGap
+			count++
 		}
 	}
-	return pace{sum.eventGap / time.Duration(max(gaps, 1)), sum.eventInterval / time.Duration(max(intervals, 1))}
+	return pace{sum.eventInterval / max(count, 1), sum.longestGap / max(count, 1)}
 }
 
 // objective returns the total time from the arrival of the request until its
@@ -204,7 +201,7 @@
 		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f,pace=%v,measured=%s,output=%d",
 			now.Sub(w.arrived).Round(time.Millisecond), c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, c.work.prefill, c.home, c.endpoint.speed,
 			c.pace.eventInterval.Round(time.Millisecond),
-			c.endpoint.eventInterval.age(now), outputTokens(w.request.Prompt)),
+			c.endpoint.measured.age(now), outputTokens(w.request.Prompt)),
 	})
 }
 
@@ -219,7 +216,7 @@
 	}
 	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,measured=%s,share=%.2f",
 		waited, c.endpoint.ID, c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, queueTime.Round(time.Millisecond), c.saturation,
-		c.endpoint.eventInterval.age(now), capacityShare)
+		c.endpoint.measured.age(now), capacityShare)
 }
 
 // RetryWhenFull returns the instant at which a caller should retry if its
--- a/internal/coordination/admission/scenario_test.go
+++ b/internal/coordination/admission/scenario_test.go
@@ -190,7 +190,7 @@
 		},
 		Endpoints: []schedule.EndpointLoad{{Endpoint: "e0", Requests: 40, Memory: 1000}},
 	}})
-	w.policy.endpoints["e0"].eventInterval.add(w.now, schedule.Samples{Count: 1, Mean: maxEventInterval * 6 / 10})
+	w.policy.endpoints["e0"].measured.add(w.now, schedule.Samples{Count: 1, EventInterval: maxEventInterval * 6 / 10})
 	w.send("far", 100)
 	w.send("near", 100)
 	w.advance(testStep)
@@ -456,7 +456,7 @@
 	is := is.New(t)
 	w := newSimulation(2, 100_000)
 	for _, e := range w.policy.endpoints {
-		e.eventInterval.add(w.now, schedule.Samples{Count: 1, Mean: maxEventInterval * 8 / 10})
+		e.measured.add(w.now, schedule.Samples{Count: 1, EventInterval: maxEventInterval * 8 / 10})
 		e.own.requests = 1
 	}
 	w.policy.usage.addReceived(w.now, "rich", 3_000_000)
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -216,16 +216,15 @@
 	// that the requests will occupy when they end.
 	Backlog int64
 	Memory  int64
-	// EventInterval and LongestGap are the samples of Progress.EventInterval and
-	// Progress.LongestGap since the sender's last Pulse.
-	EventInterval Samples
-	LongestGap    Samples
+	// Samples are those that the sender has taken since its last Pulse.
+	Samples Samples
 }
 
-// Samples are samples of a duration.
+// Samples are samples of Progress.EventInterval and Progress.LongestGap, of which
+// they hold the means.
 type Samples struct {
-	Count int
-	Mean  time.Duration
+	Count                     int
+	EventInterval, LongestGap time.Duration
 }
 
 // OrganisationUse is the work that an organisation requests from one router
--- a/internal/protocol/peer/conversion_schedule.go
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -197,7 +197,7 @@
 	for _, l := range m.Endpoints {
 		w.Endpoints = append(w.Endpoints, &EndpointLoad{
 			Endpoint: string(l.Endpoint), Requests: uint32(l.Requests), Backlog: l.Backlog, Memory: l.Memory,
-			EventInterval: fromSamples(l.EventInterval), LongestGap: fromSamples(l.LongestGap),
+			Samples: fromSamples(l.Samples),
 		})
 	}
 	for _, o := range m.Organisations {
@@ -213,7 +213,7 @@
 	for _, l := range w.GetEndpoints() {
 		m.Endpoints = append(m.Endpoints, schedule.EndpointLoad{
 			Endpoint: view.EndpointID(l.GetEndpoint()), Requests: int(l.GetRequests()), Backlog: l.GetBacklog(), Memory: l.GetMemory(),
-			EventInterval: toSamples(l.GetEventInterval()), LongestGap: toSamples(l.GetLongestGap()),
+			Samples: toSamples(l.GetSamples()),
 		})
 	}
 	for _, o := range w.GetOrganisations() {
@@ -229,9 +229,15 @@
 	if s.Count <= 0 {
 		return nil
 	}
-	return &Samples{Count: uint32(s.Count), MeanMillis: uint32(s.Mean.Milliseconds())}
+	return &Samples{
+		Count: uint32(s.Count), EventIntervalMillis: uint32(s.EventInterval.Milliseconds()), LongestGapMillis: uint32(s.LongestGap.Milliseconds()),
+	}
 }
 
 func toSamples(w *Samples) schedule.Samples {
-	return schedule.Samples{Count: int(w.GetCount()), Mean: time.Duration(w.GetMeanMillis()) * time.Millisecond}
+	return schedule.Samples{
+		Count:         int(w.GetCount()),
+		EventInterval: time.Duration(w.GetEventIntervalMillis()) * time.Millisecond,
+		LongestGap:    time.Duration(w.GetLongestGapMillis()) * time.Millisecond,
+	}
 }
--- a/internal/protocol/peer/conversion_schedule_test.go
+++ b/internal/protocol/peer/conversion_schedule_test.go
@@ -24,6 +24,13 @@
 			Elapsed: time.Second, FirstToken: time.Millisecond, Tag: 12, Rate: 2,
 		},
 		&schedule.Renewal{Endpoint: "e", Running: []schedule.Running{{Grant: 3, Queue: queue, FirstToken: time.Second}}},
+		&schedule.Pulse{
+			Endpoints: []schedule.EndpointLoad{
+				{Endpoint: "e", Requests: 3, Backlog: 400, Memory: 5000, Samples: schedule.Samples{Count: 6, EventInterval: 70 * time.Millisecond, LongestGap: 80 * time.Millisecond}},
+				{Endpoint: "f", Requests: 1},
+			},
+			Organisations: []schedule.OrganisationUse{{Organisation: "o", Requested: 9, Received: 8}},
+		},
 		&schedule.Report{Pool: "p", Incarnation: 8, Charges: charges, Virtual: 6},
 		&schedule.Tags{Pool: "p", Accounts: accounts, Virtual: 6},
 		&schedule.Counters{Pool: "p", Counters: []schedule.Counter{{Organisation: "o", Tag: 8, Rate: 7}}},
