Reject connections unread while the router runs late

Cause: reading and refusing a request took a third of a millisecond, at 500 to 1,000 requests a second more than the router has. And the refusals went first: a new connection's request has usually arrived, so its goroutine never waits, while streams, other routers' messages and the answers to its own reads wait for the network and run only when nothing else can.

The accept loop now lets all other goroutines run after a batch.

--- /dev/null
+++ b/internal/coordination/overload/controller_test.go
@@ -0,0 +1,70 @@
+package overload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// router is a model of a router that can read and refuse a number of requests
+// between two samples, and rejects connections for a fraction of that work.
+type router struct {
+	controller Controller
+	// capacity and rejectionCost are in requests; backlog is the work left over.
+	capacity, rejectionCost, backlog float64
+	read, rejected                   int
+}
+
+// step offers connections and takes a sample after them.
+func (r *router) step(connections int) {
+	for range connections {
+		if r.controller.Reject() {
+			r.rejected++
+			r.backlog += r.rejectionCost
+		} else {
+			r.read++
+			r.backlog++
+		}
+	}
+	r.backlog = max(0, r.backlog-r.capacity)
+	r.controller.Observe(time.Duration(r.backlog / r.capacity * float64(50*time.Millisecond)))
+}
+
+// TestOverloadedRouterStaysOnTime guards against a router that falls further
+// behind the longer a flood lasts.
+func TestOverloadedRouterStaysOnTime(t *testing.T) {
+	is := is.New(t)
+	r := router{capacity: 10, rejectionCost: 0.25}
+	for range 200 {
+		r.step(30)
+	}
+	is.True(r.backlog <= 10*r.capacity) // half a second of work
+	r.read, r.rejected = 0, 0
+	for range 200 {
+		r.step(30)
+	}
+	is.True(r.backlog <= 10*r.capacity)
+	// With all of its time used, it would read (10 - 30 * 0.25) / (1 - 0.25) of
+	// 30 requests.
+	is.True(float64(r.read) >= 0.6*200*(10-30*0.25)/0.75)
+}
+
+// TestNothingIsRejectedOnTime checks that a router with enough processor time
+// rejects nothing, and that it stops to reject soon after a flood.
+func TestNothingIsRejectedOnTime(t *testing.T) {
+	is := is.New(t)
+	r := router{capacity: 10, rejectionCost: 0.25}
+	for range 200 {
+		r.step(9)
+	}
+	is.Equal(r.rejected, 0)
+	for range 100 {
+		r.step(40)
+	}
+	is.True(r.rejected > 0)
+	for range 100 {
+		r.step(1)
+	}
+	is.Equal(r.controller.Fraction(), 0.0)
+}
--- /dev/null
+++ b/internal/coordination/overload/doc.go
@@ -0,0 +1,13 @@
+// Package overload decides which part of the new connections a router rejects
+// because it runs late.
+//
+// A router that gets more requests than it has processor time for would spend
+// most of that time on reading and refusing them, and run everything else late:
+// streams, messages from other routers, reads of the list of endpoints. Rejecting
+// a connection before its request is read costs a fraction of that. The part of
+// the connections that is rejected rises while the router runs late and falls
+// while it does not.
+//
+// A Controller starts no goroutine and reads no clock. Its methods may be called
+// concurrently.
+package overload
--- a/internal/transport/connlimit/doc.go
+++ b/internal/transport/connlimit/doc.go
@@ -10,5 +10,6 @@
 // accept queue of the operating system.
 //
 // When the limit on open connections is reached, the connections that have been
-// idle longest are closed to admit new ones.
+// idle longest are closed to admit new ones. While the router is overloaded, a
+// part of the new connections is answered and closed before anything is read.
 package connlimit
--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -21,8 +22,36 @@
 	minIdleTime = time.Second
 	// idleCheckInterval is the time between two searches for such a connection.
 	idleCheckInterval = 50 * time.Millisecond
+	// Between two turns of all other goroutines that can run, connections are
+	// accepted that cost batchCost together: serveCost each, or rejectCost if they
+	// are rejected.
+	batchCost, serveCost, rejectCost = 64, 4, 1
+	// emptyWait is the time that Accept waits at least if the accept queue is
+	// empty. The queue counts as empty after emptyAccepts such calls in a row,
+	// since a process that is not running makes single calls long.
+	emptyWait    = 500 * time.Microsecond
+	emptyAccepts = 2
+	// rejectWriteTimeout bounds the time that the answer to a rejected connection
+	// takes to be written to the empty send buffer.
+	rejectWriteTimeout = 100 * time.Millisecond
+	// lingerTime is the time after which a rejected connection is closed. Until
+	// then the caller can read the answer; a connection that is closed while it
+	// holds unread data is reset.
+	lingerTime = 500 * time.Millisecond
+	// lingerDivisor divides the number of open connections to give the number of
+	// rejected connections that linger.
+	lingerDivisor = 4
 )
 
+// Overload decides which new connections are rejected before anything is read
+// from them.
+type Overload interface {
+	// Reject returns the answer to the connection at hand, which states that no
+	// request on it has run, and true if the connection is rejected. The accept
+	// queue has not been empty for the given time.
+	Reject(backlog time.Duration) ([]byte, bool)
+}
+
 // Listener accepts connections within the limits that the package comment
 // describes.
 type Listener struct {
@@ -34,6 +63,16 @@
 	openSlots chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
+	// overload may be nil. lingering is a semaphore that holds one element for
+	// each rejected connection that is still open.
+	overload  Overload
+	lingering chan struct{}
+	// accepted is the cost of the connections accepted since other goroutines had
+	// their turn, waits the number of calls in a row that had to wait for a
+	// connection, and emptyAt when the accept queue was last empty. Only Accept
+	// uses them.
+	accepted, waits int
+	emptyAt         time.Time
 	// newConnTimeout is the constant of that name; tests use a longer time.
 	newConnTimeout time.Duration
 
@@ -43,23 +82,27 @@
 	idle map[*conn]time.Time
 }
 
-// New returns a Listener that accepts connections from inner and keeps at most
-// maxOpen of them open.
-func New(inner net.Listener, maxOpen int) *Listener {
+// New returns a Listener that accepts connections from inner, keeps at most
+// maxOpen of them open, and rejects those that the overload, unless it is nil,
+// chooses.
+func New(inner net.Listener, maxOpen int, overload Overload) *Listener {
+	maxOpen = max(maxOpen, 1)
 	return &Listener{
-		Listener: inner, newSlots: make(chan struct{}, maxNewConns), openSlots: make(chan struct{}, max(maxOpen, 1)),
+		Listener: inner, newSlots: make(chan struct{}, maxNewConns), openSlots: make(chan struct{}, maxOpen),
 		closed: make(chan struct{}), idle: map[*conn]time.Time{}, newConnTimeout: newConnTimeout,
+		overload: overload, lingering: make(chan struct{}, max(maxOpen/lingerDivisor, 1)),
 	}
 }
 
-// Accept waits for a connection, and until the limits allow another one.
+// Accept waits for a connection, and until the limits allow another one. It must
+// not be called concurrently.
 func (l *Listener) Accept() (net.Conn, error) {
 	select {
 	case l.newSlots <- struct{}{}:
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
-	inner, err := l.Listener.Accept()
+	inner, err := l.acceptUnrejected()
 	if err == nil {
 		if err = l.acquireOpenSlot(); err != nil {
 			_ = inner.Close()
@@ -74,6 +117,73 @@
 	return c, nil
 }
 
+// acceptUnrejected accepts connections until one is not rejected.
+func (l *Listener) acceptUnrejected() (net.Conn, error) {
+	for {
+		if l.accepted >= batchCost {
+			l.accepted = 0
+			// Under a flood, the goroutines of new connections always find their
+			// requests and never wait. Goroutines for which data arrives, such as
+			// those of streams and of other routers, would hardly run.
+			runtime.Gosched()
+		}
+		begun := time.Now()
+		inner, err := l.Listener.Accept()
+		if err != nil || l.overload == nil {
+			l.accepted += serveCost
+			return inner, err
+		}
+		answer, rejected := l.overload.Reject(l.backlog(begun, time.Now()))
+		if !rejected {
+			l.accepted += serveCost
+			return inner, nil
+		}
+		l.accepted += rejectCost
+		l.reject(inner, answer)
+	}
+}
+
+// backlog returns for how long the accept queue has not been empty. The last call
+// of the inner Accept lasted from begun until now.
+func (l *Listener) backlog(begun, now time.Time) time.Duration {
+	if l.emptyAt.IsZero() {
+		l.emptyAt = begun
+	}
+	waited := now.Sub(begun)
+	if waited < emptyWait {
+		l.waits = 0
+	} else {
+		l.waits++
+		// A quiet period, or one without processor time, is no backlog.
+		l.emptyAt = l.emptyAt.Add(waited)
+	}
+	if l.waits >= emptyAccepts {
+		l.emptyAt = now
+	}
+	return now.Sub(l.emptyAt)
+}
+
+// reject answers a connection without reading from it, and closes it once the
+// caller has had time to read the answer. An error means that the caller has
+// disconnected.
+func (l *Listener) reject(c net.Conn, answer []byte) {
+	_ = c.SetWriteDeadline(time.Now().Add(rejectWriteTimeout))
+	_, err := c.Write(answer)
+	if halfCloser, ok := c.(interface{ CloseWrite() error }); err == nil && ok {
+		select {
+		case l.lingering <- struct{}{}:
+			_ = halfCloser.CloseWrite()
+			time.AfterFunc(lingerTime, func() {
+				_ = c.Close()
+				<-l.lingering
+			})
+			return
+		default:
+		}
+	}
+	_ = c.Close()
+}
+
 // acquireOpenSlot acquires a slot for an open connection, closing idle
 // connections if there is no free slot.
 func (l *Listener) acquireOpenSlot() error {
--- a/internal/transport/connlimit/listener_test.go
+++ b/internal/transport/connlimit/listener_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := New(inner, maxOpen)
+	l := New(inner, maxOpen, nil)
 	l.newConnTimeout = timeout
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	l.InstallHooks(s)
@@ -148,7 +148,7 @@
 	is := is.New(t)
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := New(inner, 1)
+	l := New(inner, 1, nil)
 	for range maxNewConns {
 		l.newSlots <- struct{}{} // no request is read
 	}
@@ -160,3 +160,63 @@
 	is.NoErr(l.Close())
 	is.Equal(<-ended, net.ErrClosed)
 }
+
+// rejectAll is an Overload that rejects the given number of connections.
+type rejectAll struct{ left int }
+
+func (r *rejectAll) Reject(time.Duration) ([]byte, bool) {
+	r.left--
+	return []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), r.left >= 0
+}
+
+// TestRejectedCallerReadsAnswer guards against rejected callers that lose the
+// answer because their connection is reset, and against rejected requests that
+// run all the same.
+func TestRejectedCallerReadsAnswer(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	const rejected = 20
+	l := New(inner, 100, &rejectAll{left: rejected})
+	var served atomic.Int64
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }), ReadHeaderTimeout: time.Minute}
+	l.InstallHooks(s)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for i := range rejected + 1 {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n%20000d", 1)
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode == http.StatusServiceUnavailable, i < rejected)
+		is.NoErr(response.Body.Close())
+		is.NoErr(c.Close())
+	}
+	is.Equal(served.Load(), int64(1))
+}
+
+// TestBacklogIsTimeSinceQueueWasEmpty checks what counts as an empty accept
+// queue: calls that wait, but neither a single long one nor a quiet period.
+func TestBacklogIsTimeSinceQueueWasEmpty(t *testing.T) {
+	is := is.New(t)
+	l := &Listener{}
+	now := time.Unix(1000, 0)
+	accept := func(waited, handled time.Duration) time.Duration {
+		begun := now
+		now = now.Add(waited)
+		backlog := l.backlog(begun, now)
+		now = now.Add(handled)
+		return backlog
+	}
+	is.Equal(accept(time.Second, time.Millisecond), time.Duration(0))
+	for range 100 {
+		accept(0, time.Millisecond)
+	}
+	is.Equal(accept(0, time.Millisecond), 101*time.Millisecond)
+	is.Equal(accept(50*time.Millisecond, time.Millisecond), 102*time.Millisecond) // may be a process that did not run
+	is.Equal(accept(0, time.Millisecond), 103*time.Millisecond)
+	accept(time.Millisecond, time.Millisecond)
+	is.Equal(accept(time.Millisecond, time.Millisecond), time.Duration(0))
+}
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -74,6 +74,10 @@
 	// Package connlimit then limits the connections that are accepted, and the
 	// handler must call connlimit.MarkRequestRead when a request has been read.
 	LimitConnections bool
+	// Rejection returns the complete answer for a connection that is rejected
+	// because the router is overloaded, for a caller that may retry at the given
+	// instant. It is required if LimitConnections is set.
+	Rejection func(now, retryAt time.Time) []byte
 }
 
 // HostedOptions holds the options of a hosted router.
@@ -122,6 +126,7 @@
 	// lateness measures whether this process gets the processor time that it
 	// needs.
 	lateness *lateness.Meter
+	overload overloadController
 	servers  []*http.Server
 	serving  sync.WaitGroup
 	closing  sync.Once
@@ -173,7 +178,7 @@
 		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodyLimiter(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
 		started: time.Now(), options: &r.options, logger: h.Logger,
 	}
-	r.lateness = lateness.Start(h.Registry, h.Logger)
+	r.lateness = lateness.Start(h.Registry, h.Logger, r.overload.Observe)
 	r.sources = startSources(r, p)
 	r.core.sources = r.sources
 	r.fleet.watch(func(v *view.Snapshot) { scheduling.Input(schedule.Change{View: v}) })
@@ -209,7 +214,7 @@
 		ErrorLog:       stdlog.New(&serverLog{r.options.Logger.WithField("Face", f.Name)}, "", 0),
 	}
 	if f.LimitConnections {
-		bounded := connlimit.New(l, r.options.Resources.connections())
+		bounded := connlimit.New(l, r.options.Resources.connections(), newRejecter(&r.overload, f.Rejection, r.options.Logger, r.options.Registry))
 		bounded.InstallHooks(s)
 		l = bounded
 	}
--- /dev/null
+++ b/internal/transport/router/rejecter.go
@@ -0,0 +1,70 @@
+package router
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
+
+	"hyssopreach/internal/coordination/overload"
+)
+
+const (
+	// minRejectDelay is the time after which a rejected caller may retry, and
+	// rejectJitter the greatest random part that is added, so that rejected
+	// callers do not return at the same time.
+	minRejectDelay = 250 * time.Millisecond
+	rejectJitter   = 500 * time.Millisecond
+	// rejectLogInterval is the time between two log lines about rejections.
+	rejectLogInterval = time.Second
+	// metricRejected counts the rejected connections.
+	metricRejected = "ConnectionsRejected"
+)
+
+// overloadController is the controller of a hosted router. The router is late if
+// its goroutines are, and if callers' connections have waited to be accepted.
+type overloadController struct {
+	overload.Controller
+	// backlog is the time for which the accept queue has not been empty, in
+	// nanoseconds.
+	backlog atomic.Int64
+}
+
+// Observe adjusts the controller to a sample of the router's lateness.
+func (c *overloadController) Observe(lateness time.Duration) {
+	c.Controller.Observe(max(lateness, time.Duration(c.backlog.Load())))
+}
+
+// rejecter implements connlimit.Overload. Only one goroutine may use it.
+type rejecter struct {
+	controller *overloadController
+	answer     func(now, retryAt time.Time) []byte
+	logger     log.Interface
+	count      metrics.Counter
+	// unlogged is the number of rejections since the last log line, and nextLogAt
+	// the instant of the next one.
+	unlogged  int
+	nextLogAt time.Time
+}
+
+func newRejecter(c *overloadController, answer func(now, retryAt time.Time) []byte, logger log.Interface, registry metrics.Registry) *rejecter {
+	return &rejecter{controller: c, answer: answer, logger: logger, count: metrics.GetOrRegisterCounter(metricRejected, registry)}
+}
+
+// Reject implements connlimit.Overload.
+func (r *rejecter) Reject(backlog time.Duration) ([]byte, bool) {
+	r.controller.backlog.Store(int64(backlog))
+	if !r.controller.Reject() {
+		return nil, false
+	}
+	now := time.Now()
+	r.count.Inc(1)
+	r.unlogged++
+	if !now.Before(r.nextLogAt) {
+		r.logger.WithFields(log.Fields{"Count": r.unlogged, "Fraction": r.controller.Fraction()}).Warn("ConnectionsRejected")
+		r.unlogged, r.nextLogAt = 0, now.Add(rejectLogInterval)
+	}
+	return r.answer(now, now.Add(minRejectDelay+rand.N(rejectJitter))), true
+}
