Forget what a peer reported once its next report is overdue

The rates of organisations that a peer had reported counted until the peer left the view; the loads ended after 1.5 s, while a fleet of 360 routers pulses every 5.1 s.

Both now last for one and a half intervals between pulses, 1.5 s at the least, which changes nothing for the loads in fleets of up to 71 routers. TestReportsOfPeersLastUntilTheNext failed before: 3.3 s after the last pulse of seven routers, 60,000 tokens a second of the silent peers still counted.

--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -40,9 +40,8 @@
 	silenceTimeout = 1200 * time.Millisecond
 	// silentBackoff is the time for which a silent endpoint is avoided.
 	silentBackoff = time.Second
-	// peerLoadLifetime is the time for which the loads in a peer's Pulse are
-	// taken into account.
-	peerLoadLifetime = 1500 * time.Millisecond
+	// minReportLifetime is the lower bound of Policy.reportLifetime.
+	minReportLifetime = 1500 * time.Millisecond
 )
 
 // work is the amount of work that a request causes on an endpoint, in tokens.
@@ -153,11 +152,10 @@
 	e.peerTotal.add(l.load)
 }
 
-// expirePeers removes the loads of peers that have not reported within
-// peerLoadLifetime.
-func (e *endpoint) expirePeers(now time.Time) {
+// expirePeers removes the loads that peers reported before the given instant.
+func (e *endpoint) expirePeers(before time.Time) {
 	for id, l := range e.peers {
-		if now.Sub(l.at) > peerLoadLifetime {
+		if l.at.Before(before) {
 			e.setPeerLoad(id, peerLoad{})
 		}
 	}
--- a/internal/coordination/admission/measurement.go
+++ b/internal/coordination/admission/measurement.go
@@ -14,7 +14,7 @@
 	// maxMeasurementAge is the age of the last sample from which a measurement
 	// says nothing about the endpoint any more. It exceeds the time between two
 	// Pulse messages of a router in a fleet of a hundred.
-	maxMeasurementAge = peerLoadLifetime
+	maxMeasurementAge = 1500 * time.Millisecond
 )
 
 // pace is how fast the streams of an endpoint are: the mean interval between two
--- a/internal/coordination/admission/pacedfleet_test.go
+++ b/internal/coordination/admission/pacedfleet_test.go
@@ -198,3 +198,25 @@
 	w.advance(100 * time.Millisecond)
 	is.Equal(w.started["o"], 2)
 }
+
+// TestReportsOfPeersLastUntilTheNext guards against routers of a large fleet,
+// whose pulses are less frequent, that take engines for idle between two pulses,
+// and against shares by rates that a peer reported long ago.
+func TestReportsOfPeersLastUntilTheNext(t *testing.T) {
+	is := is.New(t)
+	for _, routers := range []int{7, 70, 360} {
+		w := newFleetSimulation(routers)
+		interval := w.policy.pulseInterval()
+		at := func(after time.Duration) (requests int, requested float64) {
+			w.now = time.Unix(5000, 0).Add(after)
+			w.policy.Step(w.now, schedule.Alarm{})
+			return w.policy.endpoints[engineID(0)].total().requests, w.policy.usage.fleetRates(w.now)["o1"].requested
+		}
+		requests, requested := at(interval * 11 / 10)
+		is.Equal(requests, routers-1)
+		is.True(requested > 0)
+		requests, requested = at(3*interval + 3*time.Second)
+		is.Equal(requests, 0)
+		is.Equal(requested, 0.0)
+	}
+}
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -23,9 +23,9 @@
 	// idleInterval is the time between two alarms while no request waits, and
 	// between two checks for silent endpoints.
 	idleInterval = 100 * time.Millisecond
-	// peerExpiryInterval is the time between two checks for expired loads of
-	// peers, a fraction of the lifetime of these loads.
-	peerExpiryInterval = peerLoadLifetime / 3
+	// peerExpiryInterval is the time between two checks for expired reports of
+	// peers, a fraction of the lifetime of these reports.
+	peerExpiryInterval = minReportLifetime / 3
 	// MaxQueuedRequests is the maximum number of waiting requests per
 	// organisation and pool. It keeps the cost of refusing a flood of requests
 	// low.
@@ -273,7 +273,7 @@
 	}
 }
 
-// checkEndpoints avoids silent endpoints for a while, removes the expired loads
+// checkEndpoints avoids silent endpoints for a while, removes the expired reports
 // of peers, and scans the queues. It does so at intervals of idleInterval.
 func (p *Policy) checkEndpoints(now time.Time) {
 	if now.Before(p.nextCheckAt) {
@@ -283,11 +283,12 @@
 	expirePeers := !now.Before(p.nextPeerExpiryAt)
 	if expirePeers {
 		p.nextPeerExpiryAt = now.Add(peerExpiryInterval)
+		p.usage.expirePeers(now.Add(-p.reportLifetime()))
 	}
 	for _, l := range p.pools {
 		for _, e := range l.endpoints {
 			if expirePeers {
-				e.expirePeers(now)
+				e.expirePeers(now.Add(-p.reportLifetime()))
 			}
 			if e.silent(now) {
 				e.health.avoidUntil = now.Add(silentBackoff)
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -10,23 +10,33 @@
 )
 
 const (
-	// pulseInterval is the minimum time between two broadcasts of a Pulse.
-	pulseInterval = 100 * time.Millisecond
+	// minPulseInterval is the minimum time between two broadcasts of a Pulse.
+	minPulseInterval = 100 * time.Millisecond
 	// maxPulsesPerSecond is the maximum number of Pulse messages that a router
 	// sends per second, one for each peer and broadcast. In a large fleet the
 	// broadcasts are therefore less frequent.
 	maxPulsesPerSecond = 70
 )
 
+// pulseInterval returns the time between two broadcasts of a Pulse.
+func (p *Policy) pulseInterval() time.Duration {
+	return max(minPulseInterval, time.Duration(len(p.view.Routers)-1)*time.Second/maxPulsesPerSecond)
+}
+
+// reportLifetime returns the time for which the loads and rates in a peer's Pulse
+// are taken into account. It exceeds the time until the next one.
+func (p *Policy) reportLifetime() time.Duration {
+	return max(minReportLifetime, p.pulseInterval()*3/2)
+}
+
 // sendPulse sends this router's loads and usage to all other routers if the
 // last broadcast was long enough ago.
 func (p *Policy) sendPulse(now time.Time) {
 	if now.Before(p.nextPulseAt) {
 		return
 	}
-	others := len(p.view.Routers) - 1
-	p.nextPulseAt = now.Add(max(pulseInterval, time.Duration(others)*time.Second/maxPulsesPerSecond))
-	if others <= 0 {
+	p.nextPulseAt = now.Add(p.pulseInterval())
+	if len(p.view.Routers) <= 1 {
 		return
 	}
 	m := p.pulse(now)
@@ -81,5 +91,5 @@
 	for _, o := range m.Organisations {
 		reported[o.Organisation] = usageRates{o.Requested, o.Received}
 	}
-	p.usage.peers[from] = reported
+	p.usage.peers[from] = peerRates{reported, now}
 }
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -53,12 +53,18 @@
 // received through, this router.
 type organisationUsage struct{ requested, received rate }
 
+// peerRates are the rates of organisations that a peer reported at an instant.
+type peerRates struct {
+	rates map[string]usageRates
+	at    time.Time
+}
+
 // usage tracks the work that each organisation requests from the whole fleet
 // and receives.
 type usage struct {
 	own map[string]*organisationUsage
 	// peers holds the rates that other routers reported last.
-	peers map[view.RouterID]map[string]usageRates
+	peers map[view.RouterID]peerRates
 	// rates are the sums over the fleet at ratesAt, updated with the work
 	// received through this router since then.
 	rates   map[string]usageRates
@@ -69,7 +75,7 @@
 }
 
 func newUsage() *usage {
-	return &usage{own: map[string]*organisationUsage{}, peers: map[view.RouterID]map[string]usageRates{}}
+	return &usage{own: map[string]*organisationUsage{}, peers: map[view.RouterID]peerRates{}}
 }
 
 func (u *usage) organisationUsage(organisation string) *organisationUsage {
@@ -115,6 +121,15 @@
 	}
 }
 
+// expirePeers removes the rates that peers reported before the given instant.
+func (u *usage) expirePeers(before time.Time) {
+	for id, reported := range u.peers {
+		if reported.at.Before(before) {
+			delete(u.peers, id)
+		}
+	}
+}
+
 // fleetRates returns the rates of all organisations, summed over the routers.
 func (u *usage) fleetRates(now time.Time) map[string]usageRates {
 	if u.rates != nil && now.Sub(u.ratesAt) < fleetRatesMaxAge {
@@ -128,7 +143,7 @@
 	}
 	total = own
 	for _, reported := range u.peers {
-		for name, o := range reported {
+		for name, o := range reported.rates {
 			sum := rates[name]
 			rates[name] = usageRates{sum.requested + o.requested, sum.received + o.received}
 			total += o.requested
