--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -32,10 +32,10 @@
 type candidate struct {
 	endpoint *endpoint
 	work     work
-	pace     pace
+	timing   timing
 	// deadlineUse is the expected end of the answer as a fraction of the time that
 	// it may take; see Policy.deadlineUse. saturation is the greater of it and
-	// pace.saturation.
+	// timing.saturation.
 	deadlineUse, saturation float64
 	// timeToFirstToken is the expected time from now to the first token, and
 	// tokensAhead the number of prompt tokens that the endpoint has to process
@@ -61,7 +61,7 @@
 // where the answer should begin soonest, with penalties added for failures,
 // saturation and the loss of a cached prefix. It returns false if no endpoint
 // can run the request.
-func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, loads []load, meanPace pace, capacityShare float64) (candidate, bool) {
+func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, loads []load, meanTiming timing, capacityShare float64) (candidate, bool) {
 	home := p.home(now, l, w)
 	var best candidate
 	found := false
@@ -77,7 +77,7 @@
 			if w.request.Exclusive && e.exclusive > 0 || w.request.Model != "" && !e.Accepts(w.request.Model, now) {
 				continue
 			}
-			c := p.evaluate(now, w, e, loads[i], meanPace, e == home)
+			c := p.evaluate(now, w, e, loads[i], meanTiming, e == home)
 			if !e.fits(loads[i], c.work) {
 				continue
 			}
@@ -94,7 +94,7 @@
 }
 
 // evaluate estimates how the endpoint would serve the request.
-func (p *Policy) evaluate(now time.Time, w *queuedRequest, e *endpoint, l load, meanPace pace, home bool) candidate {
+func (p *Policy) evaluate(now time.Time, w *queuedRequest, e *endpoint, l load, meanTiming timing, home bool) candidate {
 	c := candidate{endpoint: e, work: e.workOf(now, w.request.Prompt), home: home}
 	if w.request.Prompt == nil {
 		// Without a prompt there is no prefill; the expected time depends on
@@ -106,9 +106,9 @@
 	}
 	c.tokensAhead = l.backlog + c.work.prefill
 	c.timeToFirstToken = e.timeToFirstToken(c.tokensAhead)
-	c.pace = e.pace(now, l, meanPace)
+	c.timing = e.timing(now, l, meanTiming)
 	c.deadlineUse = p.deadlineUse(now, w, &c)
-	c.saturation = max(c.pace.saturation(), c.deadlineUse)
+	c.saturation = max(c.timing.saturation(), c.deadlineUse)
 	c.score = c.timeToFirstToken + e.health.penalty() + time.Duration(max(c.saturation-1, 0)*float64(saturationPenalty))
 	if !home {
 		shared := min(c.work.prefill, sharedPrefixTokens(w.request.Prompt))
@@ -126,7 +126,7 @@
 		return 0
 	}
 	events := float64(w.request.Prompt.OutputTokens) / perEvent
-	ends := float64(c.timeToFirstToken) + events*float64(c.pace.eventInterval)
+	ends := float64(c.timeToFirstToken) + events*float64(c.timing.eventInterval)
 	return ends / max(deadlineMargin*float64(w.request.Deadline.Sub(now)), 1)
 }
 
--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -99,7 +99,7 @@
 	// set once it is based on measurements.
 	speed         float64
 	speedMeasured bool
-	// measured is the measured pace of the streams.
+	// measured is the measured timing of the streams.
 	measured measurement
 	// lastActivityAt is the instant of the last activity of the endpoint, or of
 	// the first request sent to it after a time without requests.
@@ -182,12 +182,12 @@
 	return true
 }
 
-// pace returns the pace of the endpoint's streams under load t. An endpoint that
-// runs requests but has not been measured lately is taken for as fast as the
+// timing returns the timing of the endpoint's streams under load t. An endpoint
+// that runs requests but has not been measured lately is taken for as fast as the
 // mean of its pool.
-func (e *endpoint) pace(now time.Time, t load, mean pace) pace {
+func (e *endpoint) timing(now time.Time, t load, mean timing) timing {
 	if t.requests == 0 {
-		return pace{}
+		return timing{}
 	}
 	if measured, ok := e.measured.value(now); ok {
 		return measured
--- a/internal/coordination/admission/measurement.go
+++ b/internal/coordination/admission/measurement.go
@@ -17,18 +17,18 @@
 	maxMeasurementAge = 1500 * time.Millisecond
 )
 
-// pace is how fast the streams of an endpoint are: the mean interval between two
+// timing is the timing of an endpoint's streams: the mean interval between two
 // events, and the mean of the longest gaps between two parts of an answer.
-type pace struct{ eventInterval, longestGap time.Duration }
+type timing struct{ eventInterval, longestGap time.Duration }
 
-// saturation returns the pace in proportion to the slowest accepted one. From 1
-// on the endpoint should receive no further requests.
-func (p pace) saturation() float64 {
-	return max(float64(p.longestGap)/float64(maxEventGap), float64(p.eventInterval)/float64(maxEventInterval))
+// saturation returns how slow the streams are in proportion to the slowest
+// accepted ones. From 1 on the endpoint should receive no further requests.
+func (t timing) saturation() float64 {
+	return max(float64(t.longestGap)/float64(maxEventGap), float64(t.eventInterval)/float64(maxEventInterval))
 }
 
-// measurement is the mean of the samples that all routers have taken of the pace
-// of an endpoint. The older a sample is, the less it counts.
+// measurement is the mean of the samples that all routers have taken of the
+// timing of an endpoint's streams. The older a sample is, the less it counts.
 //
 // Routers must judge an endpoint alike, since an organisation whose callers use
 // many routers would otherwise be treated differently from one whose callers use
@@ -70,11 +70,11 @@
 }
 
 // value returns the mean. It returns false if the last sample is too old.
-func (m *measurement) value(now time.Time) (pace, bool) {
+func (m *measurement) value(now time.Time) (timing, bool) {
 	if m.weight <= 0 || now.Sub(m.at) > maxMeasurementAge {
-		return pace{}, false
+		return timing{}, false
 	}
-	return pace{time.Duration(m.intervals / m.weight), time.Duration(m.gaps / m.weight)}, true
+	return timing{time.Duration(m.intervals / m.weight), time.Duration(m.gaps / m.weight)}, true
 }
 
 // age returns the age of the last sample, for the log.
--- a/internal/coordination/admission/measurement_test.go
+++ b/internal/coordination/admission/measurement_test.go
@@ -23,7 +23,7 @@
 	m.add(now, schedule.Samples{Count: 2, EventInterval: 50 * time.Millisecond, LongestGap: 100 * time.Millisecond})
 	p, ok := m.value(now)
 	is.True(ok)
-	is.Equal(p, pace{100 * time.Millisecond, 200 * time.Millisecond})
+	is.Equal(p, timing{100 * time.Millisecond, 200 * time.Millisecond})
 	is.Equal(m.takeUnreported(), schedule.Samples{Count: 2, EventInterval: 150 * time.Millisecond, LongestGap: 300 * time.Millisecond})
 	is.Equal(m.takeUnreported(), schedule.Samples{})
 	now = now.Add(4 * measurementTimeConstant)
@@ -39,10 +39,10 @@
 func TestUnmeasuredEndpointIsAsFastAsItsPool(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	mean := pace{100 * time.Millisecond, 150 * time.Millisecond}
+	mean := timing{100 * time.Millisecond, 150 * time.Millisecond}
 	e := newEndpoint(now)
-	is.Equal(e.pace(now, load{requests: 3}, mean), mean)
-	is.Equal(e.pace(now, load{}, mean), pace{}) // it runs nothing
+	is.Equal(e.timing(now, load{requests: 3}, mean), mean)
+	is.Equal(e.timing(now, load{}, mean), timing{}) // it runs nothing
 	e.measured.add(now, schedule.Samples{Count: 1, EventInterval: time.Millisecond, LongestGap: time.Millisecond})
-	is.Equal(e.pace(now, load{requests: 3}, mean), pace{time.Millisecond, time.Millisecond})
+	is.Equal(e.timing(now, load{requests: 3}, mean), timing{time.Millisecond, time.Millisecond})
 }
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -67,7 +67,7 @@
 	// will take.
 	queueTime := time.Duration(0)
 	speed := p.ownSpeedShare(now, l)
-	meanPace := l.meanPace(now)
+	meanTiming := l.meanTiming(now)
 	remaining := l.queue.requests[:0]
 	for _, w := range l.queue.requests {
 		capacityShare := capacityShareFor(rates[w.request.Organisation].received, fairRate)
@@ -76,7 +76,7 @@
 			// would be wasted.
 			capacityShare = 1
 		}
-		best, found := p.choose(now, l, w, loads, meanPace, capacityShare)
+		best, found := p.choose(now, l, w, loads, meanTiming, capacityShare)
 		switch {
 		case found && best.startNow:
 			p.start(now, w, best)
@@ -109,10 +109,10 @@
 	return max(sum, minSpeed) * max(p.usage.ownShare, even)
 }
 
-// meanPace returns the mean pace of the endpoints that have been measured
+// meanTiming returns the mean timing of the endpoints that have been measured
 // lately; zero if there are none.
-func (l *pool) meanPace(now time.Time) pace {
-	var sum pace
+func (l *pool) meanTiming(now time.Time) timing {
+	var sum timing
 	count := time.Duration(0)
 	for _, e := range l.endpoints {
 		if measured, ok := e.measured.value(now); ok {
@@ -121,7 +121,7 @@
 			count++
 		}
 	}
-	return pace{sum.eventInterval / max(count, 1), sum.longestGap / max(count, 1)}
+	return timing{sum.eventInterval / max(count, 1), sum.longestGap / max(count, 1)}
 }
 
 // objective returns the total time from the arrival of the request until its
@@ -200,7 +200,7 @@
 		ID: w.request.ID, Endpoint: c.endpoint.ID,
 		Reason: fmt.Sprintf("waited=%v,begins=%v,ahead=%d,unread=%d,home=%t,speed=%.0f,pace=%v,measured=%s,output=%d",
 			now.Sub(w.arrived).Round(time.Millisecond), c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, c.work.prefill, c.home, c.endpoint.speed,
-			c.pace.eventInterval.Round(time.Millisecond),
+			c.timing.eventInterval.Round(time.Millisecond),
 			c.endpoint.measured.age(now), outputTokens(w.request.Prompt)),
 	})
 }
