--- a/internal/transport/router/rejecter.go
+++ b/internal/transport/router/rejecter.go
@@ -17,6 +17,9 @@
 	// callers do not return at the same time.
 	minRejectDelay = 250 * time.Millisecond
 	rejectJitter   = 500 * time.Millisecond
+	// maxBacklogAge is the time without a new connection after which the accept
+	// queue counts as empty.
+	maxBacklogAge = 200 * time.Millisecond
 	// rejectLogInterval is the time between two log lines about rejections.
 	rejectLogInterval = time.Second
 	// metricRejected counts the rejected connections.
@@ -27,14 +30,22 @@
 // its goroutines are, and if callers' connections have waited to be accepted.
 type overloadController struct {
 	overload.Controller
-	// backlog is the time for which the accept queue has not been empty, in
-	// nanoseconds.
-	backlog atomic.Int64
+	backlog atomic.Pointer[backlog]
+}
+
+// backlog is the time for which the accept queue had not been empty when the last
+// connection was accepted.
+type backlog struct {
+	duration   time.Duration
+	acceptedAt time.Time
 }
 
 // Observe adjusts the controller to a sample of the router's lateness.
 func (c *overloadController) Observe(lateness time.Duration) {
-	c.Controller.Observe(max(lateness, time.Duration(c.backlog.Load())))
+	if b := c.backlog.Load(); b != nil && time.Since(b.acceptedAt) < maxBacklogAge {
+		lateness = max(lateness, b.duration)
+	}
+	c.Controller.Observe(lateness)
 }
 
 // rejecter implements connlimit.Overload. Only one goroutine may use it.
@@ -54,8 +65,8 @@
 }
 
 // Reject implements connlimit.Overload.
-func (r *rejecter) Reject(backlog time.Duration) bool {
-	r.controller.backlog.Store(int64(backlog))
+func (r *rejecter) Reject(duration time.Duration) bool {
+	r.controller.backlog.Store(&backlog{duration, time.Now()})
 	return r.controller.Reject()
 }
 
--- /dev/null
+++ b/internal/transport/router/rejecter_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+)
+
+// TestBacklogIsForgottenWithoutConnections guards against a router that goes on
+// rejecting connections after a flood has ended, by the backlog that it left.
+func TestBacklogIsForgottenWithoutConnections(t *testing.T) {
+	is := is.New(t)
+	var c overloadController
+	answer := func(_, retryAt time.Time) []byte {
+		is.True(time.Until(retryAt) > 0)
+		return []byte("rejected")
+	}
+	r := newRejecter(&c, answer, log.Log, metrics.NewRegistry())
+	for range 100 {
+		r.Reject(time.Second)
+		c.Observe(0)
+	}
+	is.True(r.Reject(time.Second))
+	is.Equal(string(r.Answer()), "rejected")
+	is.Equal(r.count.Count(), int64(1))
+	time.Sleep(maxBacklogAge)
+	for range 100 {
+		c.Observe(0)
+	}
+	is.Equal(c.Fraction(), 0.0)
+}
