--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -161,6 +161,8 @@
 		return false
 	}
 	unqueued := c.endpoint.timeToFirstToken(c.work.prefill)
+	// A share above 1 is no right to a longer queue, which would delay the prompts
+	// of others.
 	return c.timeToFirstToken <= max(time.Duration(min(capacityShare, 1)*engineQueueShare*float64(total)), unqueued) &&
 		c.timeToFirstToken <= max(time.Duration(startMargin*float64(remaining)), unqueued)
 }
