Log whether an endpoint still runs after an attempt broke off there

AttemptBroken now holds the request's fingerprint and the result of opening a connection to the endpoint.

--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"hyssopreach/internal/state/view"
 )
 
 // Answer is an endpoint's answer to one attempt.
@@ -44,3 +46,34 @@
 	var n *NotSentError
 	return errors.As(err, &n)
 }
+
+// ProcessState is what is known about the process of an endpoint.
+type ProcessState uint8
+
+// The states.
+const (
+	// ProcessUnknown means that neither of the others could be shown.
+	ProcessUnknown ProcessState = iota
+	// ProcessAlive means that the process accepts connections.
+	ProcessAlive
+	// ProcessGone means that the host of the endpoint refuses connections to it.
+	ProcessGone
+)
+
+// String returns the name of the state.
+func (s ProcessState) String() string {
+	switch s {
+	case ProcessAlive:
+		return "Alive"
+	case ProcessGone:
+		return "Gone"
+	default:
+		return "Unknown"
+	}
+}
+
+// Prober finds out whether the process of an endpoint still runs. It tells a
+// crash from a connection that broke for another reason.
+type Prober interface {
+	Probe(ctx context.Context, e *view.Endpoint) ProcessState
+}
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
@@ -75,9 +77,26 @@
 	// Exclusive is set for a request suspected of crashing endpoints. It must
 	// run at an endpoint that runs no other exclusive request.
 	Exclusive bool
-	// Fingerprint is a hash of the organisation and the request; zero until it
-	// is first needed.
-	Fingerprint uint64
+
+	// fingerprint is the result of Fingerprint; zero until it is first needed.
+	fingerprint uint64
+}
+
+// Fingerprint returns a hash of the organisation, the service, the method, the
+// path and the body, which is the same for a request that its caller sends again.
+// It is never zero. It must not be called concurrently.
+func (c *Call) Fingerprint() uint64 {
+	if c.fingerprint == 0 {
+		var d xxhash.Digest
+		d.Reset()
+		for _, part := range []string{c.Organisation.Name, c.Service.Name, c.Method, c.Path} {
+			_, _ = d.WriteString(part)
+			_, _ = d.WriteString("\x00")
+		}
+		_, _ = d.Write(c.Body)
+		c.fingerprint = max(d.Sum64(), 1)
+	}
+	return c.fingerprint
 }
 
 // Attempt is one attempt to run a call at an endpoint.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -108,6 +109,8 @@
 	// Late reports whether this process runs late; see schedule.Progress. If it is
 	// nil, the process is taken to run on time.
 	Late func() bool
+	// Prober examines endpoints at which attempts broke off; nil to examine none.
+	Prober Prober
 }
 
 // NewRunner returns a Runner with a gate that admits every call and the default
@@ -255,6 +258,9 @@
 		for _, w := range r.Watchers {
 			w.AttemptEnded(a, result, err)
 		}
+		if result == schedule.ResultBroken {
+			r.examineBreak(ctx, a, meter.begin, out.started)
+		}
 	} else {
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
 	}
@@ -265,6 +271,23 @@
 	return result, err
 }
 
+// examineBreak finds out whether the endpoint still runs after an attempt broke
+// off there, and logs it. The fingerprint in the log shows which attempts were
+// sent for the same request.
+func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time, answered bool) {
+	if r.Prober == nil {
+		return
+	}
+	elapsed := time.Since(begin)
+	state := r.Prober.Probe(ctx, &a.Endpoint)
+	e, listed := findEndpoint(r.Views.View(), a.Endpoint.ID)
+	r.Logger.WithFields(log.Fields{
+		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
+		"Fingerprint": strconv.FormatUint(a.Call.Fingerprint(), 16), "Endpoint": a.Endpoint.ID, "Process": state,
+		"Leaving": !listed || e.Leaving, "Elapsed": elapsed.Round(time.Millisecond), "Answered": answered,
+	}).Info("AttemptBroken")
+}
+
 func (r *Runner) logStart(a *Attempt, start schedule.Start) {
 	fields := log.Fields{
 		"RequestID": a.Call.RequestID, "Attempt": a.ID, "Organisation": a.Call.Organisation.Name,
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/coordination/suspect"
@@ -103,21 +102,7 @@
 	}
 }
 
-// fingerprint returns the fingerprint of the call, computing it on first use. It
-// is never zero, which stands for a fingerprint that is not yet computed.
-func fingerprint(c *execution.Call) suspect.Fingerprint {
-	if c.Fingerprint == 0 {
-		var d xxhash.Digest
-		d.Reset()
-		for _, part := range []string{c.Organisation.Name, c.Service.Name, c.Method, c.Path} {
-			_, _ = d.WriteString(part)
-			_, _ = d.WriteString("\x00")
-		}
-		_, _ = d.Write(c.Body)
-		c.Fingerprint = max(d.Sum64(), 1)
-	}
-	return suspect.Fingerprint(c.Fingerprint)
-}
+func fingerprint(c *execution.Call) suspect.Fingerprint { return suspect.Fingerprint(c.Fingerprint()) }
 
 // Admit implements execution.Gate. It waits for the permit of a suspect request
 // and refuses requests that crashed two endpoints.
