Hold back requests that crash endpoints in hosted routers

One request crashed every endpoint of dispatch-app that ran it, and was sent to endpoints 7 to 9 times after the third had ended; 13 to 16 ended.

Cause: StartHosted composed the router without package coordination/suspect, which limits this in the router that reads the operators' text. The runner's default gate admits every call, so nothing linked the sends of one request.

Why it works: a crash is told from a broken connection by opening one to the endpoint, so that only requests at crashed endpoints are suspected; one that has been at two crashes, and is the only such request at one of them, is rejected everywhere for 30 s and longer each time. Unlike the mechanism as it stood, it delays no retry and isolates nothing, as engines run tens of streams beside each crash.

--- a/internal/coordination/suspect/broadcast.go
+++ b/internal/coordination/suspect/broadcast.go
@@ -7,17 +7,11 @@
 	"hyssopreach/internal/state/view"
 )
 
-const (
-	// resendInterval is the time after which evidence is sent again to routers
-	// that have not confirmed it. It is shorter than the 250 ms for which a
-	// link that could not be opened drops its messages (redialPause in
-	// transport/peer), so that evidence is sent soon after that time.
-	resendInterval = 50 * time.Millisecond
-	// broadcastTimeout bounds how long the caller of a failed request waits for
-	// the confirmations. A router that has not confirmed by then counts as
-	// unreachable.
-	broadcastTimeout = 500 * time.Millisecond
-)
+// resendInterval is the time after which evidence is sent again to routers
+// that have not confirmed it. It is shorter than the 250 ms for which a
+// link that could not be opened drops its messages (redialPause in
+// transport/peer), so that evidence is sent soon after that time.
+const resendInterval = 50 * time.Millisecond
 
 // broadcast is an EndpointFailed whose evidence some routers have not confirmed
 // yet.
@@ -32,7 +26,7 @@
 // startBroadcast sends evidence to all routers that are not suspected to be
 // down. The EndpointFailed is answered once they have confirmed it.
 func (t *Table) startBroadcast(now time.Time, in EndpointFailed, e Evidence) {
-	b := &broadcast{EndpointFailed: in, evidence: e, resendAt: now.Add(resendInterval), until: now.Add(broadcastTimeout)}
+	b := &broadcast{EndpointFailed: in, evidence: e, resendAt: now.Add(resendInterval), until: now.Add(t.options.ConfirmTimeout)}
 	for i := range t.view.Routers {
 		if r := &t.view.Routers[i]; r.ID != t.self && !r.Suspected {
 			b.unconfirmed = append(b.unconfirmed, r.ID)
--- /dev/null
+++ b/internal/coordination/suspect/conviction.go
@@ -0,0 +1,71 @@
+package suspect
+
+import (
+	"time"
+
+	"hyssopreach/internal/state/view"
+)
+
+const (
+	// certainThreshold is the number of endpoints whose failure convicts a request
+	// that does not run isolated, even if other requests failed beside it each
+	// time.
+	certainThreshold = 3
+	// firstRejection is the time for which a request that does not run isolated is
+	// rejected after the failure that convicted it. Each further failure doubles
+	// it, up to evidenceLifetime. A request that was convicted by mistake can then
+	// clear itself, and one that does crash endpoints takes one for each period.
+	firstRejection = 30 * time.Second
+)
+
+// rejection returns the instant until which a request is rejected, and false if
+// it is not rejected now.
+func (t *Table) rejection(now time.Time, f Fingerprint) (time.Time, bool) {
+	n := t.failedEndpoints(now, f)
+	if n < rejectThreshold {
+		return time.Time{}, false
+	}
+	if t.options.Isolate {
+		return t.records[f].until, true
+	}
+	if n < certainThreshold && !t.isOnlyRepeated(now, f) {
+		return time.Time{}, false
+	}
+	until := t.lastFailure(now, f).Add(min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime))
+	return until, now.Before(until)
+}
+
+// isOnlyRepeated reports whether, at one of the endpoints that failed, the
+// request was the only one that had been at another failed endpoint too. Requests
+// that ran beside one that crashes endpoints are sent elsewhere, and may meet it
+// there again.
+func (t *Table) isOnlyRepeated(now time.Time, f Fingerprint) bool {
+	for id, e := range t.records[f].evidence {
+		if !e.Cleared && now.Before(e.Until) && !t.hasOtherRepeated(now, f, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOtherRepeated reports whether a request other than f was at the endpoint and
+// at another one as they failed.
+func (t *Table) hasOtherRepeated(now time.Time, f Fingerprint, id view.EndpointID) bool {
+	for other, c := range t.records {
+		if e := c.evidence[id]; other != f && e != nil && !e.Cleared && t.failedEndpoints(now, other) >= rejectThreshold {
+			return true
+		}
+	}
+	return false
+}
+
+// lastFailure returns the instant of the last failure that counts against f.
+func (t *Table) lastFailure(now time.Time, f Fingerprint) time.Time {
+	var last time.Time
+	for _, e := range t.records[f].evidence {
+		if !e.Cleared && now.Before(e.Until) && e.At.After(last) {
+			last = e.At
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/coordination/suspect/conviction_test.go
@@ -0,0 +1,203 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hyssopreach/internal/state/view"
+)
+
+// newOpenFleet returns a fleet whose suspects run without restrictions.
+func newOpenFleet(routers int) *fleet {
+	f := newFleet(routers)
+	for _, id := range f.ids {
+		f.tables[id] = New(Options{Self: id, ConfirmTimeout: testConfirmTimeout})
+	}
+	f.updateView()
+	return f
+}
+
+func (f *fleet) failed(at view.RouterID, e view.EndpointID, requests ...Fingerprint) {
+	for _, fp := range requests {
+		f.lastID++
+		f.step(at, EndpointFailed{f.lastID, fp, e})
+		f.step(at, RunEnded{fp, false})
+	}
+}
+
+func (f *fleet) rejectedEverywhere(fp Fingerprint) bool {
+	for _, id := range f.ids {
+		if f.check(id, fp) != VerdictRejected {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) freeEverywhere(fp Fingerprint) bool {
+	for _, id := range f.ids {
+		if f.check(id, fp) != VerdictFree {
+			return false
+		}
+	}
+	return true
+}
+
+// TestSecondCrashRejectsTheRepeatedRequest guards against a request that crashes
+// more than two endpoints, and against holding back those that ran beside it.
+func TestSecondCrashRejectsTheRepeatedRequest(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7, 8, 9)
+	is.True(f.freeEverywhere(7)) // after one failure it may be any of them
+	f.failed("r1", "e2", 7, 10)
+	is.True(f.rejectedEverywhere(7))
+	for _, other := range []Fingerprint{8, 9, 10} {
+		is.True(f.freeEverywhere(other))
+	}
+}
+
+// TestRequestsThatFailTogetherAreNotRejected guards against rejecting a request
+// that met the one that crashes endpoints at two of them.
+func TestRequestsThatFailTogetherAreNotRejected(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7, 8)
+	f.failed("r1", "e2", 7)
+	f.failed("r2", "e2", 8)
+	is.True(f.freeEverywhere(7))
+	is.True(f.freeEverywhere(8))
+	f.step("r2", RunEnded{8, true}) // its answer clears 8, and leaves 7 alone
+	is.True(f.freeEverywhere(8))
+	is.True(f.rejectedEverywhere(7))
+}
+
+// TestThirdCrashRejectsInAnyCase guards against requests that always crash
+// endpoints together, so that neither is the only suspect.
+func TestThirdCrashRejectsInAnyCase(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	for _, e := range []view.EndpointID{"e1", "e2", "e3"} {
+		f.failed("r0", e, 7, 8)
+	}
+	is.True(f.rejectedEverywhere(7))
+	is.True(f.rejectedEverywhere(8))
+}
+
+// TestRejectionEndsAndGrows guards against rejecting a request for good that was
+// convicted by mistake, and against losing an endpoint every few seconds to one
+// that was not.
+func TestRejectionEndsAndGrows(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.failed("r0", "e2", 7)
+	is.True(f.rejectedEverywhere(7))
+	f.advance(firstRejection + time.Second)
+	is.True(f.freeEverywhere(7))
+	f.failed("r1", "e3", 7)
+	f.advance(firstRejection + time.Second)
+	is.True(f.rejectedEverywhere(7)) // twice as long as before
+	f.advance(firstRejection)
+	f.step("r2", RunEnded{7, true})
+	is.True(f.freeEverywhere(7))
+	f.failed("r0", "e4", 7)
+	is.True(f.freeEverywhere(7)) // its earlier failures no longer count
+}
+
+// TestRejectionReachesRoutersThatWereCutOff guards against a router that takes a
+// rejected request since it was cut off, or down, as the endpoints failed.
+func TestRejectionReachesRoutersThatWereCutOff(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(4)
+	f.lose = func(_, to view.RouterID) bool { return to == "r3" }
+	f.failed("r0", "e1", 7)
+	f.failed("r0", "e2", 7)
+	f.advance(testConfirmTimeout)
+	is.Equal(f.check("r3", 7), VerdictFree)
+	f.lose = loseNothing
+	for range 4 {
+		f.advance(firstResendDelay)
+	}
+	is.Equal(f.check("r3", 7), VerdictRejected)
+	f.tables["r2"] = New(Options{Self: "r2", ConfirmTimeout: testConfirmTimeout})
+	f.ids = []view.RouterID{"r0", "r1", "r3"}
+	f.updateView()
+	f.ids = append(f.ids, "r2")
+	f.updateView()
+	is.Equal(f.check("r2", 7), VerdictRejected) // it started again empty
+}
+
+// TestCrashCostsFewMessages guards against evidence that is sent again and again
+// for requests which only ran beside a crash.
+func TestCrashCostsFewMessages(t *testing.T) {
+	is := is.New(t)
+	const routers, requests = 70, 10
+	f := newOpenFleet(routers)
+	before := f.sent
+	for n := range requests {
+		f.failed(f.ids[n], "e1", Fingerprint(n+1))
+	}
+	for range 60 {
+		f.advance(time.Second)
+	}
+	is.Equal(f.sent-before, 2*requests*(routers-1)) // once to each router, and its confirmation
+}
+
+// TestCrashingRequestStopsWithoutIsolation checks that a request which crashes
+// every endpoint that runs it crashes at most three, while others that met it
+// there are resumed beside it.
+func TestCrashingRequestStopsWithoutIsolation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const crashing = Fingerprint(7)
+		f := newOpenFleet(rapid.IntRange(2, 7).Draw(t, "routers"))
+		endpoints := rapid.IntRange(2, 9).Draw(t, "endpoints")
+		router := func() view.RouterID { return rapid.SampledFrom(f.ids).Draw(t, "router") }
+		beside := map[Fingerprint]bool{}
+		crashed := 0
+		for send := range rapid.IntRange(1, 10).Draw(t, "sends") {
+			at := router()
+			if f.check(at, crashing) != VerdictRejected {
+				e := endpoint(send)
+				f.failed(at, e, crashing)
+				crashed++
+				for fp := range beside {
+					// It was resumed at one of the endpoints.
+					if rapid.IntRange(1, endpoints).Draw(t, "resumed") == 1 {
+						f.failed(router(), e, fp)
+					} else {
+						f.step(router(), RunEnded{fp, true})
+						delete(beside, fp)
+					}
+				}
+				for n := range rapid.IntRange(0, 4).Draw(t, "new") {
+					fp := Fingerprint(100 + 10*send + n)
+					beside[fp] = true
+					f.failed(router(), e, fp)
+				}
+			}
+			f.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "millis")) * time.Millisecond)
+		}
+		if crashed > certainThreshold {
+			t.Fatalf("the request crashed %d endpoints", crashed)
+		}
+	})
+}
+
+// TestFullTableKeepsRejections guards against a request that crashes endpoints
+// again because many others that failed once have filled the table.
+func TestFullTableKeepsRejections(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(1)
+	f.failed("r0", "e1", 7)
+	f.failed("r0", "e2", 7)
+	for n := range maxRecords + 10 {
+		f.advance(time.Millisecond)
+		f.failed("r0", "e3", Fingerprint(100+n))
+	}
+	is.Equal(f.tables["r0"].Len(), maxRecords)
+	is.True(f.rejectedEverywhere(7))
+}
--- a/internal/coordination/suspect/permit.go
+++ b/internal/coordination/suspect/permit.go
@@ -29,7 +29,7 @@
 
 func (t *Table) permitAnswered(now time.Time, from view.RouterID, m PermitReply) {
 	for _, e := range m.Evidence {
-		t.addEvidence(now, e)
+		t.addEvidence(now, e, false)
 	}
 	at := slices.IndexFunc(t.waiters, func(r *waiter) bool { return r.Fingerprint == m.Fingerprint })
 	if at < 0 {
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -61,9 +61,23 @@
 	unanswered bool
 }
 
+// Options configures a Table.
+type Options struct {
+	Self view.RouterID
+	// Isolate makes suspects run one at a time and apart from each other, so that
+	// a second crash convicts. It requires a scheduler that knows what all routers
+	// run at an endpoint. If it is not set, suspects run without restrictions, and
+	// a request is convicted as described in conviction.go.
+	Isolate bool
+	// ConfirmTimeout bounds how long the caller of a failed request waits until
+	// the other routers have confirmed the evidence.
+	ConfirmTimeout time.Duration
+}
+
 // Table holds the evidence that one router has. It is not safe for concurrent
 // use.
 type Table struct {
+	options Options
 	self    view.RouterID
 	view    *view.Snapshot
 	records map[Fingerprint]*record
@@ -71,13 +85,16 @@
 	// broadcasts are the failures that are not yet reported to their callers
 	// because some routers have not confirmed the evidence.
 	broadcasts []*broadcast
-	wakeAt     time.Time
-	out        []Output
+	// recordsDueAt is no later than the next instant at which a record expires or
+	// its evidence is sent again; zero if there is none.
+	recordsDueAt time.Time
+	wakeAt       time.Time
+	out          []Output
 }
 
-// New returns an empty table for the given router.
-func New(self view.RouterID) *Table {
-	return &Table{self: self, view: &view.Snapshot{Self: self}, records: map[Fingerprint]*record{}}
+// New returns an empty table.
+func New(o Options) *Table {
+	return &Table{options: o, self: o.Self, view: &view.Snapshot{Self: o.Self}, records: map[Fingerprint]*record{}}
 }
 
 // Step processes one input at the given instant and returns the outputs to
@@ -153,11 +170,12 @@
 
 // decide answers a CheckRequest that needs no permit and reports whether it did.
 func (t *Table) decide(now time.Time, in CheckRequest) bool {
-	switch n := t.failedEndpoints(now, in.Fingerprint); {
-	case n == 0:
+	until, rejected := t.rejection(now, in.Fingerprint)
+	switch {
+	case rejected:
+		t.emit(CheckResult{ID: in.ID, Verdict: VerdictRejected, Until: until})
+	case !t.options.Isolate || t.failedEndpoints(now, in.Fingerprint) == 0:
 		t.emit(CheckResult{ID: in.ID, Verdict: VerdictFree})
-	case n >= rejectThreshold:
-		t.emit(CheckResult{ID: in.ID, Verdict: VerdictRejected, Until: t.records[in.Fingerprint].until})
 	default:
 		return false
 	}
@@ -169,8 +187,8 @@
 		Fingerprint: in.Fingerprint, Endpoint: in.Endpoint,
 		At: now, Until: now.Add(evidenceLifetime),
 	}
-	if t.addEvidence(now, e) {
-		t.records[in.Fingerprint].startResending(now)
+	if t.addEvidence(now, e, true) {
+		t.startResending(now, t.records[in.Fingerprint])
 	}
 	// The evidence is broadcast even if it is not new at this router: another
 	// router may have found it first, and its own broadcast may not have reached
@@ -179,8 +197,16 @@
 }
 
 // startResending makes this router send the evidence of a record repeatedly.
-func (c *record) startResending(now time.Time) {
+func (t *Table) startResending(now time.Time, c *record) {
 	c.resends, c.resendDelay, c.resendAt = true, firstResendDelay, now.Add(firstResendDelay)
+	t.recordDueAt(c.resendAt)
+}
+
+// recordDueAt moves recordsDueAt to the given instant if that is earlier.
+func (t *Table) recordDueAt(at time.Time) {
+	if t.recordsDueAt.IsZero() || at.Before(t.recordsDueAt) {
+		t.recordsDueAt = at
+	}
 }
 
 // runEnded releases the permit and, after a complete answer, clears the
@@ -228,7 +254,7 @@
 		e.Cleared = true
 		cleared = append(cleared, *e)
 	}
-	c.startResending(now)
+	t.startResending(now, c)
 	for i := range cleared {
 		t.emit(Decision{"SuspectCleared", fields(&cleared[i])})
 	}
@@ -237,19 +263,21 @@
 
 // addEvidence adds evidence, or clears known evidence, and reports whether it did
 // so. It ignores evidence that has expired, and evidence whose expiry lies
-// further ahead than that of any valid evidence.
-func (t *Table) addEvidence(now time.Time, e Evidence) bool {
+// further ahead than that of any valid evidence. Evidence that another router
+// found is logged only if it leads to a rejection.
+func (t *Table) addEvidence(now time.Time, e Evidence, own bool) bool {
 	if !now.Before(e.Until) || e.Until.After(now.Add(2*evidenceLifetime)) {
 		return false
 	}
 	c := t.records[e.Fingerprint]
 	if c == nil {
-		t.evictIfFull()
+		t.evictIfFull(now)
 		c = &record{evidence: map[view.EndpointID]*Evidence{}}
 		t.records[e.Fingerprint] = c
 	}
 	if e.Until.After(c.until) {
 		c.until = e.Until
+		t.recordDueAt(c.until)
 	}
 	known := c.evidence[e.Endpoint]
 	switch {
@@ -261,36 +289,44 @@
 	default:
 		return false
 	}
-	if !e.Cleared {
-		event := "RequestSuspected"
-		if t.failedEndpoints(now, e.Fingerprint) >= rejectThreshold {
-			event = "RequestConvicted"
-		}
-		t.emit(Decision{event, fields(&e)})
+	if e.Cleared {
+		return true
+	}
+	if _, rejected := t.rejection(now, e.Fingerprint); rejected {
+		t.emit(Decision{"RequestConvicted", fields(&e)})
+	} else if own {
+		t.emit(Decision{"RequestSuspected", fields(&e)})
 	}
 	return true
 }
 
-// evictIfFull removes the record that expires first if there are maxRecords.
-func (t *Table) evictIfFull() {
+// evictIfFull removes a record if there are maxRecords: one that rejects nothing
+// if there is one, and of these the one that expires first.
+func (t *Table) evictIfFull(now time.Time) {
 	if len(t.records) < maxRecords {
 		return
 	}
-	var first Fingerprint
-	var at time.Time
+	type rank struct {
+		repeated    bool
+		until       time.Time
+		fingerprint Fingerprint
+	}
+	var first rank
 	for f, c := range t.records {
-		if at.IsZero() || c.until.Before(at) || c.until.Equal(at) && f < first {
-			first, at = f, c.until
+		r := rank{t.failedEndpoints(now, f) >= rejectThreshold, c.until, f}
+		earlier := r.until.Before(first.until) || r.until.Equal(first.until) && f < first.fingerprint
+		if first.until.IsZero() || !r.repeated && first.repeated || r.repeated == first.repeated && earlier {
+			first = r
 		}
 	}
-	delete(t.records, first)
+	delete(t.records, first.fingerprint)
 }
 
 func (t *Table) deliver(now time.Time, in Delivery) {
 	switch m := in.Message.(type) {
 	case EvidenceUpdate:
 		for _, e := range m.Evidence {
-			t.addEvidence(now, e)
+			t.addEvidence(now, e, false)
 			if m.Reply {
 				t.send(now, in.From, EvidenceAck{e.Fingerprint, e.Endpoint})
 			}
@@ -371,26 +407,13 @@
 // something is due.
 func (t *Table) advance(now time.Time) {
 	t.requestPermits(now)
-	var at time.Time
+	t.advanceRecords(now)
+	at := t.recordsDueAt
 	scheduleAt := func(i time.Time) {
 		if at.IsZero() || i.Before(at) {
 			at = i
 		}
 	}
-	for _, f := range sortedKeys(t.records) {
-		c := t.records[f]
-		if !now.Before(c.until) {
-			delete(t.records, f)
-			continue
-		}
-		if c.resends {
-			if !now.Before(c.resendAt) {
-				t.resendEvidence(now, c)
-			}
-			scheduleAt(c.resendAt)
-		}
-		scheduleAt(c.until)
-	}
 	for _, r := range t.waiters {
 		scheduleAt(r.requestAt)
 	}
@@ -403,9 +426,44 @@
 	}
 }
 
-func (t *Table) resendEvidence(now time.Time, c *record) {
+// advanceRecords removes expired records and sends evidence again. Between the
+// instants at which something is due, it costs nothing.
+func (t *Table) advanceRecords(now time.Time) {
+	if t.recordsDueAt.IsZero() || now.Before(t.recordsDueAt) {
+		return
+	}
+	t.recordsDueAt = time.Time{}
+	var due []Fingerprint
+	for f, c := range t.records {
+		switch {
+		case !now.Before(c.until):
+			delete(t.records, f)
+			continue
+		case c.resends && !now.Before(c.resendAt):
+			due = append(due, f)
+		case c.resends:
+			t.recordDueAt(c.resendAt)
+		}
+		t.recordDueAt(c.until)
+	}
+	slices.Sort(due)
+	for _, f := range due {
+		t.resendEvidence(now, f)
+	}
+}
+
+// resendEvidence sends the evidence against a request to all routers again.
+// Where suspects run without restrictions, only evidence that rejects a request
+// is worth the messages.
+func (t *Table) resendEvidence(now time.Time, f Fingerprint) {
+	c := t.records[f]
+	if !t.options.Isolate && t.failedEndpoints(now, f) < rejectThreshold {
+		c.resends = false
+		return
+	}
 	c.resendDelay *= 2
 	c.resendAt = now.Add(c.resendDelay)
+	t.recordDueAt(c.resendAt)
 	var toSend []Evidence
 	for _, id := range sortedKeys(c.evidence) {
 		toSend = append(toSend, *c.evidence[id])
--- a/internal/coordination/suspect/table_test.go
+++ b/internal/coordination/suspect/table_test.go
@@ -13,6 +13,8 @@
 	"hyssopreach/internal/state/view"
 )
 
+const testConfirmTimeout = 500 * time.Millisecond
+
 // TestMain fixes the seed of the property tests, so that every run gives the
 // same result. A seed given on the command line takes precedence.
 func TestMain(m *testing.M) {
@@ -41,7 +43,7 @@
 	for i := range routers {
 		id := view.RouterID(fmt.Sprint("r", i))
 		f.ids = append(f.ids, id)
-		f.tables[id] = New(id)
+		f.tables[id] = New(Options{Self: id, Isolate: true, ConfirmTimeout: testConfirmTimeout})
 	}
 	f.updateView()
 	return f
@@ -144,7 +146,7 @@
 	// briefly.
 	f.lose = func(from, to view.RouterID) bool { return from == "r0" && to == "r2" }
 	f.step("r0", EndpointFailed{42, 7, "e2"})
-	f.advance(broadcastTimeout)
+	f.advance(testConfirmTimeout)
 	is.True(f.broadcastDone[42])
 	f.step("r0", EndpointFailed{43, 8, "e2"})
 	is.True(!f.broadcastDone[43])
@@ -204,7 +206,7 @@
 	f.ids = []view.RouterID{"r1", "r2", "r3"}
 	f.updateView()
 	f.ids = append(f.ids, "r4")
-	f.tables["r4"] = New("r4")
+	f.tables["r4"] = New(Options{Self: "r4", Isolate: true, ConfirmTimeout: testConfirmTimeout})
 	f.updateView()
 	is.Equal(f.check("r4", 7), VerdictExclusive)
 }
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -109,6 +109,8 @@
 	// LastEvent is the ID of the last event that the caller has received; empty
 	// if it has received none.
 	LastEvent string
+	// AnsweredAt is when the head of the answer arrived; zero if it has not.
+	AnsweredAt time.Time
 }
 
 // Address returns the address that the attempt is sent to.
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"context"
 	"slices"
 
 	"hyssopreach/internal/coordination/schedule"
@@ -24,6 +25,16 @@
 	// retryReserved is set if the next retry has already been allowed and taken
 	// from the budget.
 	retryReserved bool
+	// confirmed is the last function that Gate.Done returned; nil if there is none.
+	confirmed func(context.Context)
+}
+
+// awaitConfirmation waits until other routers know what they have to know before
+// the caller learns that the call failed.
+func (p *progress) awaitConfirmation(ctx context.Context) {
+	if p.confirmed != nil {
+		p.confirmed(ctx)
+	}
 }
 
 // recordFailure records an attempt that did not end with a complete answer.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -71,10 +71,24 @@
 	// StillAdmitted reports whether an admission is still valid. It is called
 	// right before the call is sent.
 	StillAdmitted(c *Call, exclusive bool) bool
-	// Done ends an admission with the endpoint that the scheduler assigned to the
-	// call, and the result of the attempt. The endpoint is empty if the call
-	// stopped waiting, or the admission became invalid, before an attempt.
-	Done(c *Call, endpoint view.EndpointID, result schedule.Result)
+	// Done ends an admission. If other routers have to be told of the failure, it
+	// returns a function that waits until they know, or until the context ends. It
+	// is called before the caller learns of the failure, because the caller may
+	// then send the request again through any of them.
+	Done(c *Call, o *Outcome) (confirmed func(context.Context))
+}
+
+// Outcome is the end of an admission.
+type Outcome struct {
+	// Endpoint is the one that the scheduler assigned to the call; empty if the
+	// call stopped waiting, or the admission became invalid, before an attempt.
+	Endpoint view.EndpointID
+	Result   schedule.Result
+	// Crashed is set if the process of the endpoint is known to have ended,
+	// unplanned, while it ran the attempt.
+	Crashed bool
+	// AnsweredAt is when the answer to the attempt began; zero if it has not.
+	AnsweredAt time.Time
 }
 
 // admitAllGate is a Gate that admits every call.
@@ -87,7 +101,7 @@
 func (admitAllGate) StillAdmitted(*Call, bool) bool { return true }
 
 // Done does nothing.
-func (admitAllGate) Done(*Call, view.EndpointID, schedule.Result) {}
+func (admitAllGate) Done(*Call, *Outcome) func(context.Context) { return nil }
 
 // Views provides the router's current view of the fleet.
 type Views interface {
@@ -134,19 +148,24 @@
 	for {
 		start, err := r.admit(ctx, p)
 		if err != nil {
+			p.awaitConfirmation(ctx)
 			if out.started {
 				return &BrokenError{Err: err}
 			}
 			return refusal(c, err, p.mayHaveRun)
 		}
-		result, err := r.attempt(ctx, p, start, out)
-		r.Gate.Done(c, start.Endpoint, result)
+		outcome, err := r.attempt(ctx, p, start, out)
+		if confirmed := r.Gate.Done(c, &outcome); confirmed != nil {
+			p.confirmed = confirmed
+		}
 		if err == nil {
 			return nil
 		}
+		result := outcome.Result
 		p.recordFailure(start.Endpoint, result)
 		mayContinue := !out.started || p.canResume()
 		if ctx.Err() != nil || !mayContinue || !r.mayRetry(p, result) {
+			p.awaitConfirmation(ctx)
 			if out.started {
 				return &BrokenError{Err: err}
 			}
@@ -172,14 +191,14 @@
 		c.Exclusive = exclusive
 		start, err := r.Scheduling.Wait(ctx, newScheduleRequest(p, time.Now()))
 		if err != nil {
-			r.Gate.Done(c, "", schedule.ResultNotSent)
+			r.Gate.Done(c, &Outcome{Result: schedule.ResultNotSent})
 			return schedule.Start{}, err
 		}
 		if r.Gate.StillAdmitted(c, exclusive) {
 			return start, nil
 		}
 		r.Scheduling.Input(schedule.Completion{ID: start.ID, Result: schedule.ResultNotSent})
-		r.Gate.Done(c, "", schedule.ResultNotSent)
+		r.Gate.Done(c, &Outcome{Result: schedule.ResultNotSent})
 	}
 }
 
@@ -240,7 +259,7 @@
 
 // attempt sends the call to the endpoint that the scheduler chose and copies
 // the answer to the sink. It always reports a Completion for the start.
-func (r *Runner) attempt(ctx context.Context, p *progress, start schedule.Start, out *sinkTracker) (schedule.Result, error) {
+func (r *Runner) attempt(ctx context.Context, p *progress, start schedule.Start, out *sinkTracker) (Outcome, error) {
 	c := p.call
 	meter := newMeter(c.Service.Kind == text.KindModel, c.Stream, time.Now())
 	a := &Attempt{ID: c.AttemptID, Call: c, LastEvent: p.lastEvent}
@@ -248,6 +267,7 @@
 		a.ID = uuid.NewString()
 	}
 	result, err := schedule.ResultNotSent, error(nil)
+	crashed := false
 	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok && (c.MaxAttempts == 0 || !e.Leaving) {
 		a.Endpoint = e
 		r.logStart(a, start)
@@ -259,7 +279,7 @@
 			w.AttemptEnded(a, result, err)
 		}
 		if result == schedule.ResultBroken {
-			r.examineBreak(ctx, a, meter.begin, out.started)
+			crashed = r.examineBreak(ctx, a, meter.begin)
 		}
 	} else {
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
@@ -268,24 +288,26 @@
 	r.Scheduling.Input(schedule.Completion{
 		ID: start.ID, Result: result, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
-	return result, err
+	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, AnsweredAt: a.AnsweredAt}, err
 }
 
-// examineBreak finds out whether the endpoint still runs after an attempt broke
+// examineBreak reports whether the endpoint crashed under an attempt that broke
 // off there, and logs it. The fingerprint in the log shows which attempts were
 // sent for the same request.
-func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time, answered bool) {
+func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time) bool {
 	if r.Prober == nil {
-		return
+		return false
 	}
 	elapsed := time.Since(begin)
 	state := r.Prober.Probe(ctx, &a.Endpoint)
 	e, listed := findEndpoint(r.Views.View(), a.Endpoint.ID)
+	leaving := !listed || e.Leaving
 	r.Logger.WithFields(log.Fields{
 		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
 		"Fingerprint": strconv.FormatUint(a.Call.Fingerprint(), 16), "Endpoint": a.Endpoint.ID, "Process": state,
-		"Leaving": !listed || e.Leaving, "Elapsed": elapsed.Round(time.Millisecond), "Answered": answered,
+		"Leaving": leaving, "Elapsed": elapsed.Round(time.Millisecond), "Answered": !a.AnsweredAt.IsZero(),
 	}).Info("AttemptBroken")
+	return state == ProcessGone && !leaving
 }
 
 func (r *Runner) logStart(a *Attempt, start schedule.Start) {
@@ -317,6 +339,7 @@
 		return watch.result(sendResult(ctx, err)), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
 	}
 	defer func() { _ = answer.Close() }()
+	a.AnsweredAt = time.Now()
 	watch.reset()
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered status %d: it has not run the attempt", a.Endpoint.ID, answer.Status())
@@ -421,6 +444,11 @@
 func refusal(c *Call, err error, mayHaveRun bool) *caller.Problem {
 	var problem *caller.Problem
 	if errors.As(err, &problem) {
+		if mayHaveRun && problem.NotRun == caller.NotRunTrue {
+			changed := *problem
+			changed.NotRun = caller.NotRunUnknown
+			return &changed
+		}
 		return problem
 	}
 	now := time.Now()
--- a/internal/transport/router/components.go
+++ b/internal/transport/router/components.go
@@ -11,6 +11,7 @@
 	"hyssopreach/internal/coordination/membership"
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/coordination/share"
+	"hyssopreach/internal/coordination/suspect"
 	"hyssopreach/internal/transport/platform"
 )
 
@@ -24,7 +25,7 @@
 	r.configurations = startConfigurations(
 		configuration.Options{Self: r.self.ID, Random: random(o.Incarnation, "configuration")},
 		platform.NewLog(s.LogAddress, o.Network.DialContext), r.fleet, r.peers, o.Logger)
-	r.suspects = startSuspects(r)
+	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, Isolate: true, ConfirmTimeout: isolatedEvidenceTimeout}, r.fleet, r.peers, o.Logger, o.Registry)
 	endpoints := startEndpoints(r, platform.NewVMList(s.VMListAddress, o.Network.DialContext))
 	r.claims = startClaims(r)
 	r.demand = newDemand(r.suspects)
--- a/internal/transport/router/demand.go
+++ b/internal/transport/router/demand.go
@@ -6,7 +6,6 @@
 
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/text"
-	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/execution"
 )
 
@@ -52,9 +51,9 @@
 }
 
 // Done implements execution.Gate; the call no longer counts as waiting.
-func (d *demand) Done(c *execution.Call, id view.EndpointID, result schedule.Result) {
+func (d *demand) Done(c *execution.Call, o *execution.Outcome) func(context.Context) {
 	d.stopWaiting(c)
-	d.Gate.Done(c, id, result)
+	return d.Gate.Done(c, o)
 }
 
 // AttemptStarted counts a running call.
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -20,6 +20,7 @@
 	"hyssopreach/internal/coordination/membership"
 	"hyssopreach/internal/coordination/retry"
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/suspect"
 	"hyssopreach/internal/state/route"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/connlimit"
@@ -123,6 +124,8 @@
 	server  *peer.Server
 	members *members
 	sources *sources
+	// suspects limits the endpoints that a request can crash.
+	suspects *suspects
 	// lateness measures whether this process gets the processor time that it
 	// needs.
 	lateness *lateness.Meter
@@ -181,9 +184,11 @@
 	r.lateness = lateness.Start(h.Registry, h.Logger, r.overload.Observe)
 	r.sources = startSources(r, p)
 	r.core.sources = r.sources
+	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, ConfirmTimeout: evidenceTimeout}, r.fleet, p, h.Logger, h.Registry)
 	r.fleet.watch(func(v *view.Snapshot) { scheduling.Input(schedule.Change{View: v}) })
 	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, h.Logger)
 	r.core.runner.EndpointsAge, r.core.runner.Late = r.sources.listAge, r.lateness.Late
+	r.core.runner.Gate = r.suspects
 	r.core.runner.Prober = newProber(h.Network, h.Registry)
 	r.core.runner.Budget = &fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
@@ -300,6 +305,7 @@
 func (r *Hosted) closeComponents() {
 	r.sources.Close()
 	r.members.Close()
+	r.suspects.Close()
 	r.core.scheduling.Close()
 	r.links.Close()
 	r.lateness.Close()
--- a/internal/transport/router/prober.go
+++ b/internal/transport/router/prober.go
@@ -17,7 +17,7 @@
 const (
 	// probeTimeout bounds a probe, and with it the delay of a retry after a
 	// connection broke. A host answers within a round trip.
-	probeTimeout = 50 * time.Millisecond
+	probeTimeout = 100 * time.Millisecond
 	// probeLifetime is the time for which the result of a probe is reused: all
 	// attempts at an endpoint break within this time when it crashes.
 	probeLifetime = 100 * time.Millisecond
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/coordination/suspect"
@@ -18,13 +20,36 @@
 	"hyssopreach/internal/transport/execution"
 )
 
-// suspects prevents a request that crashes endpoints from crashing more than
-// two. It runs the state machine of package coordination/suspect.
+const (
+	// isolatedEvidenceTimeout and evidenceTimeout bound the time for which a failure
+	// that is evidence against a request is withheld from its caller until the
+	// other routers have the evidence. A router that has not confirmed by then
+	// counts as unreachable. Where suspects run isolated, retries wait too.
+	isolatedEvidenceTimeout = 500 * time.Millisecond
+	evidenceTimeout         = 100 * time.Millisecond
+	// crashDelay is the time since its answer began within which a request is
+	// taken to have crashed its endpoint. Streams that have run for longer are not
+	// suspected: the endpoint has survived them, and when it crashes there are
+	// many.
+	crashDelay = time.Second
+	// MetricCrashEvidence counts the attempts that are evidence against their
+	// requests.
+	MetricCrashEvidence = "CrashEvidence"
+	// MetricCrashRejections counts the requests that were rejected because they
+	// crash endpoints.
+	MetricCrashRejections = "CrashRejections"
+)
+
+// suspects limits the endpoints that a request can crash. It runs the state
+// machine of package coordination/suspect.
 type suspects struct {
 	driver *driver.Driver[suspect.Input, suspect.Output]
 	table  *suspect.Table
 	peers  *peers
 	logger log.Interface
+	// isolates is suspect.Options.Isolate.
+	isolates             bool
+	evidence, rejections metrics.Counter
 	// stopped is closed by Close.
 	stopped chan struct{}
 	// hasEvidence is set while the table holds evidence. While it is not set,
@@ -37,24 +62,26 @@
 	reports map[uint64]chan struct{}            // guarded by mu
 }
 
-func startSuspects(r *Router) *suspects {
+func startSuspects(o suspect.Options, f *fleet, p *peers, logger log.Interface, registry metrics.Registry) *suspects {
 	s := &suspects{
-		table: suspect.New(r.self.ID), peers: r.peers, logger: r.options.Logger,
-		waiting: map[uint64]chan suspect.CheckResult{}, reports: map[uint64]chan struct{}{}, stopped: make(chan struct{}),
+		table: suspect.New(o), isolates: o.Isolate, peers: p, logger: logger,
+		evidence:   metrics.GetOrRegisterCounter(MetricCrashEvidence, registry),
+		rejections: metrics.GetOrRegisterCounter(MetricCrashRejections, registry),
+		waiting:    map[uint64]chan suspect.CheckResult{}, reports: map[uint64]chan struct{}{}, stopped: make(chan struct{}),
 	}
 	s.driver = driver.New(s.step, suspect.Input(suspect.Alarm{}), s.apply)
 	for _, kind := range []string{"SuspectNews", "SuspectAsk", "SuspectPermit", "SuspectDone", "SuspectTaken"} {
-		r.peers.Register(kind, func(from view.RouterID, _ uint64, w *wire.Message) {
+		p.Register(kind, func(from view.RouterID, _ uint64, w *wire.Message) {
 			if m, ok := wire.ToSuspectMessage(w); ok {
 				s.driver.Input(suspect.Delivery{From: from, Message: m})
 			}
 		})
 	}
-	r.fleet.watch(func(v *view.Snapshot) { s.driver.Input(suspect.Change{View: v}) })
+	f.watch(func(v *view.Snapshot) { s.driver.Input(suspect.Change{View: v}) })
 	return s
 }
 
-// Close stops the table and releases the goroutines that wait in reportFailure.
+// Close stops the table and releases the goroutines that wait for confirmations.
 func (s *suspects) Close() {
 	close(s.stopped)
 	s.driver.Close()
@@ -119,7 +146,7 @@
 	s.driver.Input(suspect.CheckRequest{ID: id, Fingerprint: fingerprint(c), Deadline: c.Deadline})
 	select {
 	case j := <-verdict:
-		return admissionResult(c, j)
+		return s.admissionResult(c, j)
 	case <-ctx.Done():
 	}
 	s.driver.Input(suspect.Withdraw{ID: id})
@@ -139,18 +166,15 @@
 }
 
 // admissionResult converts a verdict into the results of Admit.
-func admissionResult(c *execution.Call, j suspect.CheckResult) (bool, error) {
+func (s *suspects) admissionResult(c *execution.Call, j suspect.CheckResult) (bool, error) {
 	switch j.Verdict {
 	case suspect.VerdictFree:
 		return false, nil
 	case suspect.VerdictExclusive:
 		return true, nil
 	case suspect.VerdictRejected:
-		return false, &caller.Problem{
-			Title: "The request crashes endpoints", Status: http.StatusUnprocessableEntity,
-			Detail: "two endpoints failed while they ran this request; it is not run again before the stated instant",
-			NotRun: caller.NotRunFalse, Step: "Admit", RequestID: c.RequestID, RetryAt: j.Until,
-		}
+		s.rejections.Inc(1)
+		return false, s.rejection(c, j.Until)
 	default:
 		return false, &caller.Problem{
 			Title: "The request may crash endpoints", Status: http.StatusServiceUnavailable,
@@ -160,6 +184,22 @@
 	}
 }
 
+// rejection returns the problem of a request that has crashed endpoints. Where a
+// request is identified by the caller's key, it has run before; a hosted router
+// identifies single sends, and this one has not run.
+func (s *suspects) rejection(c *execution.Call, until time.Time) *caller.Problem {
+	p := &caller.Problem{
+		Title: "The request crashes endpoints", Status: http.StatusUnprocessableEntity,
+		Detail: "two endpoints failed while they ran this request; it is not run again before the stated instant",
+		NotRun: caller.NotRunFalse, Step: "Admit", RequestID: c.RequestID, RetryAt: until,
+	}
+	if !s.isolates {
+		p.Status, p.NotRun = http.StatusServiceUnavailable, caller.NotRunTrue
+		p.Detail = fmt.Sprintf("endpoints crashed while they ran this request (fingerprint %x); it is not run again before the stated instant", c.Fingerprint())
+	}
+	return p
+}
+
 // StillAdmitted implements execution.Gate. It checks again that a call that was
 // admitted without restriction has not become a suspect since.
 func (s *suspects) StillAdmitted(c *execution.Call, exclusive bool) bool {
@@ -187,9 +227,10 @@
 }
 
 // reportFailure reports to all routers that an endpoint failed while it ran a
-// request, and waits until each of them has received the report or cannot be
-// reached.
-func (s *suspects) reportFailure(f suspect.Fingerprint, id view.EndpointID) {
+// request. The returned function waits until each of them has received the report
+// or cannot be reached.
+func (s *suspects) reportFailure(f suspect.Fingerprint, id view.EndpointID) (confirmed func(context.Context)) {
+	s.evidence.Inc(1)
 	done := make(chan struct{})
 	s.mu.Lock()
 	s.lastID++
@@ -197,20 +238,38 @@
 	s.reports[reportID] = done
 	s.mu.Unlock()
 	s.driver.Input(suspect.EndpointFailed{ID: reportID, Fingerprint: f, Endpoint: id})
-	select {
-	case <-done:
-	case <-s.stopped:
+	return func(ctx context.Context) {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		case <-s.stopped:
+		}
 	}
 }
 
-// Done implements execution.Gate. A broken answer is evidence against the
-// request, which the peers receive before the caller gets its answer and can
-// resend the request.
-func (s *suspects) Done(c *execution.Call, id view.EndpointID, result schedule.Result) {
-	if result == schedule.ResultBroken {
-		s.reportFailure(fingerprint(c), id)
+// Done implements execution.Gate.
+func (s *suspects) Done(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
+	if s.isEvidence(time.Now(), o) {
+		confirmed = s.reportFailure(fingerprint(c), o.Endpoint)
+	}
+	if s.isolates && confirmed != nil {
+		// A retry needs a permit, and its owner has to know why.
+		confirmed(context.Background())
+		confirmed = nil
 	}
 	if s.hasEvidence.Load() {
-		s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Finished: result == schedule.ResultFinished})
+		s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Finished: o.Result == schedule.ResultFinished})
+	}
+	return confirmed
+}
+
+// isEvidence reports whether the outcome of an attempt is evidence against its
+// request. Where endpoints are polled, each broken answer is, until a poll shows
+// that the endpoint did not restart. Otherwise the crash must be known, and recent
+// enough for the request to have caused it.
+func (s *suspects) isEvidence(now time.Time, o *execution.Outcome) bool {
+	if s.isolates {
+		return o.Result == schedule.ResultBroken
 	}
+	return o.Crashed && (o.AnsweredAt.IsZero() || now.Sub(o.AnsweredAt) < crashDelay)
 }
