Do not write a refusal into an answer that has begun

Cause: when the gate refused the resumption of a stream, the BrokenError wrapped the refusal, and the handlers, which look for a refusal first, wrote it as the answer.

Evidence: TestRefusedResumptionIsNoRefusal, which failed before. BrokenError no longer exposes a refusal as its cause, so a handler can't take it for one. The same construction in transport/router/claims.go is changed too; no case of it was seen.

--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -35,9 +35,19 @@
 	defaultRetryDelay = time.Second
 )
 
-// BrokenError reports that an answer broke off after it had begun.
+// BrokenError reports that an answer broke off after it had begun. Its cause is
+// never a *caller.Problem, which stands for an answer that has not begun.
 type BrokenError struct{ Err error }
 
+// NewBrokenError returns the error of an answer that broke off because of err.
+func NewBrokenError(err error) *BrokenError {
+	var problem *caller.Problem
+	if errors.As(err, &problem) {
+		err = fmt.Errorf("continue the answer: %s: %s", problem.Step, problem.Detail)
+	}
+	return &BrokenError{Err: err}
+}
+
 // Error describes why the answer broke off.
 func (e *BrokenError) Error() string { return fmt.Sprintf("the answer broke off: %v", e.Err) }
 
@@ -150,7 +160,7 @@
 		if err != nil {
 			p.awaitConfirmation(ctx)
 			if out.started {
-				return &BrokenError{Err: err}
+				return NewBrokenError(err)
 			}
 			return refusal(c, err, p.mayHaveRun)
 		}
@@ -167,7 +177,7 @@
 		if ctx.Err() != nil || !mayContinue || !r.mayRetry(p, result) {
 			p.awaitConfirmation(ctx)
 			if out.started {
-				return &BrokenError{Err: err}
+				return NewBrokenError(err)
 			}
 			return failure(c, err, p.mayHaveRun)
 		}
--- a/internal/transport/execution/runner_test.go
+++ b/internal/transport/execution/runner_test.go
@@ -204,3 +204,48 @@
 	is.True(rest.Resumes)
 	is.True(rest.Objective.After(now))
 }
+
+// admitOnceGate admits the first attempt of a call and refuses the others.
+type admitOnceGate struct {
+	admitAllGate
+	admitted bool
+}
+
+func (g *admitOnceGate) Admit(context.Context, *Call) (bool, error) {
+	if g.admitted {
+		return false, &caller.Problem{Title: "refused", Status: http.StatusServiceUnavailable, NotRun: caller.NotRunTrue}
+	}
+	g.admitted = true
+	return false, nil
+}
+
+// TestRefusedResumptionIsNoRefusal guards against a refusal that is written into
+// an answer which has begun, and so ends it as if it were complete.
+func TestRefusedResumptionIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	backend := &scriptedBackend{exchanges: []scriptedExchange{{status: 200, body: "id: 1\n\n", readErr: errors.New("connection reset")}}}
+	r := newTestRunner(t, backend)
+	r.Gate = &admitOnceGate{}
+	call := testCall(true)
+	call.Stream, call.Events, call.Resumable = true, true, true
+	out := &recordingSink{}
+	err := r.Run(context.Background(), call, out)
+	var problem *caller.Problem
+	var broken *BrokenError
+	is.True(errors.As(err, &broken))
+	is.True(!errors.As(err, &problem))
+	is.True(!out.complete)
+	is.Equal(out.String(), "id: 1\n\n")
+}
+
+// TestRefusedRetryDoesNotClaimNotRun guards against a refusal of a retry that
+// says the request has not run, although the first attempt may have run.
+func TestRefusedRetryDoesNotClaimNotRun(t *testing.T) {
+	is := is.New(t)
+	r := newTestRunner(t, &scriptedBackend{exchanges: []scriptedExchange{{sendErr: errors.New("connection reset")}}})
+	r.Gate = &admitOnceGate{}
+	err := r.Run(context.Background(), testCall(true), &recordingSink{})
+	var problem *caller.Problem
+	is.True(errors.As(err, &problem))
+	is.Equal(problem.NotRun, caller.NotRunUnknown)
+}
--- a/internal/transport/router/claims.go
+++ b/internal/transport/router/claims.go
@@ -247,7 +247,7 @@
 		return nil
 	}
 	if begun {
-		return &execution.BrokenError{Err: err}
+		return execution.NewBrokenError(err)
 	}
 	var problem *caller.Problem
 	if errors.As(err, &problem) {
