Judge a request with two crashes when the evidence against others has arrived

Cause: the verdict on a request depends on the evidence against the others at the same endpoints, which routers report on their own. It was given at once, by whatever had arrived.

TestVerdictWaitsForOtherEvidence guards it. A request with two crashes now waits for 0.1 s before its third run; all others wait for nothing, as before.

--- a/internal/coordination/suspect/conviction.go
+++ b/internal/coordination/suspect/conviction.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"strconv"
 	"time"
 
 	"hyssopreach/internal/state/view"
@@ -16,8 +17,30 @@
 	// it, up to evidenceLifetime. A request that was convicted by mistake can then
 	// clear itself, and one that does crash endpoints takes one for each period.
 	firstRejection = 30 * time.Second
+	// settleTime is the time after the second failure for which a request that does
+	// not run isolated waits. Evidence against the others at the same endpoint, by
+	// which it is judged, is on its way from the routers that sent them.
+	settleTime = 100 * time.Millisecond
 )
 
+// mustSettle reports whether it is too early to judge a request.
+func (t *Table) mustSettle(now time.Time, f Fingerprint) bool {
+	return !t.options.Isolate && t.failedEndpoints(now, f) == rejectThreshold && now.Before(t.settledAt(f))
+}
+
+func (t *Table) settledAt(f Fingerprint) time.Time { return t.records[f].changedAt.Add(settleTime) }
+
+// logRejection logs the first rejection after each failure.
+func (t *Table) logRejection(now time.Time, f Fingerprint, until time.Time) {
+	n := t.failedEndpoints(now, f)
+	if c := t.records[f]; c.loggedRejection != n {
+		c.loggedRejection = n
+		t.emit(Decision{"RequestConvicted", []string{
+			"Fingerprint", strconv.FormatUint(uint64(f), 16), "FailedEndpoints", strconv.Itoa(n), "Until", until.UTC().Format(time.RFC3339Nano),
+		}})
+	}
+}
+
 // rejection returns the instant until which a request is rejected, and false if
 // it is not rejected now.
 func (t *Table) rejection(now time.Time, f Fingerprint) (time.Time, bool) {
--- a/internal/coordination/suspect/conviction_test.go
+++ b/internal/coordination/suspect/conviction_test.go
@@ -75,6 +75,23 @@
 	is.True(f.rejectedEverywhere(7))
 }
 
+// TestVerdictWaitsForOtherEvidence guards against rejecting a request because the
+// evidence against the one that crashed the endpoint has not arrived yet.
+func TestVerdictWaitsForOtherEvidence(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7, 8)
+	f.failed("r1", "e2", 8)
+	f.step("r1", CheckRequest{900, 8, f.now.Add(time.Second)})
+	_, decided := f.checked[900]
+	is.True(!decided)
+	f.failed("r0", "e2", 7) // the router at which 7 ran has just seen it
+	f.advance(settleTime)
+	is.Equal(f.checked[900].Verdict, VerdictFree)
+	f.step("r1", RunEnded{8, true})
+	is.True(f.rejectedEverywhere(7))
+}
+
 // TestThirdCrashRejectsInAnyCase guards against requests that always crash
 // endpoints together, so that neither is the only suspect.
 func TestThirdCrashRejectsInAnyCase(t *testing.T) {
--- a/internal/coordination/suspect/permit.go
+++ b/internal/coordination/suspect/permit.go
@@ -57,7 +57,8 @@
 }
 
 // requestPermits decides the waiters that need no permit or have reached their
-// deadline, and sends the permit requests that are due. It moves on to the next
+// deadline, and sends the permit requests that are due. Requests that do not run
+// isolated wait for evidence instead; see mustSettle. It moves on to the next
 // owner if the owner of the previous permit request has not answered.
 func (t *Table) requestPermits(now time.Time) {
 	for _, r := range slices.Clone(t.waiters) {
@@ -70,6 +71,13 @@
 			t.waiters = slices.DeleteFunc(t.waiters, func(x *waiter) bool { return x == r })
 			continue
 		}
+		if !t.options.Isolate {
+			r.requestAt = t.settledAt(r.Fingerprint)
+			if r.requestAt.After(r.Deadline) {
+				r.requestAt = r.Deadline
+			}
+			continue
+		}
 		owners := t.owners(r.Fingerprint)
 		if now.Before(r.requestAt) || len(owners) == 0 {
 			continue
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -35,6 +35,11 @@
 type record struct {
 	evidence map[view.EndpointID]*Evidence
 	until    time.Time
+	// changedAt is when this router got the last piece of evidence.
+	changedAt time.Time
+	// loggedRejection is the number of failed endpoints at the last rejection that
+	// was logged.
+	loggedRejection int
 	// resends is set if this router saw a failure or cleared evidence itself.
 	// It then sends the evidence again at resendAt.
 	resends     bool
@@ -172,7 +177,10 @@
 func (t *Table) decide(now time.Time, in CheckRequest) bool {
 	until, rejected := t.rejection(now, in.Fingerprint)
 	switch {
+	case t.mustSettle(now, in.Fingerprint):
+		return false
 	case rejected:
+		t.logRejection(now, in.Fingerprint, until)
 		t.emit(CheckResult{ID: in.ID, Verdict: VerdictRejected, Until: until})
 	case !t.options.Isolate || t.failedEndpoints(now, in.Fingerprint) == 0:
 		t.emit(CheckResult{ID: in.ID, Verdict: VerdictFree})
@@ -263,8 +271,8 @@
 
 // addEvidence adds evidence, or clears known evidence, and reports whether it did
 // so. It ignores evidence that has expired, and evidence whose expiry lies
-// further ahead than that of any valid evidence. Evidence that another router
-// found is logged only if it leads to a rejection.
+// further ahead than that of any valid evidence. Only the router
+// that found the evidence logs it.
 func (t *Table) addEvidence(now time.Time, e Evidence, own bool) bool {
 	if !now.Before(e.Until) || e.Until.After(now.Add(2*evidenceLifetime)) {
 		return false
@@ -289,13 +297,11 @@
 	default:
 		return false
 	}
-	if e.Cleared {
-		return true
-	}
-	if _, rejected := t.rejection(now, e.Fingerprint); rejected {
-		t.emit(Decision{"RequestConvicted", fields(&e)})
-	} else if own {
-		t.emit(Decision{"RequestSuspected", fields(&e)})
+	if !e.Cleared {
+		c.changedAt = now
+		if own {
+			t.emit(Decision{"RequestSuspected", fields(&e)})
+		}
 	}
 	return true
 }
