Require a gate and a retry budget of every runner

NewRunner's defaults are gone, so the omission does not compile; the gate that admits everything is left in tests only.

--- a/internal/transport/execution/budget.go
+++ b/internal/transport/execution/budget.go
@@ -14,7 +14,7 @@
 // maxSavedRetries bounds the unused retries that an organisation accumulates.
 const maxSavedRetries = 10
 
-// budget is the default RetryBudget. It grants each organisation retries in
+// budget is a RetryBudget of one router. It grants each organisation retries in
 // proportion to its first attempts, and one retry at its first call, so that
 // retries cannot multiply the load on a fleet that is already failing.
 type budget struct {
@@ -22,6 +22,10 @@
 	tokens map[string]float64 // guarded by mu
 }
 
+// NewBudget returns a RetryBudget that grants each organisation retries by its
+// RetryRatio.
+func NewBudget() RetryBudget { return newBudget() }
+
 func newBudget() *budget { return &budget{tokens: make(map[string]float64)} }
 
 // Deposit credits the call's organisation with its retry ratio.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -101,18 +101,6 @@
 	AnsweredAt time.Time
 }
 
-// admitAllGate is a Gate that admits every call.
-type admitAllGate struct{}
-
-// Admit admits the call.
-func (admitAllGate) Admit(context.Context, *Call) (bool, error) { return false, nil }
-
-// StillAdmitted returns true.
-func (admitAllGate) StillAdmitted(*Call, bool) bool { return true }
-
-// Done does nothing.
-func (admitAllGate) Done(*Call, *Outcome) func(context.Context) { return nil }
-
 // Views provides the router's current view of the fleet.
 type Views interface {
 	View() *view.Snapshot
@@ -137,12 +125,11 @@
 	Prober Prober
 }
 
-// NewRunner returns a Runner with a gate that admits every call and the default
-// retry budget.
-func NewRunner(scheduling *Scheduling, backend Backend, views Views, logger log.Interface, watchers ...Watcher) *Runner {
+// NewRunner returns a Runner. The gate and the budget have no defaults, so that a
+// router cannot be composed without them by oversight.
+func NewRunner(scheduling *Scheduling, backend Backend, views Views, gate Gate, budget RetryBudget, logger log.Interface, watchers ...Watcher) *Runner {
 	return &Runner{
-		Scheduling: scheduling, Backend: backend, Views: views, Watchers: watchers,
-		Gate: admitAllGate{}, Budget: newBudget(), Logger: logger,
+		Scheduling: scheduling, Backend: backend, Views: views, Watchers: watchers, Gate: gate, Budget: budget, Logger: logger,
 	}
 }
 
--- a/internal/transport/execution/runner_test.go
+++ b/internal/transport/execution/runner_test.go
@@ -91,9 +91,16 @@
 	s := NewScheduling(baseline.New(baseline.Options{Source: rand.NewPCG(1, 2)}), noPeers{}, logger)
 	t.Cleanup(s.Close)
 	s.Input(schedule.Change{View: v})
-	return NewRunner(s, backend, fixedView{v}, logger)
+	return NewRunner(s, backend, fixedView{v}, admitAllGate{}, NewBudget(), logger)
 }
 
+// admitAllGate admits every call.
+type admitAllGate struct{}
+
+func (admitAllGate) Admit(context.Context, *Call) (bool, error)             { return false, nil }
+func (admitAllGate) StillAdmitted(*Call, bool) bool                         { return true }
+func (admitAllGate) Done(*Call, *Outcome) (confirmed func(context.Context)) { return nil }
+
 func testCall(idempotent bool) *Call {
 	return &Call{
 		RequestID: "q", Organisation: &text.Organisation{Name: "o", RetryRatio: 1},
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -186,11 +186,10 @@
 	r.core.sources = r.sources
 	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, ConfirmTimeout: evidenceTimeout}, r.fleet, p, h.Logger, h.Registry)
 	r.fleet.watch(func(v *view.Snapshot) { scheduling.Input(schedule.Change{View: v}) })
-	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, h.Logger)
+	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, r.suspects,
+		&fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}, h.Logger)
 	r.core.runner.EndpointsAge, r.core.runner.Late = r.sources.listAge, r.lateness.Late
-	r.core.runner.Gate = r.suspects
 	r.core.runner.Prober = newProber(h.Network, h.Registry)
-	r.core.runner.Budget = &fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
 		r.closeComponents()
 		return nil, fmt.Errorf("start router %s: %w", s.Name, err)
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -119,8 +119,7 @@
 	})
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
-	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, o.Logger, r.watchers...)
-	runner.Gate = r.demand
+	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, r.demand, execution.NewBudget(), o.Logger, r.watchers...)
 	r.claims.executor = runner
 	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
