Drop the evidence against requests that have been cleared

What would have been seen: routers short of processor time after some hundred crashes.

Cause: a record stayed for 15 minutes although its request was cleared at once, and a full table searched all 4,096 records for each new one.

Cleared records now expire after a minute, and a full table removes an eighth at once, first those that reject nothing.

--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -17,6 +17,13 @@
 	rejectThreshold = 2
 	// maxRecords bounds the number of fingerprints with a record.
 	maxRecords = 4096
+	// evictedRecords is the number of records that a full table removes at once.
+	evictedRecords = maxRecords / 8
+	// clearedLifetime is how long a record is kept after its request has been
+	// cleared, if requests do not run isolated. Evidence that is still on its way is
+	// ignored meanwhile. Isolating tables keep it for evidenceLifetime, since other
+	// routers send evidence again for so long.
+	clearedLifetime = time.Minute
 	// maxEvidencePerMessage bounds the pieces of evidence in one message.
 	maxEvidencePerMessage = 256
 	// firstResendDelay is the time after which evidence is sent again, because
@@ -262,6 +269,7 @@
 		e.Cleared = true
 		cleared = append(cleared, *e)
 	}
+	t.expireIfCleared(now, c)
 	t.startResending(now, c)
 	for i := range cleared {
 		t.emit(Decision{"SuspectCleared", fields(&cleared[i])})
@@ -283,16 +291,17 @@
 		c = &record{evidence: map[view.EndpointID]*Evidence{}}
 		t.records[e.Fingerprint] = c
 	}
-	if e.Until.After(c.until) {
-		c.until = e.Until
-		t.recordDueAt(c.until)
-	}
 	known := c.evidence[e.Endpoint]
 	switch {
 	case known == nil:
 		c.evidence[e.Endpoint] = &e
+		if e.Until.After(c.until) {
+			c.until = e.Until
+			t.recordDueAt(c.until)
+		}
 	case e.Cleared && !known.Cleared:
 		known.Cleared = true
+		t.expireIfCleared(now, c)
 		return true
 	default:
 		return false
@@ -306,26 +315,48 @@
 	return true
 }
 
-// evictIfFull removes a record if there are maxRecords: one that rejects nothing
-// if there is one, and of these the one that expires first.
+// expireIfCleared lets the record expire soon if none of its evidence counts.
+func (t *Table) expireIfCleared(now time.Time, c *record) {
+	if t.options.Isolate {
+		return
+	}
+	for _, e := range c.evidence {
+		if !e.Cleared {
+			return
+		}
+	}
+	c.until = now.Add(clearedLifetime)
+	t.recordDueAt(c.until)
+}
+
+// evictIfFull makes room if there are maxRecords. It removes evictedRecords at
+// once, so that a full table does not search all records for each new one: first
+// those that reject nothing, and of these the ones that expire first.
 func (t *Table) evictIfFull(now time.Time) {
 	if len(t.records) < maxRecords {
 		return
 	}
-	type rank struct {
-		repeated    bool
-		until       time.Time
+	type candidate struct {
 		fingerprint Fingerprint
+		rejects     bool
+		until       time.Time
 	}
-	var first rank
+	all := make([]candidate, 0, len(t.records))
 	for f, c := range t.records {
-		r := rank{t.failedEndpoints(now, f) >= rejectThreshold, c.until, f}
-		earlier := r.until.Before(first.until) || r.until.Equal(first.until) && f < first.fingerprint
-		if first.until.IsZero() || !r.repeated && first.repeated || r.repeated == first.repeated && earlier {
-			first = r
+		all = append(all, candidate{f, t.failedEndpoints(now, f) >= rejectThreshold, c.until})
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		if a.rejects != b.rejects {
+			if b.rejects {
+				return -1
+			}
+			return 1
 		}
+		return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	for _, c := range all[:evictedRecords] {
+		delete(t.records, c.fingerprint)
 	}
-	delete(t.records, first.fingerprint)
 }
 
 func (t *Table) deliver(now time.Time, in Delivery) {
