Count a planned stop in the soak from the end of a pause

It was asked to stop 1.0 s into a pause of 5.5 s, began to drain when the pause ended, and exited 4.9 s later, within the 8 s that a stop may take, but 9.4 s after the request. The check is as strict as before for a process that can run.

--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -54,6 +54,24 @@
 	}
 }
 
+func pauseRouter(s *Soak, r *router) {
+	r.mu.Lock()
+	r.pausedAt = time.Now()
+	r.mu.Unlock()
+	sendSignal(syscall.SIGSTOP)(s, r)
+}
+
+// resumeRouter ends a pause. A router that was asked to stop during it begins only
+// now.
+func resumeRouter(s *Soak, r *router) {
+	r.mu.Lock()
+	if r.stopRequested.After(r.pausedAt) {
+		r.stopRequested = time.Now()
+	}
+	r.mu.Unlock()
+	sendSignal(syscall.SIGCONT)(s, r)
+}
+
 func setStoreProxy(m disruption.Mode) func(s *Soak, r *router) {
 	return func(_ *Soak, r *router) { r.store.SetMode(m) }
 }
@@ -61,7 +79,7 @@
 // faults lists all kinds of faults.
 var faults = []fault{
 	routerFault(groupRouter, "router killed", 0, 0, sendSignal(syscall.SIGKILL), nil),
-	routerFault(groupRouter, "router paused", 300*time.Millisecond, 6*time.Second, sendSignal(syscall.SIGSTOP), sendSignal(syscall.SIGCONT)),
+	routerFault(groupRouter, "router paused", 300*time.Millisecond, 6*time.Second, pauseRouter, resumeRouter),
 	routerFault(groupRouter, "router cut from the store", time.Second, 7*time.Second, setStoreProxy(disruption.ModeSilent), setStoreProxy(disruption.ModePass)),
 	routerFault(groupRouter, "store's answers lost", time.Second, 5*time.Second, setStoreProxy(disruption.ModeOneWay), setStoreProxy(disruption.ModePass)),
 	routerFault(groupRouter, "store refuses the router", time.Second, 7*time.Second, setStoreProxy(disruption.ModeRefuse), setStoreProxy(disruption.ModePass)),
