Crash endpoints by requests in the soak

A request that runs more than three times after 3 s have passed since its third crash violates a guarantee.

--- a/cmd/hyssopreach-soak/main.go
+++ b/cmd/hyssopreach-soak/main.go
@@ -34,6 +34,7 @@
 	flaggy.Int(&o.Routers, "r", "routers", "The number of routers.")
 	flaggy.Int(&o.Endpoints, "e", "endpoints", "The number of endpoints.")
 	flaggy.Int(&o.Callers, "c", "callers", "The number of callers.")
+	flaggy.Int(&o.Crashing, "x", "crashing", "The number of further callers, each with one request that crashes endpoints.")
 	flaggy.String(&o.Binary, "b", "binary", "The routers' executable; built if it is not given.")
 	flaggy.String(&o.Directory, "l", "logs", "The directory for settings and logs, which is retained; a temporary one if it is not given.")
 	flaggy.Bool(&verbose, "v", "verbose", "Print every fault.")
@@ -76,7 +77,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d runs, %d guarantees violated\n", o.Seed, len(r.Faults), r.Requests, r.Runs, len(r.Violations))
+	fmt.Printf("seed %d: %d faults, %d requests, %d runs, %d endpoints crashed by requests, %d guarantees violated\n",
+		o.Seed, len(r.Faults), r.Requests, r.Runs, r.Crashes, len(r.Violations))
 	for _, outcome := range slices.Sorted(maps.Keys(r.Outcomes)) {
 		fmt.Printf("  %-24s %d\n", outcome, r.Outcomes[outcome])
 	}
--- a/internal/tool/disruption/disruption_test.go
+++ b/internal/tool/disruption/disruption_test.go
@@ -113,3 +113,19 @@
 	is.True(!p.Running())
 	is.NoErr(p.Signal(syscall.SIGTERM)) // not running: no effect
 }
+
+// TestSuspendedProxyRefusesConnections guards against an endpoint that accepts
+// connections while its process is down, and so looks alive.
+func TestSuspendedProxyRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	p, err := NewProxy(echo(t))
+	is.NoErr(err)
+	defer func() { is.NoErr(p.Close()) }()
+	p.Suspend()
+	_, err = net.Dial("tcp", p.Address.String())
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	is.NoErr(p.Resume())
+	c, err := net.Dial("tcp", p.Address.String())
+	is.NoErr(err)
+	is.NoErr(c.Close())
+}
--- a/internal/tool/disruption/proxy.go
+++ b/internal/tool/disruption/proxy.go
@@ -39,16 +39,16 @@
 
 // Proxy forwards connections to a target according to its mode.
 type Proxy struct {
-	Address  netip.AddrPort
-	listener net.Listener
-	working  sync.WaitGroup
+	Address netip.AddrPort
+	working sync.WaitGroup
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	target netip.AddrPort
-	mode   Mode
-	conns  map[net.Conn]bool
-	closed bool
+	listener net.Listener // nil while the proxy is suspended
+	target   netip.AddrPort
+	mode     Mode
+	conns    map[net.Conn]bool
+	closed   bool
 }
 
 // NewProxy returns a proxy on a free port of 127.0.0.1.
@@ -59,10 +59,38 @@
 		return nil, fmt.Errorf("open a proxy to %s: %w", target, err)
 	}
 	p := &Proxy{Address: netip.MustParseAddrPort(l.Addr().String()), listener: l, target: target, conns: map[net.Conn]bool{}}
-	p.working.Go(p.accept)
+	p.working.Go(func() { p.accept(l) })
 	return p, nil
 }
 
+// Suspend makes the proxy refuse connections, as the host of a process that has
+// ended does. It leaves open connections alone.
+func (p *Proxy) Suspend() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
+// Resume makes a suspended proxy accept connections again at its address.
+func (p *Proxy) Resume() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp", p.Address.String())
+	if err != nil {
+		return fmt.Errorf("resume the proxy at %s: %w", p.Address, err)
+	}
+	p.listener = l
+	p.working.Go(func() { p.accept(l) })
+	return nil
+}
+
 // SetMode changes the mode. Bytes that the old mode holds back are handled by
 // the new one.
 func (p *Proxy) SetMode(m Mode) {
@@ -95,8 +123,13 @@
 	for c := range p.conns {
 		abort(c)
 	}
+	l := p.listener
+	p.listener = nil
 	p.mu.Unlock()
-	err := p.listener.Close()
+	var err error
+	if l != nil {
+		err = l.Close()
+	}
 	p.working.Wait()
 	return err
 }
@@ -110,9 +143,9 @@
 	_ = c.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/tool/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -71,6 +71,11 @@
 		ID: id, Kind: kind, Method: http.MethodPost, Path: "/" + kind + "/x?n=" + id, Key: c.chooseKey(),
 		Body: strings.Repeat(id, 1+c.random.IntN(200)), Router: router, SentAt: time.Now(),
 	}
+	return c.send(ctx, req)
+}
+
+// send sends the request and reports whether it was served.
+func (c *caller) send(ctx context.Context, req *sentRequest) bool {
 	c.soak.Checker.recordSent(req)
 	status, outcome := c.exchange(ctx, req)
 	c.soak.Checker.recordOutcome(req, status, outcome)
--- a/internal/tool/soak/checker.go
+++ b/internal/tool/soak/checker.go
@@ -15,6 +15,8 @@
 	Kind   string
 	Router int
 	SentAt time.Time
+	// Crashes is set for a request that crashes each endpoint that runs it.
+	Crashes bool
 	// runs holds the instants at which endpoints began to run the request.
 	runs []time.Time
 	// notRun is set once the caller got a status that rules out a later run of
@@ -79,7 +81,11 @@
 func (c *Checker) recordOutcome(req *sentRequest, status int, outcome string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.outcomes[req.Kind+" "+outcome]++
+	kind := req.Kind
+	if req.Crashes {
+		kind = kindCrashing
+	}
+	c.outcomes[kind+" "+outcome]++
 	switch status {
 	// These statuses state that the request will not run and, if it is not
 	// idempotent, that it has not run.
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -25,9 +25,13 @@
 	// maxPlainTime bounds the time that a plain call takes. It is long enough
 	// that calls are in flight when a fault hits an endpoint.
 	maxPlainTime = 250 * time.Millisecond
-	slots        = 16
-	service      = "pool"
-	host         = "h"
+	// crashTime is the time after which a request crashes its endpoint, and
+	// crashRestartTime the time after which the endpoint starts again.
+	crashTime        = 30 * time.Millisecond
+	crashRestartTime = 3 * time.Second
+	slots            = 16
+	service          = "pool"
+	host             = "h"
 )
 
 // endpoint is a stand-in for one endpoint across its restarts.
@@ -39,6 +43,8 @@
 	// checkRun is called for every run. leavingSince is when the endpoint
 	// announced that it leaves, or zero.
 	checkRun func(endpoint string, leavingSince time.Time, req *sentRequest)
+	// crashed is called when a request has crashed the endpoint.
+	crashed func(e *endpoint, req *sentRequest)
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -56,12 +62,12 @@
 	leavingSince time.Time
 }
 
-func newEndpoint(number int, dialect Dialect, checker *Checker, checkRun func(string, time.Time, *sentRequest)) (*endpoint, error) {
+func newEndpoint(number int, s *Soak) (*endpoint, error) {
 	p, err := disruption.NewProxy(netip.AddrPort{})
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{number: number, proxy: p, dialect: dialect, checker: checker, checkRun: checkRun}
+	e := &endpoint{number: number, proxy: p, dialect: s.options.Dialect, checker: s.Checker, checkRun: s.checkRun, crashed: s.recordCrash}
 	return e, e.startInstance()
 }
 
@@ -80,7 +86,7 @@
 	e.current = s
 	e.proxy.Retarget(netip.MustParseAddrPort(l.Addr().String()))
 	go func() { _ = s.server.Serve(l) }() // Serve always returns an error; after Close it is ErrServerClosed.
-	return nil
+	return e.proxy.Resume()
 }
 
 // stopInstance stops the current instance at once.
@@ -90,10 +96,19 @@
 	e.current = nil
 	e.mu.Unlock()
 	if s != nil {
+		// A connection that is opened after the first one has broken is refused.
+		e.proxy.Suspend()
 		_ = s.server.Close()
 	}
 }
 
+// running reports whether the endpoint runs.
+func (e *endpoint) running() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current != nil
+}
+
 // setLeaving marks the current instance as leaving since the given time.
 func (e *endpoint) setLeaving(now time.Time) {
 	e.mu.Lock()
@@ -148,6 +163,11 @@
 	leavingSince := s.leavingSince
 	e.mu.Unlock()
 	e.checkRun(s.id, leavingSince, req)
+	if req.Crashes {
+		time.Sleep(crashTime)
+		e.crashed(e, req)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(names.Stamp, s.id)
 	if req.Kind == kindStream {
 		writeStream(w, r, req, r.Header.Get(names.LastEvent))
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -69,6 +69,9 @@
 	// settings and logs.
 	Binary, Directory           string
 	Routers, Endpoints, Callers int
+	// Crashing is the number of callers that send one request each, again and
+	// again, which crashes the endpoints that run it.
+	Crashing int
 	// OnFault is called with the description of each fault as it begins; it may
 	// be nil.
 	OnFault func(line string)
@@ -81,7 +84,9 @@
 	// Outcomes counts requests by kind and outcome, such as "once served".
 	Outcomes       map[string]int
 	Requests, Runs int
-	Faults         []disruption.Fault
+	// Crashes is the number of endpoints that requests have crashed.
+	Crashes int
+	Faults  []disruption.Fault
 }
 
 // Soak is the state of a running soak.
@@ -97,8 +102,10 @@
 	keys             map[string]keyPeriod // all keys of the callers' organisation so far
 	currentKey       string
 	removedKeys      []string
-	storeFaultEnd    time.Time // when the last fault of the store ends or ended
-	endpointFaultEnd time.Time // when the last fault of an endpoint ends or ended
+	storeFaultEnd    time.Time           // when the last fault of the store ends or ended
+	endpointFaultEnd time.Time           // when the last fault of an endpoint ends or ended
+	crashes          map[string]*crashes // by body
+	closed           bool
 }
 
 // keyPeriod holds when a key of the callers' organisation was added to the
@@ -122,7 +129,7 @@
 // Run runs a soak and returns its report. Violated guarantees are in the report;
 // an error means that the soak could not run.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &Soak{options: o, Checker: newChecker(), keys: map[string]keyPeriod{}}
+	s := &Soak{options: o, Checker: newChecker(), keys: map[string]keyPeriod{}, crashes: map[string]*crashes{}}
 	defer s.close()
 	loadCtx, stop := context.WithCancel(ctx)
 	var workers sync.WaitGroup
@@ -141,6 +148,9 @@
 	for i := range o.Callers {
 		workers.Go(func() { newCaller(s, i, o.Seed).run(loadCtx) })
 	}
+	for i := range o.Crashing {
+		workers.Go(func() { newCaller(s, firstCrashingCaller+i, o.Seed).runCrashing(loadCtx) })
+	}
 	workers.Go(func() { s.superviseProcesses(loadCtx) })
 	s.runPlan(ctx, plan)
 	s.checkRecovery(ctx)
@@ -148,6 +158,7 @@
 	workers.Wait()
 	r := &Report{Faults: plan}
 	r.Violations, r.Outcomes, r.Requests, r.Runs = s.Checker.Report()
+	r.Crashes = s.crashCount()
 	if maxRuns := float64(r.Requests)*(1+retryRatio) + retryExtra*o.Duration.Seconds()/retryWindow.Seconds(); float64(r.Runs) > maxRuns {
 		r.Violations = append(r.Violations, fmt.Sprintf("budget: %d runs of %d requests", r.Runs, r.Requests))
 	}
@@ -162,7 +173,7 @@
 	s.currentKey = keyName(1)
 	s.keys[s.currentKey] = keyPeriod{added: time.Now()}
 	for i := range s.options.Endpoints {
-		e, err := newEndpoint(i, s.options.Dialect, s.Checker, s.checkRun)
+		e, err := newEndpoint(i, s)
 		if err != nil {
 			return err
 		}
@@ -343,6 +354,9 @@
 	if !k.removed.IsZero() && now.After(k.removed.Add(revokeTime+toolSlack)) && req.SentAt.After(k.removed.Add(revokeTime)) {
 		s.Checker.recordViolation("revocation", "%s began to run %v after its key was removed", req.ID, now.Sub(k.removed))
 	}
+	if req.Crashes {
+		s.checkCrashingRun(now, req)
+	}
 	if !leavingSince.IsZero() && now.After(leavingSince.Add(drainTime+toolSlack)) && s.undisturbedSince(s.routers[req.Router], leavingSince) {
 		s.Checker.recordViolation("leaving", "%s began to run at endpoint %s %v after the endpoint announced that it leaves", req.ID, endpoint, now.Sub(leavingSince))
 	}
@@ -366,6 +380,9 @@
 }
 
 func (s *Soak) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	for _, r := range s.routers {
 		if r.process != nil {
 			if err := r.process.Signal(syscall.SIGCONT); err == nil {
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -13,19 +13,24 @@
 	"hyssopreach/platform/standin"
 )
 
-// seeds lists the seeds of short soaks. A seed that has failed once stays in the
-// list, with the cause.
-var seeds = []struct {
-	seed  uint64
-	cause string
+// cases lists short soaks. One that has failed once stays in the list, with the
+// cause.
+var cases = []struct {
+	cause   string
+	options soak.Options
 }{
-	{1, ""},
+	{"", soak.Options{Seed: 1, Duration: 8 * time.Second, Routers: 3, Endpoints: 4, Callers: 6, Crashing: 1}},
+	{
+		"a router that was asked to stop while it was paused was taken for one that exited by itself",
+		soak.Options{Seed: 27, Duration: 12 * time.Second, Routers: 4, Endpoints: 6, Callers: 10, Crashing: 2},
+	},
 }
 
 // TestGuaranteesHoldUnderFaults runs routers as processes under overlapping
 // faults. It guards against requests that run twice, that run after a refusal or
 // with a removed key, against answers that are wrong or cut off by a planned
-// stop, and against routers that don't serve again after the last fault.
+// stop, against routers that don't serve again after the last fault, and against
+// a request that crashes every endpoint that runs it.
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
 	is := is.New(t)
 	binary := filepath.Join(t.TempDir(), "hyssopreach")
@@ -33,20 +38,19 @@
 	if err != nil {
 		t.Fatalf("build the routers' program: %v: %s", err, output)
 	}
-	for _, one := range seeds {
-		t.Run(fmt.Sprint(one.seed), func(t *testing.T) {
+	for _, one := range cases {
+		t.Run(fmt.Sprint(one.options.Seed), func(t *testing.T) {
 			is := is.New(t)
-			r, err := soak.Run(t.Context(), soak.Options{
-				Dialect: standin.Dialect{},
-				Seed:    one.seed, Duration: 8 * time.Second, Interval: 700 * time.Millisecond, Binary: binary, Directory: t.TempDir(),
-				Routers: 3, Endpoints: 3, Callers: 6, OnFault: func(line string) { t.Log(line) },
-			})
+			o := one.options
+			o.Dialect, o.Interval, o.Binary, o.Directory = standin.Dialect{}, 700*time.Millisecond, binary, t.TempDir()
+			o.OnFault = func(line string) { t.Log(line) }
+			r, err := soak.Run(t.Context(), o)
 			is.NoErr(err)
 			for _, violation := range r.Violations {
 				t.Error(violation)
 			}
 			is.True(r.Outcomes["once served"] > 0)
+			is.True(r.Crashes > 0)
 		})
 	}
-	is.True(len(seeds) > 0)
 }
