Check right before the first byte that the endpoint may still be used

Cause: the age of the list and the endpoint's state were checked before the attempt waits for a connection, which takes up to 1 s on a router that is late or while connections to the endpoint are at their limit, and not again.

The connection now checks when the first byte is about to be written, the last instant at which nothing has been sent.

--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -94,6 +94,16 @@
 	Revision uint64
 }
 
+// Endpoint returns the endpoint with the given ID, and false if it is not known.
+func (s *Snapshot) Endpoint(id EndpointID) (*Endpoint, bool) {
+	for i := range s.Endpoints {
+		if s.Endpoints[i].ID == id {
+			return &s.Endpoints[i], true
+		}
+	}
+	return nil, false
+}
+
 // Accepts reports whether the endpoint may receive new requests for the model
 // at the given time. The model is empty for a plain service.
 func (e *Endpoint) Accepts(model string, now time.Time) bool {
--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -70,6 +70,10 @@
 	// Idempotent allows the attempt to be written again on another connection
 	// if a reused connection turns out to be closed.
 	Idempotent bool
+	// MayWrite is called right before the first byte is written on a connection,
+	// since the attempt may have waited for the connection. If it returns an error,
+	// nothing is written. It must not block; nil means that nothing is checked.
+	MayWrite func() error
 	// Model is set for an attempt at a model engine, whose streams end with a
 	// [DONE] event.
 	Model bool
@@ -138,7 +142,7 @@
 // Do sends the attempt and returns once the head of the answer has arrived.
 // Every error is an *Error. The caller must close the answer.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, a *Attempt) (*Answer, error) {
-	d := &writeTracker{singleConn: !a.Idempotent}
+	d := &writeTracker{singleConn: !a.Idempotent, mayWrite: a.MayWrite}
 	request, err := c.newRequest(address, a)
 	if err != nil {
 		return nil, &Error{Step: "build request", Endpoint: address, Err: err}
--- a/internal/transport/endpoint/conn.go
+++ b/internal/transport/endpoint/conn.go
@@ -22,6 +22,9 @@
 	// owner is the tracker of the attempt that may write; nil while no attempt
 	// may write. Guarded by mu.
 	owner *writeTracker
+	// checked is set once the owner's check of its attempt has passed on this
+	// connection. Guarded by mu.
+	checked bool
 }
 
 // writeTracker records whether an attempt has been written, and controls on
@@ -30,6 +33,8 @@
 	// singleConn is set for an attempt that may be written on one connection
 	// only.
 	singleConn bool
+	// mayWrite is Attempt.MayWrite.
+	mayWrite func() error
 	// sent is set before the first byte is handed to the operating system.
 	sent atomic.Bool
 
@@ -39,24 +44,35 @@
 	sealed bool
 }
 
-// Write writes on behalf of the owner; it fails if there is none.
+// Write writes on behalf of the owner; it fails if there is none, or if the owner
+// may not write any more.
 func (c *trackedConn) Write(data []byte) (int, error) {
+	if err := c.beginWrite(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
+
+func (c *trackedConn) beginWrite() error {
 	c.mu.Lock()
-	owner := c.owner
-	if owner != nil {
-		owner.sent.Store(true)
+	defer c.mu.Unlock()
+	if c.owner == nil {
+		return errWriteRefused
 	}
-	c.mu.Unlock()
-	if owner == nil {
-		return 0, errWriteRefused
+	if !c.checked && c.owner.mayWrite != nil {
+		if err := c.owner.mayWrite(); err != nil {
+			return err
+		}
 	}
-	return c.Conn.Write(data)
+	c.checked = true
+	c.owner.sent.Store(true)
+	return nil
 }
 
 func (c *trackedConn) setOwner(d *writeTracker) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owner = d
+	c.owner, c.checked = d, false
 }
 
 // release ends the attempt's ownership of the connection and closes the
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -265,8 +265,8 @@
 	}
 	result, err := schedule.ResultNotSent, error(nil)
 	crashed := false
-	if e, ok := findEndpoint(r.Views.View(), start.Endpoint); ok && (c.MaxAttempts == 0 || !e.Leaving) {
-		a.Endpoint = e
+	if e, ok := r.Views.View().Endpoint(start.Endpoint); ok && (c.MaxAttempts == 0 || !e.Leaving) {
+		a.Endpoint = *e
 		r.logStart(a, start)
 		for _, w := range r.Watchers {
 			w.AttemptStarted(a)
@@ -297,7 +297,7 @@
 	}
 	elapsed := time.Since(begin)
 	state := r.Prober.Probe(ctx, &a.Endpoint)
-	e, listed := findEndpoint(r.Views.View(), a.Endpoint.ID)
+	e, listed := r.Views.View().Endpoint(a.Endpoint.ID)
 	leaving := !listed || e.Leaving
 	r.Logger.WithFields(log.Fields{
 		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
@@ -318,15 +318,6 @@
 	r.Logger.WithFields(fields).Info("RequestRouted")
 }
 
-func findEndpoint(v *view.Snapshot, id view.EndpointID) (view.Endpoint, bool) {
-	for i := range v.Endpoints {
-		if v.Endpoints[i].ID == id {
-			return v.Endpoints[i], true
-		}
-	}
-	return view.Endpoint{}, false
-}
-
 // exchange sends the attempt and copies the answer to the sink.
 func (r *Runner) exchange(ctx context.Context, a *Attempt, id schedule.RequestID, m *meter, out *sinkTracker, p *progress) (schedule.Result, error) {
 	ctx, watch := newWatchdog(ctx, a.Call.MaxSilence)
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -13,6 +13,7 @@
 	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/route"
 	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 )
@@ -78,10 +79,14 @@
 	return !c.Stopping() && c.Table() != nil && len(c.fleet.View().Endpoints) > 0
 }
 
-// MaySend reports whether an attempt for the organisation may still be sent:
-// the list of endpoints is usable, and the request needs no key or the
-// configuration that holds the key was confirmed recently enough.
-func (c *Core) MaySend(o *text.Organisation) bool {
+// MaySend reports whether an attempt for the organisation may still be sent to the
+// endpoint: the list of endpoints is usable and names the endpoint as one that
+// does not leave, and the request needs no key or the configuration that holds the
+// key was confirmed recently enough.
+func (c *Core) MaySend(o *text.Organisation, id view.EndpointID) bool {
+	if e, ok := c.fleet.View().Endpoint(id); !ok || e.Leaving {
+		return false
+	}
 	return c.sources.listUsable(c.options.listFor()) && (o.Name == "" || c.sources.confirmedWithin(c.options.confirmFor()))
 }
 
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -287,6 +287,9 @@
 	}
 }
 
+// Fleet returns the router's current view of the fleet.
+func (r *Hosted) Fleet() *view.Snapshot { return r.fleet.View() }
+
 // Close stops the router at once, cutting off requests in flight, and waits
 // until all its goroutines have ended.
 func (r *Hosted) Close() {
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -231,12 +231,12 @@
 	s := &store{version: 1, refused: map[view.RouterID]bool{}, stalled: map[view.RouterID]chan struct{}{}}
 	r := startHostedFleet(t, s, 1)[0]
 	open := &text.Organisation{}
-	is.True(r.core.MaySend(open))
+	is.True(r.core.MaySend(open, "e#0"))
 	s.mu.Lock()
 	s.stalled[r.self.ID] = stalled
 	s.mu.Unlock()
-	waitFor(t, "the list is no longer used", func() bool { return !r.core.MaySend(open) || r.sources.listAge() > 4*time.Second })
-	is.True(!r.core.MaySend(open))
+	waitFor(t, "the list is no longer used", func() bool { return !r.core.MaySend(open, "e#0") || r.sources.listAge() > 4*time.Second })
+	is.True(!r.core.MaySend(open, "e#0"))
 	_, problem := r.core.Admit(&IncomingRequest{ID: "1", Host: "h", Path: "/open/x"}, time.Now())
 	is.True(problem != nil) // refused at once, before it waits for capacity
 	is.Equal(problem.Status, http.StatusServiceUnavailable)
@@ -253,7 +253,7 @@
 	s.mu.Unlock()
 	open := &text.Organisation{}
 	waitFor(t, "the list is old", func() bool {
-		is.True(r.core.MaySend(open))
+		is.True(r.core.MaySend(open, "e#0"))
 		return r.sources.listAge() > 4*time.Second
 	})
 	_, problem := r.core.Admit(&IncomingRequest{ID: "1", Host: "h", Path: "/open/x"}, time.Now())
