Describe both modes of the evidence table

Comments and the text of one refusal only: a hosted router that can't judge a request before its deadline now says so, and that this send has not run; it spoke of another run that was under way, which there is not.

--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -71,8 +71,8 @@
 type CheckRequest struct {
 	ID          uint64
 	Fingerprint Fingerprint
-	// Deadline is the deadline of the request. If no permit is granted by then,
-	// the verdict is VerdictBusy.
+	// Deadline is the deadline of the request. If the request cannot be judged by
+	// then, the verdict is VerdictBusy.
 	Deadline time.Time
 }
 
@@ -130,11 +130,11 @@
 	VerdictFree Verdict = iota
 	// VerdictExclusive allows a run at an endpoint that runs no other suspect.
 	VerdictExclusive
-	// VerdictRejected rejects the request: two endpoints failed while they ran
-	// it.
+	// VerdictRejected rejects the request: two or more endpoints failed while they
+	// ran it.
 	VerdictRejected
-	// VerdictBusy rejects the request for now: it is a suspect and no permit
-	// was granted before its deadline.
+	// VerdictBusy rejects the request for now: it is a suspect and no permit was
+	// granted, or no evidence against others arrived, before its deadline.
 	VerdictBusy
 )
 
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -62,7 +62,8 @@
 	grantedBy   view.RouterID
 }
 
-// waiter is a CheckRequest that waits for a permit.
+// waiter is a CheckRequest that waits for a permit or, in a table that does not
+// isolate suspects, for evidence; see mustSettle.
 type waiter struct {
 	CheckRequest
 	requestAt time.Time
@@ -279,8 +280,8 @@
 
 // addEvidence adds evidence, or clears known evidence, and reports whether it did
 // so. It ignores evidence that has expired, and evidence whose expiry lies
-// further ahead than that of any valid evidence. Only the router
-// that found the evidence logs it.
+// further ahead than that of any valid evidence. Only the router that found the
+// evidence logs it.
 func (t *Table) addEvidence(now time.Time, e Evidence, own bool) bool {
 	if !now.Before(e.Until) || e.Until.After(now.Add(2*evidenceLifetime)) {
 		return false
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -176,17 +176,29 @@
 		s.rejections.Inc(1)
 		return false, s.rejection(c, j.Until)
 	default:
-		return false, &caller.Problem{
-			Title: "The request may crash endpoints", Status: http.StatusServiceUnavailable,
-			Detail: "an endpoint failed while it ran this request, and another run of it is under way",
-			NotRun: caller.NotRunUnknown, Step: "Admit", RequestID: c.RequestID, RetryAt: time.Now().Add(time.Second),
-		}
+		return false, s.undecided(c)
+	}
+}
+
+// undecided returns the problem of a request on which there was no verdict in
+// time.
+func (s *suspects) undecided(c *execution.Call) *caller.Problem {
+	p := &caller.Problem{
+		Title: "The request may crash endpoints", Status: http.StatusServiceUnavailable,
+		Detail: "an endpoint failed while it ran this request, and another run of it is under way",
+		NotRun: caller.NotRunUnknown, Step: "Admit", RequestID: c.RequestID, RetryAt: time.Now().Add(time.Second),
+	}
+	if !s.isolates {
+		p.NotRun = caller.NotRunTrue
+		p.Detail = "endpoints crashed while they ran this request, and its time ended before it could be judged"
 	}
+	return p
 }
 
-// rejection returns the problem of a request that has crashed endpoints. Where a
-// request is identified by the caller's key, it has run before; a hosted router
-// identifies single sends, and this one has not run.
+// rejection returns the problem of a request that has crashed endpoints. Where
+// suspects run isolated, a request is the same each time that its caller sends it,
+// so it has run. A hosted router answers for this send alone, which has not run;
+// the runner corrects that for the retry of one that has.
 func (s *suspects) rejection(c *execution.Call, until time.Time) *caller.Problem {
 	p := &caller.Problem{
 		Title: "The request crashes endpoints", Status: http.StatusUnprocessableEntity,
