Stop streams that crash endpoints after they have run for long

A router keeps such crashes to itself and tells the others at the third one under the same request. Streams that finish are forgotten, so those that only met one or two crashes cost no message and are never refused (TestLateCrashesRejectAfterTheThird).

--- a/internal/coordination/suspect/conviction_test.go
+++ b/internal/coordination/suspect/conviction_test.go
@@ -234,3 +234,26 @@
 		is.Equal(f.tables[id].Len(), 1)
 	}
 }
+
+// TestLateCrashesRejectAfterTheThird guards against a stream that crashes each
+// endpoint after it has run for long, and against messages about the streams that
+// only ran there.
+func TestLateCrashesRejectAfterTheThird(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	before := f.sent
+	for _, e := range []view.EndpointID{"e1", "e1", "e2"} {
+		f.step("r0", LateFailure{7, e})
+		f.step("r0", LateFailure{8, e})
+	}
+	is.True(f.freeEverywhere(7))
+	is.Equal(f.sent, before)
+	f.step("r0", RunEnded{8, true}) // 8 finishes elsewhere
+	f.step("r0", LateFailure{7, "e3"})
+	f.step("r0", LateFailure{8, "e3"})
+	is.True(f.rejectedEverywhere(7))
+	is.True(f.freeEverywhere(8))
+	f.step("r0", RunEnded{8, true})
+	f.advance(evidenceLifetime)
+	is.True(f.tables["r0"].Empty())
+}
--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -87,6 +87,13 @@
 	Endpoint    view.EndpointID
 }
 
+// LateFailure reports that an endpoint failed while it ran a request that had run
+// for long.
+type LateFailure struct {
+	Fingerprint Fingerprint
+	Endpoint    view.EndpointID
+}
+
 // RunEnded reports the end of a run. Finished is set if its answer was complete.
 type RunEnded struct {
 	Fingerprint Fingerprint
@@ -115,6 +122,7 @@
 func (CheckRequest) suspectInput()   {}
 func (Withdraw) suspectInput()       {}
 func (EndpointFailed) suspectInput() {}
+func (LateFailure) suspectInput()    {}
 func (RunEnded) suspectInput()       {}
 func (EndpointAlive) suspectInput()  {}
 func (Delivery) suspectInput()       {}
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -94,12 +94,13 @@
 	self    view.RouterID
 	view    *view.Snapshot
 	records map[Fingerprint]*record
+	late    map[Fingerprint]*late
 	waiters []*waiter
 	// broadcasts are the failures that are not yet reported to their callers
 	// because some routers have not confirmed the evidence.
 	broadcasts []*broadcast
-	// recordsDueAt is no later than the next instant at which a record expires or
-	// its evidence is sent again; zero if there is none.
+	// recordsDueAt is no later than the next instant at which a record or a late
+	// failure expires or evidence is sent again; zero if there is none.
 	recordsDueAt time.Time
 	wakeAt       time.Time
 	out          []Output
@@ -107,7 +108,7 @@
 
 // New returns an empty table.
 func New(o Options) *Table {
-	return &Table{options: o, self: o.Self, view: &view.Snapshot{Self: o.Self}, records: map[Fingerprint]*record{}}
+	return &Table{options: o, self: o.Self, view: &view.Snapshot{Self: o.Self}, records: map[Fingerprint]*record{}, late: map[Fingerprint]*late{}}
 }
 
 // Step processes one input at the given instant and returns the outputs to
@@ -124,6 +125,8 @@
 		t.waiters = slices.DeleteFunc(t.waiters, func(r *waiter) bool { return r.ID == in.ID })
 	case EndpointFailed:
 		t.endpointFailed(now, in)
+	case LateFailure:
+		t.lateFailure(now, in)
 	case RunEnded:
 		t.runEnded(now, in)
 	case EndpointAlive:
@@ -150,6 +153,9 @@
 			return true
 		}
 	case RunEnded:
+		if in.Finished {
+			delete(t.late, in.Fingerprint)
+		}
 		return t.records[in.Fingerprint] == nil
 	case EndpointAlive:
 		return len(t.records) == 0
@@ -160,6 +166,9 @@
 // Len returns the number of fingerprints with evidence.
 func (t *Table) Len() int { return len(t.records) }
 
+// Empty reports whether the table holds nothing that a request may depend on.
+func (t *Table) Empty() bool { return len(t.records) == 0 && len(t.late) == 0 }
+
 // failedEndpoints returns the number of endpoints whose failure counts against
 // a fingerprint.
 func (t *Table) failedEndpoints(now time.Time, f Fingerprint) int {
@@ -471,6 +480,7 @@
 		return
 	}
 	t.recordsDueAt = time.Time{}
+	t.expireLate(now)
 	var due []Fingerprint
 	for f, c := range t.records {
 		switch {
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -29,8 +29,8 @@
 	evidenceTimeout         = 100 * time.Millisecond
 	// crashDelay is the time since its answer began within which a request is
 	// taken to have crashed its endpoint. Streams that have run for longer are not
-	// suspected: the endpoint has survived them, and when it crashes there are
-	// many.
+	// suspected for a single crash: the endpoint has survived them, and when it
+	// crashes there are many.
 	crashDelay = time.Second
 	// MetricCrashEvidence counts the attempts that are evidence against their
 	// requests.
@@ -90,7 +90,7 @@
 // step passes one input to the table and updates hasEvidence.
 func (s *suspects) step(now time.Time, in suspect.Input) []suspect.Output {
 	out := s.table.Step(now, in)
-	s.hasEvidence.Store(s.table.Len() > 0)
+	s.hasEvidence.Store(!s.table.Empty())
 	return out
 }
 
@@ -261,8 +261,11 @@
 
 // Done implements execution.Gate.
 func (s *suspects) Done(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
-	if s.isEvidence(time.Now(), o) {
+	switch {
+	case s.isEvidence(time.Now(), o):
 		confirmed = s.reportFailure(fingerprint(c), o.Endpoint)
+	case o.Crashed:
+		s.driver.Input(suspect.LateFailure{Fingerprint: fingerprint(c), Endpoint: o.Endpoint})
 	}
 	if s.isolates && confirmed != nil {
 		// A retry needs a permit, and its owner has to know why.
