--- a/internal/coordination/listing/restore_test.go
+++ b/internal/coordination/listing/restore_test.go
@@ -35,10 +35,9 @@
 	copies  []map[string]storedEntry // one for each step, oldest first
 	// alive holds the sequences of the endpoints that run, and leaving those that
 	// have announced that they leave.
-	alive    map[string]uint64
-	leaving  map[string]bool
-	started  int
-	restored time.Time
+	alive   map[string]uint64
+	leaving map[string]bool
+	started int
 	// knownLeaving, knownGone and known are what the table has stated.
 	knownLeaving, knownGone map[view.EndpointID]bool
 	missingSince            map[string]time.Time
