Count the distrust after a restore of the store from when it is learnt

What callers would see: a key that was taken away works again within a second of the store's restore.

Cause: a router that learnt of the new epoch from another one took the age of the relayed reading, up to seconds, for the time since the restore, and confirmed at once; and one that started just then knew of no restore. The first counts from now on when it learns; routers tell when they learnt, for one that starts.

--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -22,6 +22,7 @@
 	"hyssopreach/internal/state/settings"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/clock"
 	"hyssopreach/internal/transport/execution"
 )
 
@@ -259,3 +260,40 @@
 	_, problem := r.core.Admit(&IncomingRequest{ID: "1", Host: "h", Path: "/open/x"}, time.Now())
 	is.Equal(problem, nil)
 }
+
+// TestRelayedReadingDoesNotEndDistrust guards against a key that is accepted again
+// right after the store came back from an older copy, since another router relayed
+// a reading of the time before.
+func TestRelayedReadingDoesNotEndDistrust(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	r := startHostedFleet(t, s, 1)[0]
+	s.mu.Lock()
+	s.refused[r.self.ID] = true
+	s.mu.Unlock()
+	apply := func(age time.Duration, epoch uint64) {
+		is.NoErr(r.sources.applyConfiguration(readResult{at: clock.Now().Add(-age), epoch: epoch}, "peer"))
+	}
+	apply(0, 1)
+	confirmedAt := r.sources.current.Load().configuration.at
+	apply(5*time.Second, 2)
+	apply(0, 2)
+	is.Equal(r.sources.current.Load().configuration.at, confirmedAt)
+}
+
+// TestStartingRouterLearnsOfRestore guards against a router that starts right after
+// the store came back, and takes the version that the store holds for the newest.
+func TestStartingRouterLearnsOfRestore(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	r := startHostedFleet(t, s, 1)[0]
+	s.mu.Lock()
+	s.refused[r.self.ID] = true
+	s.mu.Unlock()
+	r.sources.mu.Lock()
+	r.sources.current.Store(&readings{list: r.sources.current.Load().list})
+	r.sources.mu.Unlock()
+	is.NoErr(r.sources.applyConfiguration(readResult{data: []byte("1"), at: clock.Now().Add(-time.Minute), epoch: 3, restoredAt: clock.Now()}, "peer"))
+	is.NoErr(r.sources.applyConfiguration(readResult{data: []byte("1"), at: clock.Now(), epoch: 3}, ""))
+	is.True(!r.sources.confirmedWithin(10 * time.Second))
+}
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -54,11 +54,14 @@
 )
 
 // readResult is data read from the store, the instant at which the read was sent,
-// and the epoch of the store (Reading.Epoch).
+// and the epoch of the store (Reading.Epoch). If it comes from another router,
+// restoredAt is the instant at which that router learnt that the epoch had risen;
+// zero if that is not recent.
 type readResult struct {
-	data  []byte
-	at    clock.Instant
-	epoch uint64
+	data       []byte
+	at         clock.Instant
+	epoch      uint64
+	restoredAt clock.Instant
 }
 
 // readings are the latest results of reads of the store. A value is immutable.
@@ -270,14 +273,14 @@
 		at := clock.Now()
 		read, err := platform.ReadEndpoints(ctx)
 		if err == nil {
-			err = s.applyList(readResult{read.Data, at, read.Epoch})
+			err = s.applyList(readResult{data: read.Data, at: at, epoch: read.Epoch})
 		}
 		listErr = err
 	})
 	at := clock.Now()
 	read, err := platform.ReadConfiguration(ctx)
 	if err == nil {
-		err = s.applyConfiguration(readResult{read.Data, at, read.Epoch}, "")
+		err = s.applyConfiguration(readResult{data: read.Data, at: at, epoch: read.Epoch}, "")
 	}
 	reads.Wait()
 	return errors.Join(err, listErr)
@@ -309,13 +312,18 @@
 	}
 	age := time.Duration(answer.GetAgeMillis()) * time.Millisecond
 	listAge := time.Duration(answer.GetListAgeMillis()) * time.Millisecond
+	var restoredAt clock.Instant
+	if restored := answer.GetRestoredAgeMillis(); restored > 0 {
+		// The answer took time to arrive, so this is no earlier than the instant.
+		restoredAt = clock.Now().Add(-time.Duration(restored) * time.Millisecond)
+	}
 	if answer.GetVersion() == q.Version || len(answer.GetConfiguration()) > 0 {
-		if err := s.applyConfiguration(readResult{answer.GetConfiguration(), sentAt.Add(-age), answer.GetEpoch()}, id); err != nil {
+		if err := s.applyConfiguration(readResult{answer.GetConfiguration(), sentAt.Add(-age), answer.GetEpoch(), restoredAt}, id); err != nil {
 			return false, err
 		}
 	}
 	if answer.GetListHash() == q.ListHash || len(answer.GetList()) > 0 {
-		if err := s.applyList(readResult{answer.GetList(), sentAt.Add(-listAge), answer.GetEpoch()}); err != nil {
+		if err := s.applyList(readResult{answer.GetList(), sentAt.Add(-listAge), answer.GetEpoch(), restoredAt}); err != nil {
 			return false, err
 		}
 	}
@@ -348,7 +356,10 @@
 			s.logger.WithFields(log.Fields{
 				"Version": table.Version, "Before": next.version, "From": from, "Age": clock.Now().Sub(r.at), "Epoch": next.epoch,
 			}).Info("ConfigurationInForce")
-			next.version, next.configuration.data, next.versionEpoch = table.Version, r.data, next.epoch
+			if next.version > 0 || r.restoredAt.IsZero() {
+				next.versionEpoch = next.epoch
+			}
+			next.version, next.configuration.data = table.Version, r.data
 			s.core.table.Store(table)
 			s.router.fleet.setTable(table)
 		}
@@ -379,11 +390,17 @@
 	before := next.epoch
 	next.epoch = r.epoch
 	if before == 0 {
-		next.versionEpoch = r.epoch
+		// This router has just started. Without word from another one, it cannot
+		// know whether the store came back lately.
+		if next.restoredAt = r.restoredAt; r.restoredAt.IsZero() {
+			next.versionEpoch = r.epoch
+		}
 		return nil
 	}
-	next.restoredAt = r.at
-	s.table.Restored(r.at.Time())
+	// The reading may be old, if it was relayed, and says nothing about when the
+	// store came back.
+	next.restoredAt = clock.Now()
+	s.table.Restored(next.restoredAt.Time())
 	s.restorations.Inc(1)
 	s.logger.WithFields(log.Fields{
 		"Epoch": r.epoch, "Before": before, "From": from, "Version": next.version, "Endpoints": len(next.endpoints),
@@ -430,6 +447,9 @@
 		Version: c.version, AgeMillis: ageMillis(now, c.configuration.at),
 		ListAgeMillis: ageMillis(now, c.list.at), ListHash: c.listHash, Epoch: c.epoch,
 	}
+	if restored := now.Sub(c.restoredAt); !c.restoredAt.IsZero() && restored < s.router.options.Listing.RelistTime {
+		answer.RestoredAgeMillis = uint64(max(restored/time.Millisecond, 1))
+	}
 	if q.GetVersion() > c.version {
 		s.peerIsAhead.Store(true)
 	}
