Ask for the evidence against rejected requests before serving

What callers would see: each router that starts again lets a request that crashes endpoints take two more.

A router that starts now asks those at which it joins, together with their readings of the store, before it has a configuration.

--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -94,6 +94,10 @@
 	Endpoint    view.EndpointID
 }
 
+// ListRequest requests the evidence against the requests that are rejected, for a
+// router that starts. The table answers with one EvidenceList.
+type ListRequest struct{ ID uint64 }
+
 // RunEnded reports the end of a run. Finished is set if its answer was complete.
 type RunEnded struct {
 	Fingerprint Fingerprint
@@ -123,6 +127,7 @@
 func (Withdraw) suspectInput()       {}
 func (EndpointFailed) suspectInput() {}
 func (LateFailure) suspectInput()    {}
+func (ListRequest) suspectInput()    {}
 func (RunEnded) suspectInput()       {}
 func (EndpointAlive) suspectInput()  {}
 func (Delivery) suspectInput()       {}
@@ -161,6 +166,12 @@
 // evidence, so the failure may now be reported to the caller, who may retry.
 type BroadcastDone struct{ ID uint64 }
 
+// EvidenceList answers a ListRequest.
+type EvidenceList struct {
+	ID       uint64
+	Evidence []Evidence
+}
+
 // Send delivers a message to another router.
 type Send struct {
 	To      view.RouterID
@@ -179,6 +190,7 @@
 
 func (CheckResult) suspectOutput()   {}
 func (BroadcastDone) suspectOutput() {}
+func (EvidenceList) suspectOutput()  {}
 func (Send) suspectOutput()          {}
 func (Wake) suspectOutput()          {}
 func (Decision) suspectOutput()      {}
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -127,6 +127,8 @@
 		t.endpointFailed(now, in)
 	case LateFailure:
 		t.lateFailure(now, in)
+	case ListRequest:
+		t.emit(EvidenceList{in.ID, t.rejecting(now)})
 	case RunEnded:
 		t.runEnded(now, in)
 	case EndpointAlive:
@@ -417,6 +419,21 @@
 	}
 }
 
+// rejecting returns the evidence against the requests with failures of at least
+// rejectThreshold endpoints, up to maxEvidencePerMessage pieces.
+func (t *Table) rejecting(now time.Time) []Evidence {
+	var all []Evidence
+	for f, c := range t.records {
+		if t.failedEndpoints(now, f) < rejectThreshold || len(all)+len(c.evidence) > maxEvidencePerMessage {
+			continue
+		}
+		for _, id := range sortedKeys(c.evidence) {
+			all = append(all, *c.evidence[id])
+		}
+	}
+	return all
+}
+
 func (t *Table) owners(f Fingerprint) []view.RouterID {
 	return t.view.Owners("suspect/"+strconv.FormatUint(uint64(f), 16), ownersPerFingerprint)
 }
--- a/internal/protocol/peer/conversion_suspect.go
+++ b/internal/protocol/peer/conversion_suspect.go
@@ -11,7 +11,7 @@
 func FromSuspectMessage(m suspect.Message) *Message {
 	switch m := m.(type) {
 	case suspect.EvidenceUpdate:
-		return &Message{Kind: &Message_SuspectNews{SuspectNews: &SuspectNews{Suspects: fromEvidence(m.Evidence), Reply: m.Reply}}}
+		return &Message{Kind: &Message_SuspectNews{SuspectNews: &SuspectNews{Suspects: FromEvidence(m.Evidence), Reply: m.Reply}}}
 	case suspect.EvidenceAck:
 		return &Message{Kind: &Message_SuspectTaken{SuspectTaken: &SuspectTaken{Fingerprint: uint64(m.Fingerprint), Endpoint: string(m.Endpoint)}}}
 	case suspect.PermitRequest:
@@ -20,7 +20,7 @@
 		}}}
 	case suspect.PermitReply:
 		return &Message{Kind: &Message_SuspectPermit{SuspectPermit: &SuspectPermit{
-			Fingerprint: uint64(m.Fingerprint), Granted: m.Granted, Suspects: fromEvidence(m.Evidence),
+			Fingerprint: uint64(m.Fingerprint), Granted: m.Granted, Suspects: FromEvidence(m.Evidence),
 		}}}
 	case suspect.PermitRelease:
 		return &Message{Kind: &Message_SuspectDone{SuspectDone: &SuspectDone{Fingerprint: uint64(m.Fingerprint)}}}
@@ -33,7 +33,7 @@
 func ToSuspectMessage(m *Message) (suspect.Message, bool) {
 	switch k := m.GetKind().(type) {
 	case *Message_SuspectNews:
-		return suspect.EvidenceUpdate{Evidence: toEvidence(k.SuspectNews.GetSuspects()), Reply: k.SuspectNews.GetReply()}, true
+		return suspect.EvidenceUpdate{Evidence: ToEvidence(k.SuspectNews.GetSuspects()), Reply: k.SuspectNews.GetReply()}, true
 	case *Message_SuspectTaken:
 		return suspect.EvidenceAck{
 			Fingerprint: suspect.Fingerprint(k.SuspectTaken.GetFingerprint()), Endpoint: view.EndpointID(k.SuspectTaken.GetEndpoint()),
@@ -46,7 +46,7 @@
 	case *Message_SuspectPermit:
 		return suspect.PermitReply{
 			Fingerprint: suspect.Fingerprint(k.SuspectPermit.GetFingerprint()),
-			Granted:     k.SuspectPermit.GetGranted(), Evidence: toEvidence(k.SuspectPermit.GetSuspects()),
+			Granted:     k.SuspectPermit.GetGranted(), Evidence: ToEvidence(k.SuspectPermit.GetSuspects()),
 		}, true
 	case *Message_SuspectDone:
 		return suspect.PermitRelease{Fingerprint: suspect.Fingerprint(k.SuspectDone.GetFingerprint())}, true
@@ -54,7 +54,8 @@
 	return nil, false
 }
 
-func fromEvidence(all []suspect.Evidence) []*Suspect {
+// FromEvidence converts evidence to its wire form.
+func FromEvidence(all []suspect.Evidence) []*Suspect {
 	var suspects []*Suspect
 	for i := range all {
 		e := &all[i]
@@ -66,7 +67,8 @@
 	return suspects
 }
 
-func toEvidence(suspects []*Suspect) []suspect.Evidence {
+// ToEvidence converts evidence from its wire form.
+func ToEvidence(suspects []*Suspect) []suspect.Evidence {
 	var all []suspect.Evidence
 	for _, s := range suspects {
 		all = append(all, suspect.Evidence{
--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -243,29 +243,10 @@
 			}
 		})
 	}
-	addresses := make([]netip.AddrPort, routers)
-	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		is.NoErr(err)
-		addresses[i] = netip.MustParseAddrPort(l.Addr().String())
-		is.NoErr(l.Close())
-	}
+	var first netip.AddrPort
 	for i := range routers {
-		own := settings.Default()
-		own.Name, own.FailureDomain, own.PeerAddress, own.Peers = view.RouterID(fmt.Sprint("r", i)), "d", addresses[i], addresses
-		own.CallerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
-		r, err := StartHosted(t.Context(), HostedOptions{
-			Options: Options{
-				Settings: own, Incarnation: uint64(time.Now().UnixNano()), Network: NewNetwork(netip.Addr{}),
-				Logger: &log.Logger{Handler: discard.Default}, Registry: metrics.NewRegistry(),
-			},
-			Platform: &crashPlatform{f}, RevokeWithin: 2700 * time.Millisecond, DrainWithin: 2 * time.Second,
-			Listing: listing.Limits{LapseTime: time.Second, RelistTime: time.Second}, StopWithin: time.Second,
-			RetryLimits: retry.Limits{Ratio: 0.2, Extra: 200, Window: 10 * time.Second},
-		})
-		is.NoErr(err)
-		t.Cleanup(r.Close)
-		f.routers = append(f.routers, r)
+		f.startRouter(i, first)
+		first = f.routers[0].self.PeerAddress
 	}
 	for _, r := range f.routers {
 		waitFor(t, "the fleet is known", func() bool {
@@ -275,6 +256,32 @@
 	return f
 }
 
+// startRouter starts a router that joins the fleet at the seed, if there is one.
+func (f *crashFleet) startRouter(number int, seed netip.AddrPort) {
+	is := is.New(f.t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	own := settings.Default()
+	own.Name, own.FailureDomain, own.PeerAddress = view.RouterID(fmt.Sprint("r", number)), "d", netip.MustParseAddrPort(l.Addr().String())
+	is.NoErr(l.Close())
+	own.CallerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(number+1))
+	if seed.IsValid() {
+		own.Peers = []netip.AddrPort{seed}
+	}
+	r, err := StartHosted(f.t.Context(), HostedOptions{
+		Options: Options{
+			Settings: own, Incarnation: uint64(time.Now().UnixNano()), Network: NewNetwork(netip.Addr{}),
+			Logger: &log.Logger{Handler: discard.Default}, Registry: metrics.NewRegistry(),
+		},
+		Platform: &crashPlatform{f}, RevokeWithin: 2700 * time.Millisecond, DrainWithin: 2 * time.Second,
+		Listing: listing.Limits{LapseTime: time.Second, RelistTime: time.Second}, StopWithin: time.Second,
+		RetryLimits: retry.Limits{Ratio: 0.2, Extra: 200, Window: 10 * time.Second},
+	})
+	is.NoErr(err)
+	f.t.Cleanup(r.Close)
+	f.routers = append(f.routers, r)
+}
+
 // discardingSink receives an answer and records whether it is complete.
 type discardingSink struct {
 	status   int
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -190,9 +190,9 @@
 		started: time.Now(), options: &r.options, logger: h.Logger,
 	}
 	r.lateness = lateness.Start(h.Registry, h.Logger, r.overload.Observe)
+	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, ConfirmTimeout: evidenceTimeout}, r.fleet, p, h.Logger, h.Registry)
 	r.sources = startSources(r, p)
 	r.core.sources = r.sources
-	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, ConfirmTimeout: evidenceTimeout}, r.fleet, p, h.Logger, h.Registry)
 	r.fleet.watch(func(v *view.Snapshot) { scheduling.Input(schedule.Change{View: v}) })
 	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, r.suspects,
 		&fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}, h.Logger)
--- a/internal/transport/router/hosted_crash_test.go
+++ b/internal/transport/router/hosted_crash_test.go
@@ -29,6 +29,22 @@
 	}
 }
 
+// TestStartingRouterRejectsBeforeItServes guards against a router that starts empty
+// and runs a request that the others reject, before they have noticed its start.
+func TestStartingRouterRejectsBeforeItServes(t *testing.T) {
+	is := is.New(t)
+	f := startCrashFleet(t, 2, 8)
+	for send := range 3 {
+		is.True(!f.send(send, "/safe/x", bodyCrash))
+	}
+	before := f.crashes()
+	f.startRouter(len(f.routers), f.routers[0].self.PeerAddress)
+	last := f.routers[len(f.routers)-1]
+	waitFor(t, "the router serves", func() bool { return last.core.Ready() })
+	is.True(!f.send(len(f.routers)-1, "/safe/x", bodyCrash))
+	is.Equal(f.crashes(), before)
+}
+
 // TestStreamThatCrashesEndpointsLateIsStopped guards against a stream that crashes
 // each endpoint only after it has run there for a while.
 func TestStreamThatCrashesEndpointsLateIsStopped(t *testing.T) {
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -156,7 +156,8 @@
 	}
 }
 
-// querySeeds asks the routers at which this one joins the fleet for their data. The
+// querySeeds asks the routers at which this one joins the fleet for their data, and
+// for the evidence against the requests that they reject, before it serves. The
 // store may have come back from an older copy, so a router that starts empty must
 // not take what it holds for the newest if a router with newer data can be reached.
 func (s *sources) querySeeds() {
@@ -166,7 +167,7 @@
 			continue
 		}
 		queries.Go(func() {
-			if _, err := s.confirmFromAddress(seed, "", &wire.ConfirmationQuery{}, maxRelayedAge); err != nil {
+			if _, err := s.confirmFromAddress(seed, "", &wire.ConfirmationQuery{Starting: true}, maxRelayedAge); err != nil {
 				s.logger.WithFields(log.Fields{"Seed": seed, "Error": err}).Info("SeedQueryFailed")
 			}
 		})
@@ -312,6 +313,7 @@
 	}
 	age := time.Duration(answer.GetAgeMillis()) * time.Millisecond
 	listAge := time.Duration(answer.GetListAgeMillis()) * time.Millisecond
+	s.router.suspects.receiveEvidence(id, wire.ToEvidence(answer.GetSuspects()))
 	var restoredAt clock.Instant
 	if restored := answer.GetRestoredAgeMillis(); restored > 0 {
 		// The answer took time to arrive, so this is no earlier than the instant.
@@ -450,6 +452,9 @@
 	if restored := now.Sub(c.restoredAt); !c.restoredAt.IsZero() && restored < s.router.options.Listing.RelistTime {
 		answer.RestoredAgeMillis = uint64(max(restored/time.Millisecond, 1))
 	}
+	if q.GetStarting() {
+		answer.Suspects = wire.FromEvidence(s.router.suspects.rejecting())
+	}
 	if q.GetVersion() > c.version {
 		s.peerIsAhead.Store(true)
 	}
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -60,6 +60,7 @@
 	lastID  uint64                              // guarded by mu
 	waiting map[uint64]chan suspect.CheckResult // guarded by mu
 	reports map[uint64]chan struct{}            // guarded by mu
+	lists   map[uint64]chan []suspect.Evidence  // guarded by mu
 }
 
 func startSuspects(o suspect.Options, f *fleet, p *peers, logger log.Interface, registry metrics.Registry) *suspects {
@@ -67,7 +68,8 @@
 		table: suspect.New(o), isolates: o.Isolate, peers: p, logger: logger,
 		evidence:   metrics.GetOrRegisterCounter(MetricCrashEvidence, registry),
 		rejections: metrics.GetOrRegisterCounter(MetricCrashRejections, registry),
-		waiting:    map[uint64]chan suspect.CheckResult{}, reports: map[uint64]chan struct{}{}, stopped: make(chan struct{}),
+		waiting:    map[uint64]chan suspect.CheckResult{}, reports: map[uint64]chan struct{}{},
+		lists: map[uint64]chan []suspect.Evidence{}, stopped: make(chan struct{}),
 	}
 	s.driver = driver.New(s.step, suspect.Input(suspect.Alarm{}), s.apply)
 	for _, kind := range []string{"SuspectNews", "SuspectAsk", "SuspectPermit", "SuspectDone", "SuspectTaken"} {
@@ -110,6 +112,13 @@
 			close(done)
 		}
 		s.mu.Unlock()
+	case suspect.EvidenceList:
+		s.mu.Lock()
+		if list, ok := s.lists[o.ID]; ok {
+			delete(s.lists, o.ID)
+			list <- o.Evidence
+		}
+		s.mu.Unlock()
 	case suspect.Send:
 		if m := wire.FromSuspectMessage(o.Message); m != nil {
 			s.peers.Send(o.To, m)
@@ -121,6 +130,37 @@
 	}
 }
 
+// rejecting returns the evidence against the requests that are rejected.
+func (s *suspects) rejecting() []suspect.Evidence {
+	if !s.hasEvidence.Load() {
+		return nil
+	}
+	list := make(chan []suspect.Evidence, 1)
+	s.mu.Lock()
+	s.lastID++
+	id := s.lastID
+	s.lists[id] = list
+	s.mu.Unlock()
+	s.driver.Input(suspect.ListRequest{ID: id})
+	select {
+	case all := <-list:
+		return all
+	default:
+		// The table answers at once unless it has been closed.
+		s.mu.Lock()
+		delete(s.lists, id)
+		s.mu.Unlock()
+		return nil
+	}
+}
+
+// receiveEvidence adds evidence that another router has listed.
+func (s *suspects) receiveEvidence(from view.RouterID, all []suspect.Evidence) {
+	if len(all) > 0 {
+		s.driver.Input(suspect.Delivery{From: from, Message: suspect.EvidenceUpdate{Evidence: all}})
+	}
+}
+
 // reportAlive reports to the table that the endpoint has not restarted, as shown
 // by its answer to a query sent at sentAt.
 func (s *suspects) reportAlive(id view.EndpointID, sentAt time.Time) {
