--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -120,7 +120,9 @@
 	}
 	for _, r := range fleet {
 		waitFor(t, "the routers know each other", func() bool { return len(r.fleet.View().Routers) == count })
-		waitFor(t, "a configuration", func() bool { return r.core.Table() != nil })
+		waitFor(t, "a configuration and a list of endpoints", func() bool {
+			return r.core.Table() != nil && len(r.fleet.View().Endpoints) > 0
+		})
 	}
 	return fleet
 }
