--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -59,9 +59,7 @@
 }
 
 func pauseRouter(s *Soak, r *router) {
-	r.mu.Lock()
-	r.pausedAt = time.Now()
-	r.mu.Unlock()
+	r.pauseBegins(time.Now())
 	sendSignal(syscall.SIGSTOP)(s, r)
 }
 
@@ -70,14 +68,25 @@
 	sendSignal(syscall.SIGCONT)(s, r)
 }
 
-// pauseEnds records the end of a pause. A router that was asked to stop during it
-// begins only now.
+// pauseBegins records the beginning of a pause, unless the router is paused
+// already.
+func (r *router) pauseBegins(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pausedAt.IsZero() {
+		r.pausedAt = now
+	}
+}
+
+// pauseEnds records that the router runs again, at the end of the first of the
+// pauses that overlap. One that was asked to stop meanwhile begins only now.
 func (r *router) pauseEnds(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.stopRequested.After(r.pausedAt) {
+	if !r.pausedAt.IsZero() && r.stopRequested.After(r.pausedAt) {
 		r.stopRequested = now
 	}
+	r.pausedAt = time.Time{}
 }
 
 func setStoreProxy(m disruption.Mode) func(s *Soak, r *router) {
--- a/internal/tool/soak/faults_test.go
+++ b/internal/tool/soak/faults_test.go
@@ -12,10 +12,16 @@
 func TestStopDuringPauseBeginsAtItsEnd(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	r := &router{pausedAt: now, stopRequested: now.Add(time.Second)}
-	r.pauseEnds(now.Add(5 * time.Second))
-	is.Equal(r.stopRequested, now.Add(5*time.Second))
-	earlier := &router{pausedAt: now, stopRequested: now.Add(-time.Second)}
+	r := &router{}
+	r.pauseBegins(now)
+	r.stopRequested = now.Add(time.Second)
+	r.pauseBegins(now.Add(2 * time.Second)) // overlaps the first pause
+	r.pauseEnds(now.Add(3 * time.Second))
+	is.Equal(r.stopRequested, now.Add(3*time.Second))
+	r.pauseEnds(now.Add(5 * time.Second)) // the router has been running since the first end
+	is.Equal(r.stopRequested, now.Add(3*time.Second))
+	earlier := &router{stopRequested: now.Add(-time.Second)}
+	earlier.pauseBegins(now)
 	earlier.pauseEnds(now.Add(5 * time.Second))
 	is.Equal(earlier.stopRequested, now.Add(-time.Second))
 }
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -123,7 +123,7 @@
 	// The fields below are guarded by mu.
 	faultEnd      time.Time // when the last fault of the router ends or ended
 	stopRequested time.Time // when the router was last asked to stop
-	pausedAt      time.Time // when the router was last paused
+	pausedAt      time.Time // when the router was paused; zero while it is not
 }
 
 // Run runs a soak and returns its report. Violated guarantees are in the report;
