--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -38,30 +38,6 @@
 	ownersPerFingerprint = 2
 )
 
-// record holds the evidence against one fingerprint, by endpoint.
-type record struct {
-	evidence map[view.EndpointID]*Evidence
-	until    time.Time
-	// changedAt is when this router got the last piece of evidence.
-	changedAt time.Time
-	// loggedRejection is the number of failed endpoints at the last rejection that
-	// was logged.
-	loggedRejection int
-	// resends is set if this router saw a failure or cleared evidence itself.
-	// It then sends the evidence again at resendAt.
-	resends     bool
-	resendAt    time.Time
-	resendDelay time.Duration
-	// permitHolder is the router to which this router, as owner, granted the
-	// permit.
-	permitHolder view.RouterID
-	permitUntil  time.Time
-	// holdsPermit is set while this router holds the permit that grantedBy
-	// granted.
-	holdsPermit bool
-	grantedBy   view.RouterID
-}
-
 // waiter is a CheckRequest that waits for a permit or, in a table that does not
 // isolate suspects, for evidence; see mustSettle.
 type waiter struct {
@@ -171,20 +147,6 @@
 // Empty reports whether the table holds nothing that a request may depend on.
 func (t *Table) Empty() bool { return len(t.records) == 0 && len(t.late) == 0 }
 
-// failedEndpoints returns the number of endpoints whose failure counts against
-// a fingerprint.
-func (t *Table) failedEndpoints(now time.Time, f Fingerprint) int {
-	n := 0
-	if c := t.records[f]; c != nil {
-		for _, e := range c.evidence {
-			if !e.Cleared && now.Before(e.Until) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 func (t *Table) checkRequest(now time.Time, in CheckRequest) {
 	if t.decide(now, in) {
 		return
@@ -223,19 +185,6 @@
 	t.startBroadcast(now, in, e)
 }
 
-// startResending makes this router send the evidence of a record repeatedly.
-func (t *Table) startResending(now time.Time, c *record) {
-	c.resends, c.resendDelay, c.resendAt = true, firstResendDelay, now.Add(firstResendDelay)
-	t.recordDueAt(c.resendAt)
-}
-
-// recordDueAt moves recordsDueAt to the given instant if that is earlier.
-func (t *Table) recordDueAt(at time.Time) {
-	if t.recordsDueAt.IsZero() || at.Before(t.recordsDueAt) {
-		t.recordsDueAt = at
-	}
-}
-
 // runEnded releases the permit and, after a complete answer, clears the
 // evidence against the request.
 func (t *Table) runEnded(now time.Time, in RunEnded) {
@@ -271,106 +220,6 @@
 	}
 }
 
-func (t *Table) clear(now time.Time, c *record, match func(*Evidence) bool) {
-	var cleared []Evidence
-	for _, id := range sortedKeys(c.evidence) {
-		e := c.evidence[id]
-		if e.Cleared || !match(e) {
-			continue
-		}
-		e.Cleared = true
-		cleared = append(cleared, *e)
-	}
-	t.expireIfCleared(now, c)
-	t.startResending(now, c)
-	for i := range cleared {
-		t.emit(Decision{"SuspectCleared", fields(&cleared[i])})
-	}
-	t.sendToAll(cleared)
-}
-
-// addEvidence adds evidence, or clears known evidence, and reports whether it did
-// so. It ignores evidence that has expired, and evidence whose expiry lies
-// further ahead than that of any valid evidence. Only the router that found the
-// evidence logs it.
-func (t *Table) addEvidence(now time.Time, e Evidence, own bool) bool {
-	if !now.Before(e.Until) || e.Until.After(now.Add(2*evidenceLifetime)) {
-		return false
-	}
-	c := t.records[e.Fingerprint]
-	if c == nil {
-		t.evictIfFull(now)
-		c = &record{evidence: map[view.EndpointID]*Evidence{}}
-		t.records[e.Fingerprint] = c
-	}
-	known := c.evidence[e.Endpoint]
-	switch {
-	case known == nil:
-		c.evidence[e.Endpoint] = &e
-		if e.Until.After(c.until) {
-			c.until = e.Until
-			t.recordDueAt(c.until)
-		}
-	case e.Cleared && !known.Cleared:
-		known.Cleared = true
-		t.expireIfCleared(now, c)
-		return true
-	default:
-		return false
-	}
-	if !e.Cleared {
-		c.changedAt = now
-		if own {
-			t.emit(Decision{"RequestSuspected", fields(&e)})
-		}
-	}
-	return true
-}
-
-// expireIfCleared lets the record expire soon if none of its evidence counts.
-func (t *Table) expireIfCleared(now time.Time, c *record) {
-	if t.options.Isolate {
-		return
-	}
-	for _, e := range c.evidence {
-		if !e.Cleared {
-			return
-		}
-	}
-	c.until = now.Add(clearedLifetime)
-	t.recordDueAt(c.until)
-}
-
-// evictIfFull makes room if there are maxRecords. It removes evictedRecords at
-// once, so that a full table does not search all records for each new one: first
-// those that reject nothing, and of these the ones that expire first.
-func (t *Table) evictIfFull(now time.Time) {
-	if len(t.records) < maxRecords {
-		return
-	}
-	type candidate struct {
-		fingerprint Fingerprint
-		rejects     bool
-		until       time.Time
-	}
-	all := make([]candidate, 0, len(t.records))
-	for f, c := range t.records {
-		all = append(all, candidate{f, t.failedEndpoints(now, f) >= rejectThreshold, c.until})
-	}
-	slices.SortFunc(all, func(a, b candidate) int {
-		if a.rejects != b.rejects {
-			if b.rejects {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.fingerprint, b.fingerprint))
-	})
-	for _, c := range all[:evictedRecords] {
-		delete(t.records, c.fingerprint)
-	}
-}
-
 func (t *Table) deliver(now time.Time, in Delivery) {
 	switch m := in.Message.(type) {
 	case EvidenceUpdate:
@@ -490,52 +339,6 @@
 	}
 }
 
-// advanceRecords removes expired records and sends evidence again. Between the
-// instants at which something is due, it costs nothing.
-func (t *Table) advanceRecords(now time.Time) {
-	if t.recordsDueAt.IsZero() || now.Before(t.recordsDueAt) {
-		return
-	}
-	t.recordsDueAt = time.Time{}
-	t.expireLate(now)
-	var due []Fingerprint
-	for f, c := range t.records {
-		switch {
-		case !now.Before(c.until):
-			delete(t.records, f)
-			continue
-		case c.resends && !now.Before(c.resendAt):
-			due = append(due, f)
-		case c.resends:
-			t.recordDueAt(c.resendAt)
-		}
-		t.recordDueAt(c.until)
-	}
-	slices.Sort(due)
-	for _, f := range due {
-		t.resendEvidence(now, f)
-	}
-}
-
-// resendEvidence sends the evidence against a request to all routers again.
-// Where suspects run without restrictions, only evidence that rejects a request
-// is worth the messages.
-func (t *Table) resendEvidence(now time.Time, f Fingerprint) {
-	c := t.records[f]
-	if !t.options.Isolate && t.failedEndpoints(now, f) < rejectThreshold {
-		c.resends = false
-		return
-	}
-	c.resendDelay *= 2
-	c.resendAt = now.Add(c.resendDelay)
-	t.recordDueAt(c.resendAt)
-	var toSend []Evidence
-	for _, id := range sortedKeys(c.evidence) {
-		toSend = append(toSend, *c.evidence[id])
-	}
-	t.sendToAll(toSend)
-}
-
 func fields(e *Evidence) []string {
 	return []string{
 		"Fingerprint", strconv.FormatUint(uint64(e.Fingerprint), 16), "Endpoint", string(e.Endpoint),
