--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -82,7 +82,7 @@
 			p.start(now, w, best)
 			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total()
 		case p.mustRefuse(now, w, best, found, queueTime, capacityShare < 1):
-			p.refuse(now, w, best, queueTime, refusalDetail(now, w, best, found, queueTime, capacityShare))
+			p.refuse(now, w, best, queueTime, refusalDetail(now, w, best, found, queueTime, capacityShare, rates[w.request.Organisation], fairRate))
 		default:
 			if w.request.Prompt != nil {
 				queueTime += time.Duration(float64(best.work.prefill) / speed * float64(time.Millisecond))
@@ -209,16 +209,18 @@
 
 // refusalDetail returns the values that led to the refusal of a request. In
 // addition to the keys of start, queue stands for queueTime, strain for the
-// saturation and share for capacityShare; room=none states that no endpoint can
-// run the request.
-func refusalDetail(now time.Time, w *queuedRequest, c candidate, found bool, queueTime time.Duration, capacityShare float64) string {
+// saturation, share for capacityShare, and requested, received and fair for the
+// rates of the organisation and the fair rate in tokens per second; room=none states
+// that no endpoint can run the request.
+func refusalDetail(now time.Time, w *queuedRequest, c candidate, found bool, queueTime time.Duration, capacityShare float64, fleet usageRates, fairRate float64) string {
 	waited := now.Sub(w.arrived).Round(time.Millisecond)
+	rates := fmt.Sprintf("share=%.2f,requested=%.0f,received=%.0f,fair=%.0f", capacityShare, fleet.requested, fleet.received, fairRate)
 	if !found {
-		return fmt.Sprintf("waited=%v,room=none,share=%.2f", waited, capacityShare)
+		return fmt.Sprintf("waited=%v,room=none,%s", waited, rates)
 	}
-	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,measured=%s,share=%.2f",
+	return fmt.Sprintf("waited=%v,endpoint=%s,begins=%v,ahead=%d,queue=%v,strain=%.2f,measured=%s,%s",
 		waited, c.endpoint.ID, c.timeToFirstToken.Round(time.Millisecond), c.tokensAhead, queueTime.Round(time.Millisecond), c.saturation,
-		c.endpoint.measured.age(now), capacityShare)
+		c.endpoint.measured.age(now), rates)
 }
 
 // RetryWhenFull returns the instant at which a caller should retry if its
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -160,6 +160,17 @@
 	return p
 }
 
+// OrganisationOf returns the name of the organisation that holds the key by the
+// configuration in force, for the log; empty if there is none.
+func (c *Core) OrganisationOf(key string) string {
+	if table := c.Table(); table != nil {
+		if o := table.Organisation(key); o != nil {
+			return o.Name
+		}
+	}
+	return ""
+}
+
 // identify returns the organisation that holds the caller's key. While the
 // configuration is too old to judge the key, it refuses the request with status
 // 503 rather than 401, because the key may be valid.
--- a/internal/transport/router/rejecter.go
+++ b/internal/transport/router/rejecter.go
@@ -7,8 +7,10 @@
 
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 
 	"hyssopreach/internal/coordination/overload"
+	"hyssopreach/internal/transport/entry"
 )
 
 const (
@@ -42,10 +44,16 @@
 
 // Observe adjusts the controller to a sample of the router's lateness.
 func (c *overloadController) Observe(lateness time.Duration) {
+	c.Controller.Observe(max(lateness, c.recentBacklog()))
+}
+
+// recentBacklog returns the time for which the accept queue had not been empty;
+// zero without a recent connection.
+func (c *overloadController) recentBacklog() time.Duration {
 	if b := c.backlog.Load(); b != nil && time.Since(b.acceptedAt) < maxBacklogAge {
-		lateness = max(lateness, b.duration)
+		return b.duration
 	}
-	c.Controller.Observe(lateness)
+	return 0
 }
 
 // rejecter implements connlimit.Overload. Only one goroutine may use it.
@@ -58,10 +66,24 @@
 	// the instant of the next one.
 	unlogged  int
 	nextLogAt time.Time
+	// requests and refusals are the router's counters, and logged is the router's
+	// load at the last log line.
+	requests, refusals metrics.Counter
+	logged             routerLoad
+}
+
+// routerLoad is what the router has done by an instant.
+type routerLoad struct {
+	at                 time.Time
+	processor          time.Duration
+	requests, refusals int64
 }
 
 func newRejecter(c *overloadController, answer func(now, retryAt time.Time) []byte, logger log.Interface, registry metrics.Registry) *rejecter {
-	return &rejecter{controller: c, answer: answer, logger: logger, count: metrics.GetOrRegisterCounter(metricRejected, registry)}
+	return &rejecter{
+		controller: c, answer: answer, logger: logger, count: metrics.GetOrRegisterCounter(metricRejected, registry),
+		requests: metrics.GetOrRegisterCounter(entry.MetricRequests, registry), refusals: metrics.GetOrRegisterCounter(entry.MetricRefusals, registry),
+	}
 }
 
 // Reject implements connlimit.Overload.
@@ -70,13 +92,35 @@
 	return r.controller.Reject()
 }
 
+// log logs the rejections since the last log line and what the router has done
+// since then.
+func (r *rejecter) log(now time.Time) {
+	load := routerLoad{now, processorTime(), r.requests.Count(), r.refusals.Count()}
+	r.logger.WithFields(log.Fields{
+		"Count": r.unlogged, "Fraction": r.controller.Fraction(), "Backlog": r.controller.recentBacklog().Round(time.Millisecond),
+		"Interval": now.Sub(r.logged.at).Round(time.Millisecond), "Processor": (load.processor - r.logged.processor).Round(time.Millisecond),
+		"Requests": load.requests - r.logged.requests, "Refusals": load.refusals - r.logged.refusals,
+	}).Warn("ConnectionsRejected")
+	r.logged = load
+}
+
+// processorTime returns the processor time that this process has used; zero if the
+// host does not tell.
+func processorTime() time.Duration {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // Answer implements connlimit.Overload. It counts the rejection.
 func (r *rejecter) Answer() []byte {
 	now := time.Now()
 	r.count.Inc(1)
 	r.unlogged++
 	if !now.Before(r.nextLogAt) {
-		r.logger.WithFields(log.Fields{"Count": r.unlogged, "Fraction": r.controller.Fraction()}).Warn("ConnectionsRejected")
+		r.log(now)
 		r.unlogged, r.nextLogAt = 0, now.Add(rejectLogInterval)
 	}
 	return r.answer(now, now.Add(minRejectDelay+rand.N(rejectJitter)))
