--- a/internal/coordination/admission/pacedfleet_test.go
+++ b/internal/coordination/admission/pacedfleet_test.go
@@ -51,6 +51,8 @@
 	requests []map[schedule.RequestID]string
 	last     schedule.RequestID
 	started  map[string]int
+	// onStart is called with each start, unless it is nil.
+	onStart func(router int, organisation string)
 }
 
 func newPacedFleet(routers, engines int, tokensPerSecond float64) *pacedFleet {
@@ -82,6 +84,9 @@
 		switch o := out.(type) {
 		case schedule.Start:
 			f.started[f.requests[router][o.ID]]++
+			if f.onStart != nil {
+				f.onStart(router, f.requests[router][o.ID])
+			}
 			e := f.engines[o.Endpoint]
 			e.streams = append(e.streams, &fleetStream{router: router, id: o.ID, prefill: 1000, startedAt: f.now})
 		case schedule.Send:
--- /dev/null
+++ b/internal/coordination/admission/slowrouter_test.go
@@ -0,0 +1,157 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/coordination/overload"
+)
+
+// The tests in this file add to the simulated fleet the processor time that a
+// router takes for a request. A router without enough of it rejects connections
+// unread.
+
+const (
+	// readCost, startCost and rejectCost are the processor time of reading a
+	// request, of running one that has been read, and of rejecting a connection.
+	readCost, startCost, rejectCost = 400 * time.Microsecond, 800 * time.Microsecond, 40 * time.Microsecond
+	// sampleInterval is the time between two samples of a router's lateness.
+	sampleInterval = 50 * time.Millisecond
+	// requestWork is the work of one request in tokens.
+	requestWork = 1040
+	// shareWindow is the number of seconds over which the operators compare what
+	// organisations get.
+	shareWindow = 6
+)
+
+// processorFleet is a fleet whose routers have limited processor time.
+type processorFleet struct {
+	*pacedFleet
+	routers []*processor
+	// asked and startedBy hold the requests of each organisation in each second.
+	asked, startedBy []map[string]int
+}
+
+// processor is the processor time of one router.
+type processor struct {
+	// core is the part of a core that the router has, and left what remains of it in
+	// this step.
+	core       float64
+	left       time.Duration
+	controller overload.Controller
+	// accepted are the connections in the accept queue.
+	accepted []waitingConn
+}
+
+// waitingConn is a connection with one request that has not been read.
+type waitingConn struct {
+	organisation string
+	since        time.Time
+}
+
+func newProcessorFleet(cores []float64, engines int, tokensPerSecond float64) *processorFleet {
+	f := &processorFleet{pacedFleet: newPacedFleet(len(cores), engines, tokensPerSecond)}
+	for _, core := range cores {
+		f.routers = append(f.routers, &processor{core: core})
+	}
+	f.onStart = func(router int, organisation string) {
+		f.routers[router].left -= startCost
+		f.startedBy[len(f.startedBy)-1][organisation]++
+	}
+	return f
+}
+
+func equalCores(routers int) []float64 {
+	cores := make([]float64, routers)
+	for i := range cores {
+		cores[i] = 0.8
+	}
+	return cores
+}
+
+// connect opens a connection with one request of the organisation to a router.
+func (f *processorFleet) connect(router int, organisation string) {
+	f.asked[len(f.asked)-1][organisation]++
+	r := f.routers[router]
+	r.accepted = append(r.accepted, waitingConn{organisation, f.now})
+}
+
+// serve lets a router use its processor time for one step.
+func (f *processorFleet) serve(i int) {
+	r := f.routers[i]
+	r.left = min(r.left, 0) + time.Duration(r.core*float64(testStep))
+	for r.left > 0 && len(r.accepted) > 0 {
+		c := r.accepted[0]
+		r.accepted = r.accepted[1:]
+		if r.controller.Reject() {
+			r.left -= rejectCost
+			continue
+		}
+		r.left -= readCost
+		f.send(i, c.organisation)
+	}
+}
+
+// sample adjusts the controllers of all routers.
+func (f *processorFleet) sample() {
+	for _, r := range f.routers {
+		lateness := time.Duration(0)
+		if len(r.accepted) > 0 {
+			lateness = f.now.Sub(r.accepted[0].since)
+		}
+		r.controller.Observe(lateness)
+	}
+}
+
+// runSeconds runs the load for a number of seconds; load is called for each step.
+func (f *processorFleet) runSeconds(seconds int, load func()) {
+	for range seconds {
+		f.asked, f.startedBy = append(f.asked, map[string]int{}), append(f.startedBy, map[string]int{})
+		for step := range int(time.Second / testStep) {
+			load()
+			for i := range f.routers {
+				f.serve(i)
+			}
+			if step%int(sampleInterval/testStep) == 0 {
+				f.sample()
+			}
+			f.advance()
+		}
+	}
+}
+
+// shortOf returns what the organisation got within the window that begins at the
+// second, and half of what it asked or the other one got, whichever is less in
+// each second.
+func (f *processorFleet) shortOf(from int, organisation, other string) (got, due float64) {
+	for s := from; s < from+shareWindow; s++ {
+		got += float64(f.startedBy[s][organisation])
+		due += float64(min(f.asked[s][organisation], f.startedBy[s][other])) / 2
+	}
+	return got, due
+}
+
+// TestOrganisationAtSlowRouterGetsHalfOfTheBest guards against an organisation that
+// gets less than half of the best served one because all of its callers use one
+// router, whose processor time is short, while others use all routers.
+func TestOrganisationAtSlowRouterGetsHalfOfTheBest(t *testing.T) {
+	is := is.New(t)
+	const routers, engines, seconds = 20, 20, 12
+	f := newProcessorFleet(equalCores(routers), engines, engines*36*requestWork)
+	f.routers[0].core = 0.192
+	sent := 0
+	f.runSeconds(seconds, func() {
+		for range 4 {
+			f.connect(0, "single")
+			f.connect(sent%routers, "spread")
+			sent++
+		}
+	})
+	for from := range seconds - shareWindow + 1 {
+		got, due := f.shortOf(from, "single", "spread")
+		t.Logf("from second %d: single got %.0f, half of what spread got is %.0f", from, got, due)
+		is.True(got+3 >= due)
+	}
+}
--- a/internal/transport/connlimit/listener_test.go
+++ b/internal/transport/connlimit/listener_test.go
@@ -199,6 +199,41 @@
 	is.Equal(served.Load(), int64(1))
 }
 
+// recordBacklog is an Overload that rejects all connections and records the
+// greatest backlog.
+type recordBacklog struct {
+	rejectAll
+	greatest atomic.Int64
+}
+
+func (r *recordBacklog) Reject(backlog time.Duration) bool {
+	r.greatest.Store(max(r.greatest.Load(), int64(backlog)))
+	return true
+}
+
+// TestQueueThatEmptiesIsNoBacklog guards against a router that goes on rejecting
+// nearly all connections although none has to wait, because the next one always
+// arrives within a fraction of a millisecond.
+func TestQueueThatEmptiesIsNoBacklog(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	overload := &recordBacklog{}
+	l := New(inner, 100, overload)
+	s := &http.Server{ReadHeaderTimeout: time.Minute}
+	l.InstallHooks(s)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for begun := time.Now(); time.Since(begun) < time.Second; {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		_, err = bufio.NewReader(c).ReadByte() // the next connection is opened after this one is rejected
+		is.NoErr(err)
+		is.NoErr(c.Close())
+	}
+	is.True(overload.greatest.Load() < int64(500*time.Millisecond)) // of one second
+}
+
 // TestBacklogIsTimeSinceQueueWasEmpty checks what counts as an empty accept
 // queue: calls that wait, but neither a single long one nor a quiet period.
 func TestBacklogIsTimeSinceQueueWasEmpty(t *testing.T) {
