--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -130,6 +130,10 @@
 			l.measureBacklog(0, time.Now())
 			continue
 		}
+		if reject {
+			// Under a flood the next connection arrives soon, but none waits.
+			l.emptyAt = time.Now()
+		}
 		begun := time.Now()
 		inner, err := l.Listener.Accept()
 		now := time.Now()
