--- a/internal/coordination/admission/pacedfleet_test.go
+++ b/internal/coordination/admission/pacedfleet_test.go
@@ -53,6 +53,8 @@
 	started  map[string]int
 	// onStart is called with each start, unless it is nil.
 	onStart func(router int, organisation string)
+	// onRates is called with the rates that a policy states, unless it is nil.
+	onRates func(router int, received map[string]float64)
 }
 
 func newPacedFleet(routers, engines int, tokensPerSecond float64) *pacedFleet {
@@ -89,6 +91,10 @@
 			}
 			e := f.engines[o.Endpoint]
 			e.streams = append(e.streams, &fleetStream{router: router, id: o.ID, prefill: 1000, startedAt: f.now})
+		case schedule.Rates:
+			if f.onRates != nil {
+				f.onRates(router, o.Received)
+			}
 		case schedule.Send:
 			for i := range f.policies {
 				if routerID(i) == o.To {
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -118,6 +118,11 @@
 		if m, ok := in.Message.(*schedule.Pulse); ok {
 			p.receivePulse(now, in.From, m)
 		}
+	case schedule.Rejections:
+		for organisation, work := range in.Work {
+			p.usage.addRequested(now, organisation, work)
+		}
+		p.emitRates(now)
 	case schedule.Change:
 		p.change(now, in.View)
 	case schedule.Alarm:
@@ -145,6 +150,16 @@
 
 func (p *Policy) emit(o schedule.Output) { p.out = append(p.out, o) }
 
+// emitRates states what organisations receive from the fleet.
+func (p *Policy) emitRates(now time.Time) {
+	rates := p.usage.fleetRates(now)
+	received := make(map[string]float64, len(rates))
+	for name, o := range rates {
+		received[name] = o.received
+	}
+	p.emit(schedule.Rates{Received: received})
+}
+
 func (p *Policy) arrive(now time.Time, r *schedule.Request) {
 	l := p.pools[r.Pool]
 	if l == nil || len(l.endpoints) == 0 {
@@ -153,7 +168,7 @@
 	}
 	w := &queuedRequest{request: *r, arrived: now}
 	if r.Prompt != nil {
-		w.cost = float64(r.Prompt.InputTokens + outputWeight*r.Prompt.OutputTokens)
+		w.cost = Cost(r.Prompt)
 		w.prefixKey = sharedPrefixKey(r.Prompt)
 	}
 	p.usage.addRequested(now, r.Organisation, w.cost)
@@ -221,7 +236,12 @@
 	if r.request.Prompt == nil {
 		return 0
 	}
-	return float64(r.request.Prompt.InputTokens + outputWeight*r.request.Prompt.OutputTokens)
+	return Cost(r.request.Prompt)
+}
+
+// Cost returns the work that a request with the prompt is charged for, in tokens.
+func Cost(p *schedule.Prompt) float64 {
+	return float64(p.InputTokens + outputWeight*p.OutputTokens)
 }
 
 // change replaces the view. The state of an endpoint is retained for as long
--- a/internal/coordination/admission/slowrouter_test.go
+++ b/internal/coordination/admission/slowrouter_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"hyssopreach/internal/coordination/overload"
+	"hyssopreach/internal/coordination/schedule"
 )
 
 // The tests in this file add to the simulated fleet the processor time that a
@@ -43,6 +44,9 @@
 	controller overload.Controller
 	// accepted are the connections in the accept queue.
 	accepted []waitingConn
+	// rejected is the work of rejected connections since the last sample, and
+	// received the last statement of the policy.
+	rejected, received map[string]float64
 }
 
 // waitingConn is a connection with one request that has not been read.
@@ -54,12 +58,13 @@
 func newProcessorFleet(cores []float64, engines int, tokensPerSecond float64) *processorFleet {
 	f := &processorFleet{pacedFleet: newPacedFleet(len(cores), engines, tokensPerSecond)}
 	for _, core := range cores {
-		f.routers = append(f.routers, &processor{core: core})
+		f.routers = append(f.routers, &processor{core: core, rejected: map[string]float64{}})
 	}
 	f.onStart = func(router int, organisation string) {
 		f.routers[router].left -= startCost
 		f.startedBy[len(f.startedBy)-1][organisation]++
 	}
+	f.onRates = func(router int, received map[string]float64) { f.routers[router].received = received }
 	return f
 }
 
@@ -85,8 +90,9 @@
 	for r.left > 0 && len(r.accepted) > 0 {
 		c := r.accepted[0]
 		r.accepted = r.accepted[1:]
-		if r.controller.Reject() {
+		if r.controller.Reject(c.organisation) {
 			r.left -= rejectCost
+			r.rejected[c.organisation] += requestWork
 			continue
 		}
 		r.left -= readCost
@@ -96,12 +102,14 @@
 
 // sample adjusts the controllers of all routers.
 func (f *processorFleet) sample() {
-	for _, r := range f.routers {
+	for i, r := range f.routers {
 		lateness := time.Duration(0)
 		if len(r.accepted) > 0 {
 			lateness = f.now.Sub(r.accepted[0].since)
 		}
-		r.controller.Observe(lateness)
+		f.input(i, schedule.Rejections{Work: r.rejected})
+		r.rejected = map[string]float64{}
+		r.controller.Observe(lateness, func(organisation string) float64 { return r.received[organisation] })
 	}
 }
 
--- a/internal/coordination/overload/controller.go
+++ b/internal/coordination/overload/controller.go
@@ -1,6 +1,9 @@
 package overload
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,38 +19,116 @@
 	// maxFraction leaves some connections, by whose requests the router learns
 	// who still calls it.
 	maxFraction = 0.99
+	// offeredWeight is the weight of the newest sample in the mean number of
+	// connections that an organisation opens between two samples. An organisation
+	// below minOffered is forgotten.
+	offeredWeight, minOffered = 0.2, 0.01
 )
 
-// Controller holds the fraction of new connections to reject.
+// Unknown stands for the organisation of connections whose callers are not known.
+const Unknown = ""
+
+// Controller holds the fraction of new connections to reject, and how it is
+// divided between organisations.
 type Controller struct {
 	mu       sync.Mutex
 	fraction float64 // guarded by mu
-	// remainder is the part of a connection that is still to be rejected, so that
-	// rejected connections are spread evenly. Guarded by mu.
-	remainder float64
+	// organisations are those that have lately opened connections while some were
+	// rejected. Guarded by mu.
+	organisations map[string]*organisation
+}
+
+// organisation is the state of one organisation.
+type organisation struct {
+	// connections is the number of connections since the last sample, and offered
+	// the mean number between two samples.
+	connections, offered float64
+	// fraction is the part of the connections that is rejected, and remainder the
+	// part of a connection that is still to be rejected, so that rejected
+	// connections are spread evenly.
+	fraction, remainder float64
 }
 
-// Observe adjusts the fraction to a sample of the router's lateness.
-func (c *Controller) Observe(lateness time.Duration) {
+// Observe adjusts the fraction to a sample of the router's lateness. received
+// returns the rate of the work that an organisation receives from the whole fleet;
+// nil if no rate is known.
+func (c *Controller) Observe(lateness time.Duration, received func(organisation string) float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if lateness <= targetLateness {
 		c.fraction = max(c.fraction-fallStep, 0)
-		return
+	} else {
+		excess := float64(lateness-targetLateness) / float64(targetLateness)
+		c.fraction = min(c.fraction+min(riseStep*excess, maxRise), maxFraction)
 	}
-	excess := float64(lateness-targetLateness) / float64(targetLateness)
-	c.fraction = min(c.fraction+min(riseStep*excess, maxRise), maxFraction)
+	c.divide(received)
 }
 
-// Reject reports whether to reject the connection at hand.
-func (c *Controller) Reject() bool {
+// divide divides the connections that are not rejected between the organisations:
+// those that receive least from the fleet come first, since their callers may have
+// no other router, and get as many as they open. Connections of unknown callers are
+// rejected in the mean proportion. It requires that mu is held.
+func (c *Controller) divide(received func(organisation string) float64) {
+	type entry struct {
+		name     string
+		received float64
+		*organisation
+	}
+	var entries []entry
+	total := 0.0
+	for name, o := range c.organisations {
+		o.offered += offeredWeight * (o.connections - o.offered)
+		o.connections = 0
+		if o.offered < minOffered {
+			delete(c.organisations, name)
+			continue
+		}
+		if name == Unknown {
+			o.fraction = c.fraction
+			continue
+		}
+		total += o.offered
+		rate := 0.0
+		if received != nil {
+			rate = received(name)
+		}
+		entries = append(entries, entry{name, rate, o})
+	}
+	slices.SortFunc(entries, func(a, b entry) int {
+		if order := cmp.Compare(a.received, b.received); order != 0 {
+			return order
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	remaining := total * (1 - c.fraction)
+	for _, e := range entries {
+		kept := min(e.offered, remaining)
+		remaining -= kept
+		e.organisation.fraction = min(1-kept/e.offered, maxFraction)
+	}
+}
+
+// Reject reports whether to reject a connection of the organisation, or of Unknown.
+func (c *Controller) Reject(name string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.remainder += c.fraction
-	if c.remainder < 1 {
+	if c.fraction == 0 {
+		return false
+	}
+	o := c.organisations[name]
+	if o == nil {
+		if c.organisations == nil {
+			c.organisations = map[string]*organisation{}
+		}
+		o = &organisation{fraction: c.fraction}
+		c.organisations[name] = o
+	}
+	o.connections++
+	o.remainder += o.fraction
+	if o.remainder < 1 {
 		return false
 	}
-	c.remainder--
+	o.remainder--
 	return true
 }
 
--- a/internal/coordination/overload/controller_test.go
+++ b/internal/coordination/overload/controller_test.go
@@ -19,7 +19,7 @@
 // step offers connections and takes a sample after them.
 func (r *router) step(connections int) {
 	for range connections {
-		if r.controller.Reject() {
+		if r.controller.Reject(Unknown) {
 			r.rejected++
 			r.backlog += r.rejectionCost
 		} else {
@@ -28,7 +28,7 @@
 		}
 	}
 	r.backlog = max(0, r.backlog-r.capacity)
-	r.controller.Observe(time.Duration(r.backlog / r.capacity * float64(50*time.Millisecond)))
+	r.controller.Observe(time.Duration(r.backlog/r.capacity*float64(50*time.Millisecond)), nil)
 }
 
 // TestOverloadedRouterStaysOnTime guards against a router that falls further
@@ -50,6 +50,36 @@
 	is.True(float64(r.read) >= 0.6*200*(10-30*0.25)/0.75)
 }
 
+// TestLeastServedOrganisationIsRejectedLast guards against rejection by the order
+// of arrival: organisations that the fleet serves well, or whose callers have other
+// routers, would take the time of those that receive little.
+func TestLeastServedOrganisationIsRejectedLast(t *testing.T) {
+	is := is.New(t)
+	var c Controller
+	received := map[string]float64{"small": 1, "pinned": 50, "spread": 200}
+	offered := map[string]int{"small": 2, "pinned": 100, "spread": 20, Unknown: 10}
+	kept := map[string]int{}
+	for i := range 400 {
+		lateness := targetLateness
+		if c.Fraction() < 0.8 {
+			lateness = 3 * targetLateness
+		}
+		c.Observe(lateness, func(organisation string) float64 { return received[organisation] })
+		for name, n := range offered {
+			for range n {
+				if !c.Reject(name) && i >= 200 {
+					kept[name]++
+				}
+			}
+		}
+	}
+	t.Logf("kept %v of 200 times %v", kept, offered)
+	is.Equal(kept["small"], 200*2)
+	is.True(kept["spread"] <= 200*20*5/100) // one in a hundred, and what the rounding leaves
+	is.True(kept["pinned"] >= 200*10 && kept["pinned"] <= 200*30)
+	is.True(kept[Unknown] >= 200 && kept[Unknown] <= 200*3)
+}
+
 // TestNothingIsRejectedOnTime checks that a router with enough processor time
 // rejects nothing, and that it stops to reject soon after a flood.
 func TestNothingIsRejectedOnTime(t *testing.T) {
--- a/internal/coordination/overload/doc.go
+++ b/internal/coordination/overload/doc.go
@@ -8,6 +8,10 @@
 // the connections that is rejected rises while the router runs late and falls
 // while it does not.
 //
+// Which connections are rejected follows what their organisations receive from the
+// whole fleet: callers of an organisation that receives little come first, since
+// they may have no other router.
+//
 // A Controller starts no goroutine and reads no clock. Its methods may be called
 // concurrently.
 package overload
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -163,6 +163,14 @@
 // Change replaces the view of routers, endpoints and organisations.
 type Change struct{ View *view.Snapshot }
 
+// Rejections reports requests that the router has rejected before they reached
+// the scheduler, because it has no processor time for them. The scheduler answers
+// with Rates.
+type Rejections struct {
+	// Work is the rejected work by organisation, in the unit of OrganisationUse.
+	Work map[string]float64
+}
+
 // Alarm reports that the instant requested by Wake has been reached.
 type Alarm struct{}
 
@@ -173,6 +181,7 @@
 func (Load) schedulerInput()       {}
 func (Delivery) schedulerInput()   {}
 func (Change) schedulerInput()     {}
+func (Rejections) schedulerInput() {}
 func (Alarm) schedulerInput()      {}
 
 // Output is an action that a scheduler requests from its router.
@@ -234,6 +243,12 @@
 func (Wake) schedulerOutput()     {}
 func (Decision) schedulerOutput() {}
 
+// Rates states the rates of the work that organisations receive from the whole
+// fleet, in the unit of OrganisationUse. The map is not changed afterwards.
+type Rates struct{ Received map[string]float64 }
+
+func (Rates) schedulerOutput() {}
+
 // Message is a message between the schedulers of two routers. Package peer
 // converts the concrete types to their wire form and back.
 type Message interface{ SchedulerMessage() }
--- a/internal/transport/connlimit/doc.go
+++ b/internal/transport/connlimit/doc.go
@@ -11,5 +11,6 @@
 //
 // When the limit on open connections is reached, the connections that have been
 // idle longest are closed to admit new ones. While the router is overloaded, a
-// part of the new connections is answered and closed before anything is read.
+// part of the new connections is answered and closed before their requests are read.
+// What the callers have sent by then is looked at, to decide whom to reject.
 package connlimit
--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -36,9 +36,12 @@
 // Overload decides which new connections are rejected before anything is read
 // from them.
 type Overload interface {
-	// Reject reports whether to reject the next connection. The accept queue has
-	// not been empty for the given time.
-	Reject(backlog time.Duration) bool
+	// Observe reports whether any connections are to be rejected at present. The
+	// accept queue has not been empty for the given time.
+	Observe(backlog time.Duration) bool
+	// Reject reports whether to reject a connection on which the caller has sent
+	// head so far: the beginning of a request, or nothing.
+	Reject(head []byte) bool
 	// Answer returns the answer to a connection that is rejected, which states
 	// that no request on it has run.
 	Answer() []byte
@@ -124,13 +127,17 @@
 			// those of streams and of other routers, would hardly run.
 			runtime.Gosched()
 		}
-		reject := l.overload != nil && l.overload.Reject(l.backlog)
-		if reject && l.rejecter.rejectNext(l.overload.Answer) {
-			l.accepted += rejectCost
-			l.measureBacklog(0, time.Now())
-			continue
-		}
-		if reject {
+		rejecting := l.overload != nil && l.overload.Observe(l.backlog)
+		if rejecting {
+			if c, found := l.rejecter.next(l.overload); found {
+				l.measureBacklog(0, time.Now())
+				if c == nil {
+					l.accepted += rejectCost
+					continue
+				}
+				l.accepted += serveCost
+				return c, nil
+			}
 			// Under a flood the next connection arrives soon, but none waits.
 			l.emptyAt = time.Now()
 		}
@@ -139,7 +146,7 @@
 		now := time.Now()
 		l.measureBacklog(now.Sub(begun), now)
 		l.accepted += serveCost
-		if !reject || err != nil {
+		if err != nil || !rejecting || !l.overload.Reject(nil) {
 			return inner, err
 		}
 		l.rejecter.reject(inner, l.overload.Answer())
--- a/internal/transport/connlimit/listener_test.go
+++ b/internal/transport/connlimit/listener_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -164,7 +166,9 @@
 // rejectAll is an Overload that rejects the given number of connections.
 type rejectAll struct{ left int }
 
-func (r *rejectAll) Reject(time.Duration) bool { return r.left > 0 }
+func (r *rejectAll) Observe(time.Duration) bool { return r.left > 0 }
+
+func (r *rejectAll) Reject([]byte) bool { return r.left > 0 }
 
 func (r *rejectAll) Answer() []byte {
 	r.left--
@@ -206,11 +210,13 @@
 	greatest atomic.Int64
 }
 
-func (r *recordBacklog) Reject(backlog time.Duration) bool {
+func (r *recordBacklog) Observe(backlog time.Duration) bool {
 	r.greatest.Store(max(r.greatest.Load(), int64(backlog)))
 	return true
 }
 
+func (r *recordBacklog) Reject([]byte) bool { return true }
+
 // TestQueueThatEmptiesIsNoBacklog guards against a router that goes on rejecting
 // nearly all connections although none has to wait, because the next one always
 // arrives within a fraction of a millisecond.
@@ -234,6 +240,60 @@
 	is.True(overload.greatest.Load() < int64(500*time.Millisecond)) // of one second
 }
 
+// rejectMarked is an Overload that rejects the requests for one path.
+type rejectMarked struct{ rejectAll }
+
+func (r *rejectMarked) Reject(head []byte) bool { return bytes.HasPrefix(head, []byte("GET /marked ")) }
+
+// TestConnectionsAreRejectedByWhatTheirCallersSent guards against a rejection that
+// hits callers by the order of arrival, and against a request that is lost or
+// damaged because its beginning has been looked at.
+func TestConnectionsAreRejectedByWhatTheirCallersSent(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	const connections = 40
+	l := New(inner, 100, &rejectMarked{rejectAll{left: connections}})
+	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		MarkRequestRead(r.Context())
+		body, err := io.ReadAll(r.Body)
+		if err == nil {
+			_, err = fmt.Fprint(w, r.URL.Path, " ", string(body))
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	})}
+	l.InstallHooks(s)
+	var callers []net.Conn
+	for i := range connections {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		path := "/kept"
+		if i%2 == 0 {
+			path = "/marked"
+		}
+		_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n%5000d", path, i)
+		is.NoErr(err)
+		callers = append(callers, c)
+	}
+	time.Sleep(50 * time.Millisecond) // so that all requests have arrived
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for i, c := range callers {
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		if i%2 == 0 {
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		} else {
+			is.Equal(string(body), fmt.Sprintf("/kept %5000d", i))
+		}
+		is.NoErr(c.Close())
+	}
+}
+
 // TestBacklogIsTimeSinceQueueWasEmpty checks what counts as an empty accept
 // queue: calls that wait, but neither a single long one nor a quiet period.
 func TestBacklogIsTimeSinceQueueWasEmpty(t *testing.T) {
--- a/internal/transport/connlimit/rejecter.go
+++ b/internal/transport/connlimit/rejecter.go
@@ -1,9 +1,9 @@
 package connlimit
 
 import (
-	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -19,6 +19,9 @@
 	// rejectWriteTimeout bounds the time that the answer takes to be written to
 	// the empty send buffer.
 	rejectWriteTimeout = 100 * time.Millisecond
+	// maxHeadBytes is the number of bytes of a request that are looked at to decide
+	// whether to reject its connection.
+	maxHeadBytes = 2 << 10
 	// lingerDivisor divides the number of open connections to give the number of
 	// rejected connections that linger.
 	lingerDivisor = 4
@@ -30,6 +33,8 @@
 type rejecter struct {
 	listener     syscall.RawConn
 	maxLingering int
+	// head holds the beginning of a request. Only next uses it.
+	head [maxHeadBytes]byte
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -66,30 +71,47 @@
 	return &rejecter{listener: raw, maxLingering: maxLingering}
 }
 
-// rejectNext rejects the next connection of the accept queue with the answer. It
-// returns false if there is none, or if it can't be accepted.
-func (r *rejecter) rejectNext(answer func() []byte) bool {
+// next takes the next connection from the accept queue, and rejects it if the
+// overload says so; the connection is then nil. It returns false if there is none,
+// or if it can't be accepted.
+func (r *rejecter) next(o Overload) (net.Conn, bool) {
 	accepted, acceptErr := -1, error(nil)
 	controlErr := r.listener.Control(func(listener uintptr) {
 		accepted, _, acceptErr = unix.Accept4(int(listener), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	})
 	if controlErr != nil || acceptErr != nil {
-		return false
+		return nil, false
+	}
+	// An error means that nothing has been received yet, or that the caller has
+	// disconnected, which shows at the next use.
+	n, _, _ := unix.Recvfrom(accepted, r.head[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	if !o.Reject(r.head[:max(n, 0)]) {
+		return newConn(accepted), true
 	}
 	// The send buffer is empty, so the answer is sent whole or not at all. An
 	// error means that the caller has disconnected.
-	_, writeErr := unix.Write(accepted, answer())
-	r.linger(descriptor(accepted), errors.Join(writeErr, unix.Shutdown(accepted, unix.SHUT_WR)))
-	return true
+	_, err := unix.Write(accepted, o.Answer())
+	r.linger(descriptor(accepted), err)
+	return nil, true
+}
+
+// newConn prepares an accepted connection for use with package net. It closes the
+// connection and returns nil if there are no descriptors left.
+func newConn(accepted int) net.Conn {
+	f := os.NewFile(uintptr(accepted), "caller")
+	// The connection uses a duplicate of the descriptor.
+	defer func() { _ = f.Close() }()
+	c, err := net.FileConn(f)
+	if err != nil {
+		return nil
+	}
+	return c
 }
 
 // reject rejects an accepted connection with the answer.
 func (r *rejecter) reject(c net.Conn, answer []byte) {
 	_ = c.SetWriteDeadline(time.Now().Add(rejectWriteTimeout))
 	_, err := c.Write(answer)
-	if tcp, ok := c.(*net.TCPConn); ok {
-		err = errors.Join(err, tcp.CloseWrite())
-	}
 	r.linger(c, err)
 }
 
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -45,6 +45,8 @@
 	sender Sender
 	logger log.Interface
 	lastID atomic.Uint64
+	// onRates is called with the Rates of the scheduler; nil if they are not used.
+	onRates func(received map[string]float64)
 
 	mu      sync.Mutex
 	waiting map[schedule.RequestID]waiter // guarded by mu
@@ -73,6 +75,10 @@
 	return d
 }
 
+// OnRates registers a callback for the Rates of the scheduler, which must not
+// block. It must be called before the first input.
+func (d *Scheduling) OnRates(callback func(received map[string]float64)) { d.onRates = callback }
+
 // Input passes an input to the scheduler.
 func (d *Scheduling) Input(in schedule.Input) { d.driver.Input(in) }
 
@@ -151,6 +157,10 @@
 		d.decide(o.ID, o)
 	case schedule.Send:
 		d.sender.SendScheduler(o.To, o.Message)
+	case schedule.Rates:
+		if d.onRates != nil {
+			d.onRates(o.Received)
+		}
 	case schedule.Wake:
 		d.driver.WakeAt(o.At)
 	case schedule.Decision:
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -147,6 +147,7 @@
 	}
 	call := newCall(a, matched, organisation, now)
 	if call.Prompt != nil && c.scheduling.QueueFull(organisation.Name, admission.MaxQueuedRequests) {
+		c.overload.addRejected(organisation.Name, admission.Cost(call.Prompt))
 		return nil, queueFull(now)
 	}
 	return call, nil
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -83,6 +83,10 @@
 	// Package connlimit then limits the connections that are accepted, and the
 	// handler must call connlimit.MarkRequestRead when a request has been read.
 	LimitConnections bool
+	// Identify returns the key of the caller that has sent the beginning of a
+	// request, and the work that the request causes in tokens, as far as they can
+	// be read from it. It is required if LimitConnections is set.
+	Identify func(head []byte) (key string, work float64)
 	// Rejection returns the complete answer for a connection that is rejected
 	// because the router is overloaded, for a caller that may retry at the given
 	// instant. It is required if LimitConnections is set.
@@ -155,6 +159,8 @@
 	started     time.Time
 	stopStarted atomic.Pointer[time.Time]
 	options     *HostedOptions
+	// overload decides which connections this router rejects.
+	overload *overloadController
 	// inFlight is the number of requests in the router.
 	inFlight atomic.Int64
 	// lastRequestAt is the arrival of the last request, in Unix nanoseconds.
@@ -182,12 +188,16 @@
 		policy = admission.New(admission.Options{Source: rand.NewPCG(h.Incarnation, 0)})
 	}
 	scheduling := execution.NewScheduling(policy, p, h.Logger)
-	p.receiveScheduler = func(d schedule.Delivery) { scheduling.Input(d) }
+	scheduling.OnRates(r.overload.setReceived)
+	r.overload.scheduling.Store(scheduling)
+	p.receiveScheduler = func(d schedule.Delivery) {
+		scheduling.Input(d)
+	}
 	r.members = startMembers(
 		membership.Options{Self: r.self, Seeds: s.Peers, Random: random(h.Incarnation, "membership")}, r.fleet, p, h.Logger)
 	r.core = &Core{
 		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodyLimiter(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
-		started: time.Now(), options: &r.options, logger: h.Logger,
+		started: time.Now(), options: &r.options, overload: &r.overload, logger: h.Logger,
 	}
 	r.lateness = lateness.Start(h.Registry, h.Logger, r.overload.Observe)
 	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, ConfirmTimeout: evidenceTimeout}, r.fleet, p, h.Logger, h.Registry)
@@ -227,7 +237,7 @@
 		ErrorLog:       stdlog.New(&serverLog{r.options.Logger.WithField("Face", f.Name)}, "", 0),
 	}
 	if f.LimitConnections {
-		bounded := connlimit.New(l, r.options.Resources.connections(), newRejecter(&r.overload, f.Rejection, r.options.Logger, r.options.Registry))
+		bounded := connlimit.New(l, r.options.Resources.connections(), newRejecter(&r.overload, r.core.identifier(f.Identify), f.Rejection, r.options.Logger, r.options.Registry))
 		bounded.InstallHooks(s)
 		l = bounded
 	}
--- a/internal/transport/router/rejecter.go
+++ b/internal/transport/router/rejecter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,7 +11,9 @@
 	"golang.org/x/sys/unix"
 
 	"hyssopreach/internal/coordination/overload"
+	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/transport/entry"
+	"hyssopreach/internal/transport/execution"
 )
 
 const (
@@ -33,6 +36,16 @@
 type overloadController struct {
 	overload.Controller
 	backlog atomic.Pointer[backlog]
+	// scheduling learns of rejected requests and states what organisations receive
+	// from the fleet. It is nil until the router starts.
+	scheduling atomic.Pointer[execution.Scheduling]
+
+	mu sync.Mutex
+	// rejected is the work of rejected requests, by organisation, that scheduling
+	// has not learnt of. Guarded by mu.
+	rejected map[string]float64
+	// received is the last statement of scheduling. Guarded by mu.
+	received map[string]float64
 }
 
 // backlog is the time for which the accept queue had not been empty when the last
@@ -44,7 +57,11 @@
 
 // Observe adjusts the controller to a sample of the router's lateness.
 func (c *overloadController) Observe(lateness time.Duration) {
-	c.Controller.Observe(max(lateness, c.recentBacklog()))
+	c.report()
+	c.mu.Lock()
+	received := c.received
+	c.mu.Unlock()
+	c.Controller.Observe(max(lateness, c.recentBacklog()), func(organisation string) float64 { return received[organisation] })
 }
 
 // recentBacklog returns the time for which the accept queue had not been empty;
@@ -56,51 +73,125 @@
 	return 0
 }
 
+// report tells the scheduler of the requests that were rejected since the last
+// call, and learns what organisations receive.
+func (c *overloadController) report() {
+	scheduling := c.scheduling.Load()
+	if scheduling == nil {
+		return
+	}
+	c.mu.Lock()
+	rejected := c.rejected
+	c.rejected = nil
+	c.mu.Unlock()
+	if len(rejected) > 0 || c.Fraction() > 0 {
+		scheduling.Input(schedule.Rejections{Work: rejected})
+	}
+}
+
+// addRejected adds the work of a rejected request.
+func (c *overloadController) addRejected(organisation string, work float64) {
+	if organisation == overload.Unknown || work <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rejected == nil {
+		c.rejected = map[string]float64{}
+	}
+	c.rejected[organisation] += work
+}
+
+// setReceived sets the rates of the work that organisations receive from the fleet.
+func (c *overloadController) setReceived(rates map[string]float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = rates
+}
+
 // rejecter implements connlimit.Overload. Only one goroutine may use it.
 type rejecter struct {
 	controller *overloadController
-	answer     func(now, retryAt time.Time) []byte
-	logger     log.Interface
-	count      metrics.Counter
-	// unlogged is the number of rejections since the last log line, and nextLogAt
-	// the instant of the next one.
-	unlogged  int
+	// identify returns the organisation of the caller that has sent the beginning
+	// of a request, overload.Unknown if it can't be known, and the request's work.
+	identify func(head []byte) (organisation string, work float64)
+	answer   func(now, retryAt time.Time) []byte
+	logger   log.Interface
+	count    metrics.Counter
+	// unlogged is the number of rejections since the last log line by organisation,
+	// and nextLogAt the instant of the next one.
+	unlogged  map[string]int
 	nextLogAt time.Time
-	// requests and refusals are the router's counters, and logged is the router's
-	// load at the last log line.
+	// requests and refusals are the router's counters, and logged their values and
+	// the processor time at the last log line.
 	requests, refusals metrics.Counter
 	logged             routerLoad
 }
 
-// routerLoad is what the router has done by an instant.
+// routerLoad is what the router had done by an instant.
 type routerLoad struct {
 	at                 time.Time
 	processor          time.Duration
 	requests, refusals int64
 }
 
-func newRejecter(c *overloadController, answer func(now, retryAt time.Time) []byte, logger log.Interface, registry metrics.Registry) *rejecter {
+func newRejecter(c *overloadController, identify func(head []byte) (string, float64), answer func(now, retryAt time.Time) []byte, logger log.Interface, registry metrics.Registry) *rejecter {
 	return &rejecter{
-		controller: c, answer: answer, logger: logger, count: metrics.GetOrRegisterCounter(metricRejected, registry),
+		controller: c, identify: identify, answer: answer, logger: logger,
+		count: metrics.GetOrRegisterCounter(metricRejected, registry), unlogged: map[string]int{},
 		requests: metrics.GetOrRegisterCounter(entry.MetricRequests, registry), refusals: metrics.GetOrRegisterCounter(entry.MetricRefusals, registry),
 	}
 }
 
-// Reject implements connlimit.Overload.
-func (r *rejecter) Reject(duration time.Duration) bool {
+// Observe implements connlimit.Overload.
+func (r *rejecter) Observe(duration time.Duration) bool {
 	r.controller.backlog.Store(&backlog{duration, time.Now()})
-	return r.controller.Reject()
+	return r.controller.Fraction() > 0
 }
 
-// log logs the rejections since the last log line and what the router has done
-// since then.
+// Reject implements connlimit.Overload.
+func (r *rejecter) Reject(head []byte) bool {
+	organisation, work := overload.Unknown, 0.0
+	if len(head) > 0 {
+		organisation, work = r.identify(head)
+	}
+	if !r.controller.Reject(organisation) {
+		return false
+	}
+	r.controller.addRejected(organisation, work)
+	r.unlogged[organisation]++
+	return true
+}
+
+// Answer implements connlimit.Overload. It counts the rejection.
+func (r *rejecter) Answer() []byte {
+	now := time.Now()
+	r.count.Inc(1)
+	if !now.Before(r.nextLogAt) {
+		r.log(now)
+		r.nextLogAt = now.Add(rejectLogInterval)
+	}
+	return r.answer(now, now.Add(minRejectDelay+rand.N(rejectJitter)))
+}
+
+// log logs the rejections since the last log line, with the organisation that most
+// of them concern, and what the router has done since then.
 func (r *rejecter) log(now time.Time) {
+	total, most := 0, overload.Unknown
+	for name, n := range r.unlogged {
+		total += n
+		if n > r.unlogged[most] {
+			most = name
+		}
+	}
 	load := routerLoad{now, processorTime(), r.requests.Count(), r.refusals.Count()}
 	r.logger.WithFields(log.Fields{
-		"Count": r.unlogged, "Fraction": r.controller.Fraction(), "Backlog": r.controller.recentBacklog().Round(time.Millisecond),
+		"Count": total, "Fraction": r.controller.Fraction(), "Backlog": r.controller.recentBacklog().Round(time.Millisecond),
+		"Organisation": most, "OrganisationCount": r.unlogged[most],
 		"Interval": now.Sub(r.logged.at).Round(time.Millisecond), "Processor": (load.processor - r.logged.processor).Round(time.Millisecond),
 		"Requests": load.requests - r.logged.requests, "Refusals": load.refusals - r.logged.refusals,
 	}).Warn("ConnectionsRejected")
+	clear(r.unlogged)
 	r.logged = load
 }
 
@@ -114,14 +205,19 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// Answer implements connlimit.Overload. It counts the rejection.
-func (r *rejecter) Answer() []byte {
-	now := time.Now()
-	r.count.Inc(1)
-	r.unlogged++
-	if !now.Before(r.nextLogAt) {
-		r.log(now)
-		r.unlogged, r.nextLogAt = 0, now.Add(rejectLogInterval)
+// identifier returns a function that returns the organisation of the caller that
+// has sent the beginning of a request, overload.Unknown if it can't be known, and
+// the request's work. identify reads the caller's key and the work.
+func (c *Core) identifier(identify func(head []byte) (key string, work float64)) func(head []byte) (string, float64) {
+	return func(head []byte) (string, float64) {
+		key, work := identify(head)
+		table := c.Table()
+		if key == "" || table == nil {
+			return overload.Unknown, 0
+		}
+		if o := table.Organisation(key); o != nil {
+			return o.Name, work
+		}
+		return overload.Unknown, 0
 	}
-	return r.answer(now, now.Add(minRejectDelay+rand.N(rejectJitter)))
 }
--- a/internal/transport/router/rejecter_test.go
+++ b/internal/transport/router/rejecter_test.go
@@ -18,12 +18,14 @@
 		is.True(time.Until(retryAt) > 0)
 		return []byte("rejected")
 	}
-	r := newRejecter(&c, answer, log.Log, metrics.NewRegistry())
+	r := newRejecter(&c, nil, answer, log.Log, metrics.NewRegistry())
 	for range 100 {
-		r.Reject(time.Second)
+		r.Observe(time.Second)
 		c.Observe(0)
 	}
-	is.True(r.Reject(time.Second))
+	is.True(r.Observe(time.Second))
+	r.Reject(nil)
+	is.True(r.Reject(nil)) // at most one in a hundred is not rejected
 	is.Equal(string(r.Answer()), "rejected")
 	is.Equal(r.count.Count(), int64(1))
 	time.Sleep(maxBacklogAge)
