--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -54,7 +54,10 @@
 	nextPulseAt      time.Time
 	nextCheckAt      time.Time
 	nextPeerExpiryAt time.Time
-	out              []schedule.Output
+	// bounded is set while a bound is logged as being in force; see logBound.
+	bounded        bool
+	nextBoundLogAt time.Time
+	out            []schedule.Output
 }
 
 // pool is a set of interchangeable endpoints with the queue of requests that
@@ -121,6 +124,7 @@
 	case schedule.Rejections:
 		for organisation, work := range in.Work {
 			p.usage.addRequested(now, organisation, work)
+			p.usage.addUnserved(now, organisation, work)
 		}
 		p.emitRates(now)
 	case schedule.Change:
@@ -175,6 +179,7 @@
 	if l.queue.countOf(r.Organisation) >= MaxQueuedRequests {
 		// The request would only wait behind the organisation's other requests,
 		// which are started or refused before it.
+		p.usage.addUnserved(now, r.Organisation, w.cost)
 		p.emit(schedule.Refusal{ID: r.ID, Reason: schedule.RefusalOverload, RetryAt: RetryWhenFull(now, p.random.Float64()), Detail: queueFullDetail})
 		return
 	}
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -64,7 +64,8 @@
 		return strings.Compare(string(a.Endpoint), string(b.Endpoint))
 	})
 	for name, a := range p.usage.own {
-		o := schedule.OrganisationUse{Organisation: name, Requested: a.requested.perSecond(now), Received: a.received.perSecond(now)}
+		own := a.rates(now)
+		o := schedule.OrganisationUse{Organisation: name, Requested: own.requested, Received: own.received, Unserved: own.unserved}
 		if o.Requested >= 1 {
 			m.Organisations = append(m.Organisations, o)
 		}
@@ -89,7 +90,7 @@
 	}
 	reported := make(map[string]usageRates, len(m.Organisations))
 	for _, o := range m.Organisations {
-		reported[o.Organisation] = usageRates{o.Requested, o.Received}
+		reported[o.Organisation] = usageRates{o.Requested, o.Received, o.Unserved}
 	}
 	p.usage.peers[from] = peerRates{reported, now}
 }
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -56,9 +56,9 @@
 		return
 	}
 	l.scannedAt, l.scanPending = now, false
-	rates := p.usage.fleetRates(now)
-	fairRate := maxMinRate(rates, l.tokensPerSecond)
-	l.queue.order(rates, fairRate)
+	shares := newShares(p.usage.fleetRates(now), l.tokensPerSecond)
+	p.logBound(now, &shares)
+	l.queue.order(shares.rates, shares.fairRate)
 	loads := make([]load, len(l.endpoints))
 	for i, e := range l.endpoints {
 		loads[i] = e.total()
@@ -70,19 +70,18 @@
 	meanTiming := l.meanTiming(now)
 	remaining := l.queue.requests[:0]
 	for _, w := range l.queue.requests {
-		capacityShare := capacityShareFor(rates[w.request.Organisation].received, fairRate)
-		if w.request.Resumes {
-			// The part of the answer that the caller has already received
-			// would be wasted.
-			capacityShare = 1
+		if heldUntil := p.heldUntil(now, w, &shares); !heldUntil.IsZero() {
+			p.refuseHeld(w, heldUntil, &shares)
+			continue
 		}
+		capacityShare := shares.capacityShare(&w.request)
 		best, found := p.choose(now, l, w, loads, meanTiming, capacityShare)
 		switch {
 		case found && best.startNow:
 			p.start(now, w, best)
 			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total()
 		case p.mustRefuse(now, w, best, found, queueTime, capacityShare < 1):
-			p.refuse(now, w, best, queueTime, refusalDetail(now, w, best, found, queueTime, capacityShare, rates[w.request.Organisation], fairRate))
+			p.refuse(now, w, best, queueTime, refusalDetail(now, w, best, found, queueTime, capacityShare, &shares))
 		default:
 			if w.request.Prompt != nil {
 				queueTime += time.Duration(float64(best.work.prefill) / speed * float64(time.Millisecond))
@@ -212,9 +211,10 @@
 // saturation, share for capacityShare, and requested, received and fair for the
 // rates of the organisation and the fair rate in tokens per second; room=none states
 // that no endpoint can run the request.
-func refusalDetail(now time.Time, w *queuedRequest, c candidate, found bool, queueTime time.Duration, capacityShare float64, fleet usageRates, fairRate float64) string {
+func refusalDetail(now time.Time, w *queuedRequest, c candidate, found bool, queueTime time.Duration, capacityShare float64, s *shares) string {
 	waited := now.Sub(w.arrived).Round(time.Millisecond)
-	rates := fmt.Sprintf("share=%.2f,requested=%.0f,received=%.0f,fair=%.0f", capacityShare, fleet.requested, fleet.received, fairRate)
+	fleet := s.rates[w.request.Organisation]
+	rates := fmt.Sprintf("share=%.2f,requested=%.0f,received=%.0f,fair=%.0f", capacityShare, fleet.requested, fleet.received, s.fairRate)
 	if !found {
 		return fmt.Sprintf("waited=%v,room=none,%s", waited, rates)
 	}
@@ -236,9 +236,17 @@
 // itself wait: maxQueueWaitShare of the objective. A random part is added so
 // that callers refused at the same time don't retry at the same time.
 func (p *Policy) refuse(now time.Time, w *queuedRequest, c candidate, queueTime time.Duration, detail string) {
+	p.usage.addUnserved(now, w.request.Organisation, w.cost)
 	total, _ := w.objective(now)
 	delay := c.timeToFirstToken + queueTime - time.Duration(maxQueueWaitShare*float64(total))
 	delay = min(max(delay, minRetryDelay), maxRetryDelay)
 	delay += time.Duration(p.random.Int64N(int64(delay)/2 + 1))
 	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(delay), Detail: detail})
 }
+
+// refuseHeld refuses a request of an organisation that is held back by the bound.
+func (p *Policy) refuseHeld(w *queuedRequest, until time.Time, s *shares) {
+	detail := fmt.Sprintf("heldfor=%s,received=%.0f,bound=%.0f", s.shortest, s.rates[w.request.Organisation].received, s.bound)
+	retryAt := until.Add(time.Duration(p.random.Int64N(int64(minRetryDelay))))
+	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: retryAt, Detail: detail})
+}
--- a/internal/coordination/admission/slowrouter_test.go
+++ b/internal/coordination/admission/slowrouter_test.go
@@ -163,3 +163,53 @@
 		is.True(got+3 >= due)
 	}
 }
+
+// TestBoundEndsWithTheShortage guards against capacity that stays idle after an
+// organisation whose share was short has ceased to ask for more than it gets.
+func TestBoundEndsWithTheShortage(t *testing.T) {
+	is := is.New(t)
+	const routers, engines = 20, 20
+	f := newProcessorFleet(equalCores(routers), engines, engines*36*requestWork)
+	f.routers[0].core = 0.192
+	sent := 0
+	spread := func() {
+		for range 4 {
+			f.connect(sent%routers, "spread")
+			sent++
+		}
+	}
+	f.runSeconds(6, func() {
+		spread()
+		for range 4 {
+			f.connect(0, "single")
+		}
+	})
+	held := f.startedBy[5]["spread"]
+	f.runSeconds(3, spread)
+	t.Logf("spread got %d in the last second of the shortage, %d and %d in the two seconds after the first one without", held, f.startedBy[7]["spread"], f.startedBy[8]["spread"])
+	is.True(held < 300)
+	is.True(f.startedBy[7]["spread"] >= 500)
+	is.True(f.startedBy[8]["spread"] >= 500)
+}
+
+// TestSmallShortageDoesNotIdleTheFleet guards against a bound by an organisation
+// that asks for little and is refused, which would leave most of the fleet idle.
+func TestSmallShortageDoesNotIdleTheFleet(t *testing.T) {
+	is := is.New(t)
+	const routers, engines = 20, 20
+	f := newProcessorFleet(equalCores(routers), engines, engines*36*requestWork)
+	f.routers[0].core = 0.02
+	sent := 0
+	f.runSeconds(6, func() {
+		for range 4 {
+			f.connect(1+sent%(routers-1), "spread")
+			sent++
+		}
+		if sent%20 == 0 {
+			f.connect(0, "small")
+		}
+	})
+	t.Logf("small asked %d and got %d, spread got %d", f.asked[5]["small"], f.startedBy[5]["small"], f.startedBy[5]["spread"])
+	is.True(f.startedBy[5]["small"] < f.asked[5]["small"])
+	is.True(f.startedBy[5]["spread"] >= 500)
+}
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -14,6 +14,10 @@
 // operators assess shares, 4 s.
 const usageTimeConstant = 3 * time.Second
 
+// unservedTimeConstant is the time constant of the rate of refused and rejected
+// requests. It is short, so that a shortage counts no longer soon after its end.
+const unservedTimeConstant = 250 * time.Millisecond
+
 // fleetRatesMaxAge is the time for which the sums over the fleet are reused.
 const fleetRatesMaxAge = 25 * time.Millisecond
 
@@ -23,8 +27,9 @@
 
 // rate measures a rate by means of an exponentially decaying sum.
 type rate struct {
-	sum float64
-	at  time.Time
+	timeConstant time.Duration
+	sum          float64
+	at           time.Time
 }
 
 func (r *rate) add(now time.Time, amount float64) {
@@ -34,7 +39,7 @@
 
 func (r *rate) decay(now time.Time) {
 	if passed := now.Sub(r.at); passed > 0 {
-		r.sum *= math.Exp(-float64(passed) / float64(usageTimeConstant))
+		r.sum *= math.Exp(-float64(passed) / float64(r.timeConstant))
 		r.at = now
 	}
 }
@@ -42,16 +47,25 @@
 // perSecond returns the rate at the given instant.
 func (r *rate) perSecond(now time.Time) float64 {
 	r.decay(now)
-	return r.sum / usageTimeConstant.Seconds()
+	return r.sum / r.timeConstant.Seconds()
 }
 
 // usageRates is the work that an organisation has requested and received, in
-// tokens per second.
-type usageRates struct{ requested, received float64 }
+// tokens per second, and the part of it that was lately refused or rejected for
+// other reasons than a bound on the organisation.
+type usageRates struct{ requested, received, unserved float64 }
+
+func (r usageRates) plus(o usageRates) usageRates {
+	return usageRates{r.requested + o.requested, r.received + o.received, r.unserved + o.unserved}
+}
 
 // organisationUsage is the work that an organisation has requested from, and
-// received through, this router.
-type organisationUsage struct{ requested, received rate }
+// received through, this router; see usageRates.
+type organisationUsage struct{ requested, received, unserved rate }
+
+func (o *organisationUsage) rates(now time.Time) usageRates {
+	return usageRates{o.requested.perSecond(now), o.received.perSecond(now), o.unserved.perSecond(now)}
+}
 
 // peerRates are the rates of organisations that a peer reported at an instant.
 type peerRates struct {
@@ -81,7 +95,7 @@
 func (u *usage) organisationUsage(organisation string) *organisationUsage {
 	a := u.own[organisation]
 	if a == nil {
-		a = &organisationUsage{}
+		a = &organisationUsage{rate{timeConstant: usageTimeConstant}, rate{timeConstant: usageTimeConstant}, rate{timeConstant: unservedTimeConstant}}
 		u.own[organisation] = a
 	}
 	return a
@@ -91,6 +105,10 @@
 	u.organisationUsage(organisation).requested.add(now, cost)
 }
 
+func (u *usage) addUnserved(now time.Time, organisation string, cost float64) {
+	u.organisationUsage(organisation).unserved.add(now, cost)
+}
+
 func (u *usage) addReceived(now time.Time, organisation string, cost float64) {
 	u.organisationUsage(organisation).received.add(now, cost)
 	u.adjustRate(organisation, cost)
@@ -138,14 +156,13 @@
 	rates := make(map[string]usageRates, len(u.own))
 	own, total := 0.0, 0.0
 	for name, a := range u.own {
-		rates[name] = usageRates{a.requested.perSecond(now), a.received.perSecond(now)}
+		rates[name] = a.rates(now)
 		own += rates[name].requested
 	}
 	total = own
 	for _, reported := range u.peers {
 		for name, o := range reported.rates {
-			sum := rates[name]
-			rates[name] = usageRates{sum.requested + o.requested, sum.received + o.received}
+			rates[name] = rates[name].plus(o)
 			total += o.requested
 		}
 	}
--- a/internal/coordination/overload/controller.go
+++ b/internal/coordination/overload/controller.go
@@ -104,7 +104,7 @@
 	for _, e := range entries {
 		kept := min(e.offered, remaining)
 		remaining -= kept
-		e.organisation.fraction = min(1-kept/e.offered, maxFraction)
+		e.fraction = min(1-kept/e.offered, maxFraction)
 	}
 }
 
--- a/internal/coordination/schedule/message.go
+++ b/internal/coordination/schedule/message.go
@@ -233,6 +233,9 @@
 	Organisation string
 	Requested    float64
 	Received     float64
+	// Unserved is the part of Requested that was lately refused or rejected for
+	// lack of capacity or of processor time.
+	Unserved float64
 }
 
 // SchedulerMessage marks a Pulse as a Message.
--- a/internal/protocol/peer/conversion_schedule.go
+++ b/internal/protocol/peer/conversion_schedule.go
@@ -202,7 +202,7 @@
 	}
 	for _, o := range m.Organisations {
 		w.Organisations = append(w.Organisations, &OrganisationUse{
-			Organisation: o.Organisation, Asked: float32(o.Requested), Received: float32(o.Received),
+			Organisation: o.Organisation, Asked: float32(o.Requested), Received: float32(o.Received), Unserved: float32(o.Unserved),
 		})
 	}
 	return w
@@ -218,7 +218,7 @@
 	}
 	for _, o := range w.GetOrganisations() {
 		m.Organisations = append(m.Organisations, schedule.OrganisationUse{
-			Organisation: o.GetOrganisation(), Requested: float64(o.GetAsked()), Received: float64(o.GetReceived()),
+			Organisation: o.GetOrganisation(), Requested: float64(o.GetAsked()), Received: float64(o.GetReceived()), Unserved: float64(o.GetUnserved()),
 		})
 	}
 	return m
--- a/internal/protocol/peer/conversion_schedule_test.go
+++ b/internal/protocol/peer/conversion_schedule_test.go
@@ -29,7 +29,7 @@
 				{Endpoint: "e", Requests: 3, Backlog: 400, Memory: 5000, Samples: schedule.Samples{Count: 6, EventInterval: 70 * time.Millisecond, LongestGap: 80 * time.Millisecond}},
 				{Endpoint: "f", Requests: 1},
 			},
-			Organisations: []schedule.OrganisationUse{{Organisation: "o", Requested: 9, Received: 8}},
+			Organisations: []schedule.OrganisationUse{{Organisation: "o", Requested: 9, Received: 8, Unserved: 1}},
 		},
 		&schedule.Report{Pool: "p", Incarnation: 8, Charges: charges, Virtual: 6},
 		&schedule.Tags{Pool: "p", Accounts: accounts, Virtual: 6},
