--- a/internal/transport/router/rejecter.go
+++ b/internal/transport/router/rejecter.go
@@ -17,11 +17,9 @@
 )
 
 const (
-	// minRejectDelay is the time after which a rejected caller may retry, and
-	// rejectJitter the greatest random part that is added, so that rejected
-	// callers do not return at the same time.
-	minRejectDelay = 250 * time.Millisecond
-	rejectJitter   = 500 * time.Millisecond
+	// minRejectDelay and maxRejectDelay bound the time after which a rejected caller
+	// may retry, without the random part.
+	minRejectDelay, maxRejectDelay = 250 * time.Millisecond, 2 * time.Second
 	// maxBacklogAge is the time without a new connection after which the accept
 	// queue counts as empty.
 	maxBacklogAge = 200 * time.Millisecond
@@ -171,7 +169,16 @@
 		r.log(now)
 		r.nextLogAt = now.Add(rejectLogInterval)
 	}
-	return r.answer(now, now.Add(minRejectDelay+rand.N(rejectJitter)))
+	return r.answer(now, now.Add(rejectDelay(r.controller.Fraction(), rand.Float64())))
+}
+
+// rejectDelay returns the time after which a caller may retry that is rejected
+// while the given part of the connections is. If few are accepted, those that have
+// been rejected take longer to be served. The jitter, 0 to 1, spreads callers that
+// were rejected at the same time.
+func rejectDelay(fraction, jitter float64) time.Duration {
+	delay := min(float64(minRejectDelay)/max(1-fraction, 0.01), float64(maxRejectDelay))
+	return time.Duration(delay * (1 + jitter))
 }
 
 // log logs the rejections since the last log line, with the organisation that most
--- a/internal/transport/router/rejecter_test.go
+++ b/internal/transport/router/rejecter_test.go
@@ -9,6 +9,16 @@
 	"github.com/rcrowley/go-metrics"
 )
 
+// TestRejectedCallersReturnLaterTheFewerAreServed guards against callers that are
+// told to return while nearly all of them would be rejected again.
+func TestRejectedCallersReturnLaterTheFewerAreServed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(rejectDelay(0, 0), minRejectDelay)
+	is.Equal(rejectDelay(0.5, 0), 2*minRejectDelay)
+	is.Equal(rejectDelay(0.99, 0), maxRejectDelay)
+	is.Equal(rejectDelay(1, 1), 2*maxRejectDelay) // spread over as much time again
+}
+
 // TestBacklogIsForgottenWithoutConnections guards against a router that goes on
 // rejecting connections after a flood has ended, by the backlog that it left.
 func TestBacklogIsForgottenWithoutConnections(t *testing.T) {
