--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -97,7 +97,10 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-var errAnswerMismatch = errors.New("the answer doesn't name this attempt")
+var (
+	errAnswerMismatch = errors.New("the answer doesn't name this attempt")
+	errUpgrade        = errors.New("the answer switches to another protocol, which the attempt did not ask for")
+)
 
 // Client sends attempts to endpoints. It is safe for concurrent use.
 type Client struct {
@@ -151,13 +154,26 @@
 	if err != nil {
 		return nil, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
 	}
-	if response.Header.Get(c.options.AttemptHeader) != a.ID {
+	if err := c.checkHead(response, a); err != nil {
 		_ = response.Body.Close()
-		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: errAnswerMismatch}
+		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: err}
 	}
 	return newAnswer(address, response, a.Model, c.options.AllowCloseDelimited), nil
 }
 
+// checkHead returns an error if the head is no answer to the attempt.
+func (c *Client) checkHead(response *http.Response, a *Attempt) error {
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		// The end of the context would not end reads of the body, because net/http
+		// leaves the connection to the client.
+		return errUpgrade
+	case response.Header.Get(c.options.AttemptHeader) != a.ID:
+		return errAnswerMismatch
+	}
+	return nil
+}
+
 // newRequest builds the request. It leaves GetBody unset, since GetBody would
 // allow net/http to send the body again.
 func (c *Client) newRequest(address netip.AddrPort, a *Attempt) (*http.Request, error) {
