--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -99,6 +99,7 @@
 
 var (
 	errAnswerMismatch = errors.New("the answer doesn't name this attempt")
+	errInvalidStatus  = errors.New("the status of the answer is no status of HTTP")
 	errUpgrade        = errors.New("the answer switches to another protocol, which the attempt did not ask for")
 )
 
@@ -168,6 +169,9 @@
 		// The end of the context would not end reads of the body, because net/http
 		// leaves the connection to the client.
 		return errUpgrade
+	case response.StatusCode < http.StatusOK:
+		// http.ResponseWriter panics with such a status.
+		return errInvalidStatus
 	case response.Header.Get(c.options.AttemptHeader) != a.ID:
 		return errAnswerMismatch
 	}
