--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -50,7 +50,7 @@
 	// if it has received none.
 	LastEvent string
 	// MaxSilence bounds the time until the head of the answer arrives. The timer
-	// then restarts, and it restarts with all further data if Events is set;
+	// then restarts, and it restarts with each whole event if Events is set;
 	// otherwise, the rest of the answer must arrive before it expires. When the
 	// timer expires, the attempt is cancelled, and the call may be retried at
 	// another endpoint if its answer has not begun or can be resumed. Zero means
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -74,7 +74,6 @@
 	for {
 		n, readErr := answer.Read(pooled[:])
 		if n > 0 {
-			watch.reset()
 			reporter.dataReceived(time.Now())
 		}
 		events, err := buffer.add(pooled[:n])
@@ -82,6 +81,9 @@
 			return err
 		}
 		if len(events) > 0 {
+			// Bytes that complete no event are of no use to callers, who give up a
+			// stream after a time without events.
+			watch.reset()
 			if err := forwardEvents(out, answer, events, p); err != nil {
 				return err
 			}
--- a/internal/transport/execution/watchdog.go
+++ b/internal/transport/execution/watchdog.go
@@ -9,10 +9,11 @@
 )
 
 // errSilent is the cause of the cancellation of an attempt whose endpoint sends
-// nothing.
-var errSilent = errors.New("the endpoint has sent nothing for too long")
+// nothing of use.
+var errSilent = errors.New("the endpoint has sent no answer, or no event of a stream, for too long")
 
-// watchdog cancels an attempt whose endpoint sends nothing within the timeout.
+// watchdog cancels an attempt whose endpoint sends nothing of use within the
+// timeout.
 type watchdog struct {
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -31,7 +32,8 @@
 	return ctx, w
 }
 
-// reset restarts the timeout after the endpoint has sent something.
+// reset restarts the timeout after the endpoint has sent the head of its answer
+// or a whole event.
 func (w *watchdog) reset() {
 	if w.timer != nil {
 		w.timer.Reset(w.timeout)
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -28,7 +28,7 @@
 	// stoppingRetryDelay is the delay after which a caller may retry while the
 	// router stops. It is short because another router can serve the retry.
 	stoppingRetryDelay = 50 * time.Millisecond
-	// streamSilenceTimeout is the time without a byte after which a resumable
+	// streamSilenceTimeout is the time without an event after which a resumable
 	// stream continues at another endpoint. It is shorter than the time that
 	// callers wait, a little more than two seconds, so that the other endpoint
 	// still has time to continue the stream.
