--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -47,25 +47,29 @@
 var idField = []byte("id:")
 
 // lastEventID returns the ID of the last event that has one, and the number of
-// events.
+// events. Comments and empty lines alone are no event.
 func lastEventID(events []byte) (id string, count int) {
 	for event := range bytes.SplitSeq(events, eventEnd) {
 		if len(event) == 0 {
 			continue
 		}
-		count++
+		isEvent := false
 		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			isEvent = isEvent || len(line) > 0 && line[0] != ':'
 			if value, ok := bytes.CutPrefix(line, idField); ok {
 				id = string(bytes.TrimSpace(value))
 			}
 		}
+		if isEvent {
+			count++
+		}
 	}
 	return id, count
 }
 
 // copyEvents forwards whole events to the caller as they arrive. It sends the
-// head of the answer only with the first event, so that a stream that breaks
-// off earlier can still be retried at another endpoint. A stream that is
+// head of the answer, and comments before the first event, only with that event,
+// so that a stream that breaks off earlier can still be retried at another endpoint. A stream that is
 // resumed at another endpoint keeps the head that was sent first.
 func (r *Runner) copyEvents(ctx context.Context, answer Answer, reporter *streamReporter, watch *watchdog, out *sinkTracker, p *progress) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
@@ -80,15 +84,22 @@
 		if err != nil {
 			return err
 		}
-		if len(events) > 0 {
+		last, count := lastEventID(events)
+		if count > 0 {
 			// Bytes that complete no event are of no use to callers, who give up a
 			// stream after a time without events.
 			watch.reset()
-			if err := forwardEvents(out, answer, events, p); err != nil {
+		}
+		switch {
+		case len(events) > 0 && (out.started || count > 0 || errors.Is(readErr, io.EOF)):
+			if err := forwardEvents(out, answer, events); err != nil {
 				return err
 			}
+			p.received(last, count)
 			reporter.eventsForwarded(p.events)
 			buffer.discard(len(events))
+		case len(buffer.buffered) > maxEventBytes:
+			return errEventTooLong
 		}
 		switch {
 		case errors.Is(readErr, io.EOF):
@@ -101,18 +112,13 @@
 	}
 }
 
-func forwardEvents(out *sinkTracker, answer Answer, events []byte, p *progress) error {
+func forwardEvents(out *sinkTracker, answer Answer, events []byte) error {
 	if err := ensureBegun(out, answer); err != nil {
 		return err
 	}
 	if _, err := out.Write(events); err != nil {
 		return &sinkError{fmt.Errorf("write events to the caller: %w", err)}
 	}
-	last, count := lastEventID(events)
-	if last != "" {
-		p.lastEvent = last
-	}
-	p.events += count
 	return nil
 }
 
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -57,6 +57,15 @@
 	return &next
 }
 
+// received records that the caller has received events, the last one with the
+// given ID, if that is not empty.
+func (p *progress) received(last string, count int) {
+	if last != "" {
+		p.lastEvent = last
+	}
+	p.events += count
+}
+
 // canResume reports whether an answer that has begun can be continued at
 // another endpoint.
 func (p *progress) canResume() bool {
