--- a/internal/transport/execution/events_test.go
+++ b/internal/transport/execution/events_test.go
@@ -110,6 +110,21 @@
 			backend: streamBackend{scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{{status: 200, body: first + second[:7]}}}},
 			want:    first, lastEvents: []string{""},
 		},
+		{
+			name: "comments before a break are not the beginning of the answer", resumable: true, attempts: 2,
+			backend: streamBackend{scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{{status: 200, body: "\n\n: c\n\n", readErr: cut}, {status: 200, body: ": d\n\n" + first}}}},
+			want:    ": d\n\n" + first, complete: true, lastEvents: []string{"", ""},
+		},
+		{
+			name: "comments between events are passed on", attempts: 1,
+			backend: streamBackend{scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{{status: 200, body: first + ": c\n\n" + second + "\n\n"}}}},
+			want:    first + ": c\n\n" + second + "\n\n", complete: true, lastEvents: []string{""},
+		},
+		{
+			name: "complete stream of comments", attempts: 1,
+			backend: streamBackend{scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{{status: 200, body: ": c\n\n"}}}},
+			want:    ": c\n\n", complete: true, lastEvents: []string{""},
+		},
 		{
 			name: "server error is forwarded unchanged", attempts: 1,
 			backend: streamBackend{scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{{status: 500, body: "broken"}}}},
