--- a/internal/transport/endpoint/client_test.go
+++ b/internal/transport/endpoint/client_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -220,3 +221,32 @@
 		"Accept": {"text/plain"}, "idempotency-key": {"k"}, "X-Request-Id": {"id"},
 	})
 }
+
+// TestControlRequestEndsWithItsContext guards against an answer that switches to
+// another protocol and then stays silent: net/http no longer ends reads of its
+// body with the context.
+func TestControlRequestEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	address := serveRaw(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+		<-ended
+		return false
+	})
+	client := NewClient(nil)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Instance(ctx, address)
+		failed <- err
+	}()
+	select {
+	case err := <-failed:
+		is.True(err != nil)
+	case <-time.After(5 * time.Second):
+		t.Error("the request goes on after the end of its context")
+	}
+	close(ended)
+}
