--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -164,6 +164,18 @@
 
 // checkHead returns an error if the head is no answer to the attempt.
 func (c *Client) checkHead(response *http.Response, a *Attempt) error {
+	if err := checkStatus(response); err != nil {
+		return err
+	}
+	if response.Header.Get(c.options.AttemptHeader) != a.ID {
+		return errAnswerMismatch
+	}
+	return nil
+}
+
+// checkStatus returns an error if the status is none with which an endpoint may
+// end its answer.
+func checkStatus(response *http.Response) error {
 	switch {
 	case response.StatusCode == http.StatusSwitchingProtocols:
 		// The end of the context would not end reads of the body, because net/http
@@ -172,8 +184,6 @@
 	case response.StatusCode < http.StatusOK:
 		// http.ResponseWriter panics with such a status.
 		return errInvalidStatus
-	case response.Header.Get(c.options.AttemptHeader) != a.ID:
-		return errAnswerMismatch
 	}
 	return nil
 }
--- a/internal/transport/endpoint/control.go
+++ b/internal/transport/endpoint/control.go
@@ -108,6 +108,9 @@
 		return &Error{Step: step, Endpoint: address, Sent: d.seal(), Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := checkStatus(response); err != nil {
+		return &Error{Step: step, Endpoint: address, Sent: true, Err: err}
+	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxControlAnswerBytes))
 	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
 		err = &StatusError{response.StatusCode, string(bytes.TrimSpace(answer))}
