--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -75,18 +75,12 @@
 
 // capacityShare returns the capacity share of a request; see capacityShareFor.
 func (s *shares) capacityShare(r *schedule.Request) float64 {
-	received := s.rates[r.Organisation].received
-	share := capacityShareFor(received, s.fairRate)
-	switch {
-	case r.Resumes:
+	if r.Resumes {
 		// The part of the answer that the caller has already received would be
 		// wasted.
 		return 1
-	case s.shortest != "" && maxGap*received <= s.bound:
-		// No organisation that is short receives less.
-		return max(share, 1)
 	}
-	return share
+	return capacityShareFor(s.rates[r.Organisation].received, s.fairRate)
 }
 
 // heldUntil returns the instant until which this router starts no requests like
