--- a/internal/coordination/suspect/conviction.go
+++ b/internal/coordination/suspect/conviction.go
@@ -21,15 +21,25 @@
 	// not run isolated waits. Evidence against the others at the same endpoint, by
 	// which it is judged, is on its way from the routers that sent them.
 	settleTime = 100 * time.Millisecond
+	// convictionDelay is the time after the second failure before which a request
+	// that does not run isolated is not rejected. Other runs of it, which were under
+	// way at the failure, may finish meanwhile and clear it. No new ones start.
+	convictionDelay = 500 * time.Millisecond
 )
 
-// mustSettle reports whether it is too early to judge a request.
-func (t *Table) mustSettle(now time.Time, f Fingerprint) bool {
-	return !t.options.Isolate && t.failedEndpoints(now, f) == rejectThreshold && now.Before(t.settledAt(f))
+// undecidedUntil returns the instant at which to judge a request with failures of
+// two endpoints, and false if it can be judged now.
+func (t *Table) undecidedUntil(now time.Time, f Fingerprint, rejected bool) (time.Time, bool) {
+	if t.options.Isolate || t.failedEndpoints(now, f) != rejectThreshold {
+		return time.Time{}, false
+	}
+	at := t.records[f].changedAt.Add(settleTime)
+	if rejected && !now.Before(at) {
+		at = t.records[f].changedAt.Add(convictionDelay)
+	}
+	return at, now.Before(at)
 }
 
-func (t *Table) settledAt(f Fingerprint) time.Time { return t.records[f].changedAt.Add(settleTime) }
-
 // logRejection logs the first rejection after each failure.
 func (t *Table) logRejection(now time.Time, f Fingerprint, until time.Time) {
 	n := t.failedEndpoints(now, f)
@@ -51,13 +61,20 @@
 	if t.options.Isolate {
 		return t.records[f].until, true
 	}
-	if n < certainThreshold && !t.isOnlyRepeated(now, f) {
+	if n < certainThreshold && (t.finishedRecently(now, f) || !t.isOnlyRepeated(now, f)) {
 		return time.Time{}, false
 	}
 	until := t.lastFailure(now, f).Add(min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime))
 	return until, now.Before(until)
 }
 
+// finishedRecently reports whether the request was cleared a short time ago. One
+// that crashes every endpoint never is.
+func (t *Table) finishedRecently(now time.Time, f Fingerprint) bool {
+	at := t.records[f].clearedAt
+	return !at.IsZero() && now.Sub(at) < clearedLifetime
+}
+
 // isOnlyRepeated reports whether, at one of the endpoints that failed, the
 // request was the only one that had been at another failed endpoint too. Requests
 // that ran beside one that crashes endpoints are sent elsewhere, and may meet it
--- a/internal/coordination/suspect/conviction_test.go
+++ b/internal/coordination/suspect/conviction_test.go
@@ -92,6 +92,73 @@
 	is.True(f.rejectedEverywhere(7))
 }
 
+// TestConvictionWaitsForRunsUnderWay guards against refusing a request that is sent
+// often and was at two endpoints that crashed for another reason, although other
+// runs of it are about to finish.
+func TestConvictionWaitsForRunsUnderWay(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.advance(300 * time.Millisecond)
+	f.failed("r1", "e2", 7)
+	f.step("r1", CheckRequest{900, 7, f.now.Add(time.Second)})
+	for range 4 {
+		f.advance(settleTime)
+	}
+	_, decided := f.checked[900]
+	is.True(!decided)
+	f.step("r2", RunEnded{7, true}) // it ran at an endpoint that did not crash
+	is.Equal(f.checked[900].Verdict, VerdictFree)
+}
+
+// TestConvictionDoesNotWaitForLong guards against a caller that is refused late, and
+// against runs of a request that crashes endpoints while its conviction waits.
+func TestConvictionDoesNotWaitForLong(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.failed("r1", "e2", 7)
+	for i, id := range f.ids {
+		f.step(id, CheckRequest{uint64(900 + i), 7, f.now.Add(time.Second)})
+		f.step(id, CheckRequest{uint64(910 + i), 7, time.Time{}}) // right before it is sent
+		is.True(f.checked[uint64(910+i)].Verdict != VerdictFree)
+	}
+	for range 5 {
+		f.advance(100 * time.Millisecond)
+	}
+	for i := range f.ids {
+		is.Equal(f.checked[uint64(900+i)].Verdict, VerdictRejected)
+	}
+}
+
+// TestRequestThatFinishedNeedsThirdCrash guards against refusing a request that is
+// sent often beside frequent crashes: it finishes between them, but two may follow
+// each other before one of its runs does.
+func TestRequestThatFinishedNeedsThirdCrash(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.step("r1", RunEnded{7, true})
+	f.failed("r0", "e2", 7)
+	f.failed("r1", "e3", 7)
+	is.True(f.freeEverywhere(7))
+	f.failed("r2", "e4", 7)
+	is.True(f.rejectedEverywhere(7))
+}
+
+// TestAnswerLongAgoIsNoExcuse guards against losing a third endpoint to a request
+// that finished only before it began to crash endpoints.
+func TestAnswerLongAgoIsNoExcuse(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.step("r1", RunEnded{7, true})
+	f.failed("r0", "e2", 7)
+	f.advance(clearedLifetime)
+	f.failed("r1", "e3", 7)
+	is.True(f.rejectedEverywhere(7))
+}
+
 // TestThirdCrashRejectsInAnyCase guards against requests that always crash
 // endpoints together, so that neither is the only suspect.
 func TestThirdCrashRejectsInAnyCase(t *testing.T) {
--- a/internal/coordination/suspect/permit.go
+++ b/internal/coordination/suspect/permit.go
@@ -58,7 +58,7 @@
 
 // requestPermits decides the waiters that need no permit or have reached their
 // deadline, and sends the permit requests that are due. Requests that do not run
-// isolated wait for evidence instead; see mustSettle. It moves on to the next
+// isolated wait for evidence instead; see undecidedUntil. It moves on to the next
 // owner if the owner of the previous permit request has not answered.
 func (t *Table) requestPermits(now time.Time) {
 	for _, r := range slices.Clone(t.waiters) {
@@ -72,7 +72,8 @@
 			continue
 		}
 		if !t.options.Isolate {
-			r.requestAt = t.settledAt(r.Fingerprint)
+			_, rejected := t.rejection(now, r.Fingerprint)
+			r.requestAt, _ = t.undecidedUntil(now, r.Fingerprint, rejected)
 			if r.requestAt.After(r.Deadline) {
 				r.requestAt = r.Deadline
 			}
--- a/internal/coordination/suspect/record.go
+++ b/internal/coordination/suspect/record.go
@@ -14,6 +14,9 @@
 	until    time.Time
 	// changedAt is when this router got the last piece of evidence.
 	changedAt time.Time
+	// clearedAt is when this router last cleared evidence, or learned that another
+	// router did.
+	clearedAt time.Time
 	// loggedRejection is the number of failed endpoints at the last rejection that
 	// was logged.
 	loggedRejection int
@@ -54,6 +57,7 @@
 		}
 		e.Cleared = true
 		cleared = append(cleared, *e)
+		c.clearedAt = now
 	}
 	t.expireIfCleared(now, c)
 	t.startResending(now, c)
@@ -87,6 +91,7 @@
 		}
 	case e.Cleared && !known.Cleared:
 		known.Cleared = true
+		c.clearedAt = now
 		t.expireIfCleared(now, c)
 		return true
 	default:
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -39,7 +39,7 @@
 )
 
 // waiter is a CheckRequest that waits for a permit or, in a table that does not
-// isolate suspects, for evidence; see mustSettle.
+// isolate suspects, for evidence; see undecidedUntil.
 type waiter struct {
 	CheckRequest
 	requestAt time.Time
@@ -157,8 +157,9 @@
 // decide answers a CheckRequest that needs no permit and reports whether it did.
 func (t *Table) decide(now time.Time, in CheckRequest) bool {
 	until, rejected := t.rejection(now, in.Fingerprint)
+	_, undecided := t.undecidedUntil(now, in.Fingerprint, rejected)
 	switch {
-	case t.mustSettle(now, in.Fingerprint):
+	case undecided:
 		return false
 	case rejected:
 		t.logRejection(now, in.Fingerprint, until)
