--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -22,8 +22,10 @@
 
 const (
 	// maxAttempts bounds the attempts of one call, even if the retry budget
-	// allows more.
-	maxAttempts = 4
+	// allows more. For a call with MaxAttempts it bounds those that reached an
+	// endpoint, and maxUnreached the others.
+	maxAttempts  = 4
+	maxUnreached = 8
 	// copyBytes is the size of the buffer between endpoint and caller.
 	copyBytes = 16 << 10
 	// resumeObjective is the time within which a resumed stream should deliver
@@ -210,19 +212,18 @@
 		p.retryReserved = false
 		return true
 	}
-	if p.attempts >= maxAttempts {
-		return false
-	}
 	if p.mayHaveRun && !p.call.Class.Idempotent {
 		return false
 	}
-	if p.call.MaxAttempts > 0 {
-		if result == schedule.ResultNotSent {
-			return true
-		}
-		if p.sentAttempts >= p.call.MaxAttempts {
+	switch {
+	case p.call.MaxAttempts == 0:
+		if p.attempts >= maxAttempts {
 			return false
 		}
+	case result == schedule.ResultNotSent:
+		return p.attempts-p.sentAttempts < maxUnreached
+	case p.sentAttempts >= min(p.call.MaxAttempts, maxAttempts):
+		return false
 	}
 	return r.Budget.Withdraw(p.call)
 }
--- a/internal/transport/execution/runner_test.go
+++ b/internal/transport/execution/runner_test.go
@@ -156,6 +156,34 @@
 	}
 }
 
+// TestUnreachedEndpointsUseUpNoAttempts guards against giving up a call because most
+// endpoints of its service have just ended, although others would serve it.
+func TestUnreachedEndpointsUseUpNoAttempts(t *testing.T) {
+	unsent, broken := scriptedExchange{sendErr: &NotSentError{Err: errors.New("refused")}}, scriptedExchange{sendErr: errors.New("connection reset")}
+	completeAnswer := scriptedExchange{status: 200, body: "answer"}
+	for _, test := range []struct {
+		name      string
+		exchanges []scriptedExchange
+		attempts  int
+		served    bool
+	}{
+		{"none reached at first", []scriptedExchange{unsent, unsent, unsent, unsent, unsent, completeAnswer}, 6, true},
+		{"broken between", []scriptedExchange{unsent, unsent, broken, unsent, unsent, completeAnswer}, 6, true},
+		{"broken too often", []scriptedExchange{unsent, broken, unsent, broken, completeAnswer}, 4, false},
+		{"none ever reached", []scriptedExchange{unsent}, maxUnreached, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			backend := &scriptedBackend{exchanges: test.exchanges}
+			call := testCall(true)
+			call.MaxAttempts = 2
+			err := newTestRunner(t, backend).Run(context.Background(), call, &recordingSink{})
+			is.Equal(backend.attempts, test.attempts)
+			is.Equal(err == nil, test.served)
+		})
+	}
+}
+
 // TestCancelledContextEndsWait checks that a call whose context is cancelled
 // stops waiting for capacity and leaves no waiter behind.
 func TestCancelledContextEndsWait(t *testing.T) {
