--- a/internal/coordination/suspect/conviction.go
+++ b/internal/coordination/suspect/conviction.go
@@ -25,6 +25,9 @@
 	// that does not run isolated is not rejected. Other runs of it, which were under
 	// way at the failure, may finish meanwhile and clear it. No new ones start.
 	convictionDelay = 500 * time.Millisecond
+	// alikeTolerance is the largest difference between the times after which two
+	// endpoints failed under a request that crashes them.
+	alikeTolerance = 100 * time.Millisecond
 )
 
 // undecidedUntil returns the instant at which to judge a request with failures of
@@ -61,7 +64,7 @@
 	if t.options.Isolate {
 		return t.records[f].until, true
 	}
-	if n < certainThreshold && (t.finishedRecently(now, f) || !t.isOnlyRepeated(now, f)) {
+	if n < certainThreshold && (t.finishedRecently(now, f) || !t.isOnlyRepeated(now, f) && !t.failsAlike(now, f)) {
 		return time.Time{}, false
 	}
 	until := t.lastFailure(now, f).Add(min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime))
@@ -99,6 +102,27 @@
 	return false
 }
 
+// failsAlike reports whether the endpoints failed after the request had run there
+// for about the same time. Where several requests met at each of them, most of
+// those that did not cause it had begun earlier.
+func (t *Table) failsAlike(now time.Time, f Fingerprint) bool {
+	var shortest, longest time.Duration
+	for _, e := range t.records[f].evidence {
+		if e.Cleared || !now.Before(e.Until) {
+			continue
+		}
+		d := e.lasted()
+		if d <= 0 {
+			return false
+		}
+		if shortest == 0 || d < shortest {
+			shortest = d
+		}
+		longest = max(longest, d)
+	}
+	return longest-shortest <= alikeTolerance
+}
+
 // lastFailure returns the instant of the last failure that counts against f.
 func (t *Table) lastFailure(now time.Time, f Fingerprint) time.Time {
 	var last time.Time
--- a/internal/coordination/suspect/conviction_test.go
+++ b/internal/coordination/suspect/conviction_test.go
@@ -23,11 +23,19 @@
 func (f *fleet) failed(at view.RouterID, e view.EndpointID, requests ...Fingerprint) {
 	for _, fp := range requests {
 		f.lastID++
-		f.step(at, EndpointFailed{f.lastID, fp, e})
+		f.step(at, EndpointFailed{ID: f.lastID, Fingerprint: fp, Endpoint: e})
 		f.step(at, RunEnded{fp, false})
 	}
 }
 
+// failedAfter reports that an endpoint failed after a request had run there for the
+// given time.
+func (f *fleet) failedAfter(d time.Duration, at view.RouterID, e view.EndpointID, fp Fingerprint) {
+	f.lastID++
+	f.step(at, EndpointFailed{ID: f.lastID, Fingerprint: fp, Endpoint: e, BeganAt: f.now.Add(-d)})
+	f.step(at, RunEnded{fp, false})
+}
+
 func (f *fleet) rejectedEverywhere(fp Fingerprint) bool {
 	for _, id := range f.ids {
 		if f.check(id, fp) != VerdictRejected {
@@ -75,6 +83,36 @@
 	is.True(f.rejectedEverywhere(7))
 }
 
+// TestSecondCrashRejectsTheOneThatFailsAlike guards against losing a third endpoint
+// to a request because another one met it at both endpoints.
+func TestSecondCrashRejectsTheOneThatFailsAlike(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failedAfter(40*time.Millisecond, "r0", "e1", 7)
+	f.failedAfter(300*time.Millisecond, "r1", "e1", 8)
+	f.failedAfter(65*time.Millisecond, "r0", "e2", 7)
+	f.failedAfter(65*time.Millisecond, "r1", "e2", 8)
+	is.True(f.freeEverywhere(8))
+	is.True(f.rejectedEverywhere(7))
+}
+
+// TestCopiesCountByTheLongestRun guards against verdicts that differ between routers
+// because evidence of several copies of a request reached them in another order.
+func TestCopiesCountByTheLongestRun(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	for _, copies := range [][]time.Duration{{10, 300}, {300, 10}} {
+		for i, d := range copies {
+			f.failedAfter(d*time.Millisecond, f.ids[i], "e1", 8)
+		}
+	}
+	f.failedAfter(40*time.Millisecond, "r0", "e1", 7)
+	f.failedAfter(60*time.Millisecond, "r0", "e2", 7)
+	f.failedAfter(60*time.Millisecond, "r1", "e2", 8)
+	is.True(f.freeEverywhere(8))
+	is.True(f.rejectedEverywhere(7))
+}
+
 // TestVerdictWaitsForOtherEvidence guards against rejecting a request because the
 // evidence against the one that crashed the endpoint has not arrived yet.
 func TestVerdictWaitsForOtherEvidence(t *testing.T) {
@@ -271,6 +309,43 @@
 	})
 }
 
+// TestCrashingRequestStopsAfterTwoWithoutIsolation checks that a request which crashes
+// every endpoint after about the same time crashes two, whatever else ran there, and
+// that requests that had run there for other times are not rejected beside it.
+func TestCrashingRequestStopsAfterTwoWithoutIsolation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const crashing = Fingerprint(7)
+		f := newOpenFleet(rapid.IntRange(2, 7).Draw(t, "routers"))
+		millis := func(from, to int, what string) time.Duration {
+			return time.Duration(rapid.IntRange(from, to).Draw(t, what)) * time.Millisecond
+		}
+		router := func() view.RouterID { return rapid.SampledFrom(f.ids).Draw(t, "router") }
+		lasted := map[Fingerprint]time.Duration{}
+		crashed := 0
+		for send := range rapid.IntRange(1, 6).Draw(t, "sends") {
+			at := router()
+			if f.check(at, crashing) != VerdictRejected {
+				e := endpoint(send)
+				f.failedAfter(millis(30, 80, "crash"), at, e, crashing)
+				crashed++
+				for n := range 4 {
+					fp := Fingerprint(100 + n)
+					d := millis(1, 999, "run")
+					f.failedAfter(d, router(), e, fp)
+					if before, ok := lasted[fp]; ok && (before-d).Abs() > alikeTolerance && f.check(router(), fp) != VerdictFree {
+						t.Fatalf("a request that failed after %v and %v is rejected", before, d)
+					}
+					lasted[fp] = d
+				}
+			}
+			f.advance(millis(1, 2000, "pause"))
+		}
+		if crashed > rejectThreshold {
+			t.Fatalf("the request crashed %d endpoints", crashed)
+		}
+	})
+}
+
 // TestFullTableKeepsRejections guards against a request that crashes endpoints
 // again because many others that failed once have filled the table.
 func TestFullTableKeepsRejections(t *testing.T) {
--- a/internal/coordination/suspect/doc.go
+++ b/internal/coordination/suspect/doc.go
@@ -17,9 +17,10 @@
 //     it until the evidence expires: a request may crash at most two endpoints.
 //   - It does not. Suspects run without restrictions, since nobody could keep
 //     them apart. A request with evidence from two endpoints is rejected if it is
-//     the only such request at one of them, and one with evidence from three in
-//     any case; see conviction.go. A rejection ends after a while, and lasts twice
-//     as long each time.
+//     the only such request at one of them, or if both failed after it had run for
+//     about the same time, unless it finished a short time before; one with
+//     evidence from three is rejected in any case; see conviction.go. A rejection
+//     ends after a while, and lasts twice as long each time.
 //
 // Requests without evidence cost one lookup and no message. A Table does no
 // I/O and reads no clock. Its Step must not be called concurrently.
--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -20,6 +20,9 @@
 	// At is the instant of the failure, and Until is when the evidence expires.
 	At    time.Time
 	Until time.Time
+	// BeganAt is when the longest run that failed there had begun; zero if that is
+	// unknown.
+	BeganAt time.Time
 }
 
 // Message is a message between the tables of two routers.
@@ -85,6 +88,8 @@
 	ID          uint64
 	Fingerprint Fingerprint
 	Endpoint    view.EndpointID
+	// BeganAt is when the run began; zero if that is unknown.
+	BeganAt time.Time
 }
 
 // LateFailure reports that an endpoint failed while it ran a request that had run
--- a/internal/coordination/suspect/record.go
+++ b/internal/coordination/suspect/record.go
@@ -35,6 +35,15 @@
 	grantedBy   view.RouterID
 }
 
+// lasted returns how long the longest run that failed had lasted; zero if that is
+// unknown.
+func (e *Evidence) lasted() time.Duration {
+	if e.BeganAt.IsZero() {
+		return 0
+	}
+	return e.At.Sub(e.BeganAt)
+}
+
 // startResending makes this router send the evidence of a record repeatedly.
 func (t *Table) startResending(now time.Time, c *record) {
 	c.resends, c.resendDelay, c.resendAt = true, firstResendDelay, now.Add(firstResendDelay)
@@ -95,6 +104,9 @@
 		t.expireIfCleared(now, c)
 		return true
 	default:
+		if known.lasted() < e.lasted() {
+			known.BeganAt = known.At.Add(-e.lasted())
+		}
 		return false
 	}
 	if !e.Cleared {
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -175,7 +175,7 @@
 func (t *Table) endpointFailed(now time.Time, in EndpointFailed) {
 	e := Evidence{
 		Fingerprint: in.Fingerprint, Endpoint: in.Endpoint,
-		At: now, Until: now.Add(evidenceLifetime),
+		At: now, Until: now.Add(evidenceLifetime), BeganAt: in.BeganAt,
 	}
 	if t.addEvidence(now, e, true) {
 		t.startResending(now, t.records[in.Fingerprint])
--- a/internal/coordination/suspect/table_test.go
+++ b/internal/coordination/suspect/table_test.go
@@ -109,9 +109,9 @@
 	is := is.New(t)
 	f := newFleet(3)
 	is.Equal(f.check("r0", 7), VerdictFree)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	is.Equal(f.check("r1", 7), VerdictExclusive)
-	f.step("r1", EndpointFailed{1, 7, "e2"})
+	f.step("r1", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e2"})
 	f.step("r1", RunEnded{7, false})
 	for _, id := range f.ids {
 		is.Equal(f.check(id, 7), VerdictRejected)
@@ -130,7 +130,7 @@
 	f := newFleet(3)
 	opensAt := f.now.Add(250 * time.Millisecond)
 	f.lose = func(from, to view.RouterID) bool { return from == "r0" && to == "r2" && f.now.Before(opensAt) }
-	f.step("r0", EndpointFailed{41, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 41, Fingerprint: 7, Endpoint: "e1"})
 	is.True(!f.broadcastDone[41])
 	is.Equal(f.check("r1", 7), VerdictExclusive)
 	f.step("r1", RunEnded{7, false})
@@ -145,10 +145,10 @@
 	// A router that is unreachable, or that leaves, delays the report only
 	// briefly.
 	f.lose = func(from, to view.RouterID) bool { return from == "r0" && to == "r2" }
-	f.step("r0", EndpointFailed{42, 7, "e2"})
+	f.step("r0", EndpointFailed{ID: 42, Fingerprint: 7, Endpoint: "e2"})
 	f.advance(testConfirmTimeout)
 	is.True(f.broadcastDone[42])
-	f.step("r0", EndpointFailed{43, 8, "e2"})
+	f.step("r0", EndpointFailed{ID: 43, Fingerprint: 8, Endpoint: "e2"})
 	is.True(!f.broadcastDone[43])
 	f.ids = []view.RouterID{"r0", "r1"}
 	f.updateView()
@@ -158,15 +158,15 @@
 func TestFailuresOfOneEndpointDoNotReject(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
-	f.step("r1", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
+	f.step("r1", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	is.Equal(f.check("r2", 7), VerdictExclusive)
 }
 
 func TestFinishedRunClearsEvidence(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	is.Equal(f.check("r1", 7), VerdictExclusive)
 	f.step("r1", RunEnded{7, true})
 	f.step("r2", Delivery{"r0", EvidenceUpdate{Evidence: []Evidence{{Fingerprint: 7, Endpoint: "e1", At: f.now, Until: f.now.Add(time.Minute)}}}}) // delayed message from before the run
@@ -178,7 +178,7 @@
 func TestLiveEndpointClearsEvidence(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	probedAt := f.now
 	f.step("r0", EndpointAlive{"e1", probedAt}) // the probe was not sent after the failure
 	is.Equal(f.check("r1", 7), VerdictExclusive)
@@ -190,7 +190,7 @@
 func TestSuspectHasAtMostOneRunInFlight(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(5)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	is.Equal(f.check("r1", 7), VerdictExclusive)
 	is.Equal(f.check("r2", 7), VerdictBusy)
 	is.Equal(f.check("r1", 7), VerdictBusy) // not twice at one router either
@@ -201,7 +201,7 @@
 func TestEvidenceOutlivesRouterAndReachesNewRouters(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(4)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	delete(f.tables, "r0")
 	f.ids = []view.RouterID{"r1", "r2", "r3"}
 	f.updateView()
@@ -214,7 +214,7 @@
 func TestRequestsWithoutEvidenceSendNoMessages(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(3)
-	f.step("r0", EndpointFailed{1, 7, "e1"})
+	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	before := f.sent
 	for i := range 1000 {
 		is.Equal(f.check("r1", Fingerprint(100+i)), VerdictFree)
@@ -251,11 +251,11 @@
 			other := Fingerprint(100 + send)
 			switch f.check(at, crashing) {
 			case VerdictFree, VerdictExclusive:
-				f.step(at, EndpointFailed{1, crashing, endpoint(send)})
+				f.step(at, EndpointFailed{ID: 1, Fingerprint: crashing, Endpoint: endpoint(send)})
 				f.step(at, RunEnded{crashing, false})
 				crashed++
 				others = append(others, other)
-				f.step(router(), EndpointFailed{1, other, endpoint(send)})
+				f.step(router(), EndpointFailed{ID: 1, Fingerprint: other, Endpoint: endpoint(send)})
 			}
 			f.advance(firstResendDelay) // the caller's delay before a retry, in which evidence is sent again
 			f.advance(2 * firstResendDelay)
--- a/internal/protocol/peer/conversion_suspect.go
+++ b/internal/protocol/peer/conversion_suspect.go
@@ -61,7 +61,7 @@
 		e := &all[i]
 		suspects = append(suspects, &Suspect{
 			Fingerprint: uint64(e.Fingerprint), Endpoint: string(e.Endpoint), Cleared: e.Cleared,
-			AtUnixMillis: toMillis(e.At), UntilUnixMillis: toMillis(e.Until),
+			AtUnixMillis: toMillis(e.At), UntilUnixMillis: toMillis(e.Until), BeganAtUnixMillis: toMillis(e.BeganAt),
 		})
 	}
 	return suspects
@@ -74,6 +74,7 @@
 		all = append(all, suspect.Evidence{
 			Fingerprint: suspect.Fingerprint(s.GetFingerprint()), Endpoint: view.EndpointID(s.GetEndpoint()),
 			Cleared: s.GetCleared(), At: fromMillis(s.GetAtUnixMillis()), Until: fromMillis(s.GetUntilUnixMillis()),
+			BeganAt: fromMillis(s.GetBeganAtUnixMillis()),
 		})
 	}
 	return all
--- a/internal/protocol/peer/conversion_suspect_test.go
+++ b/internal/protocol/peer/conversion_suspect_test.go
@@ -14,7 +14,7 @@
 func TestSuspectMessagesRoundTrip(t *testing.T) {
 	is := is.New(t)
 	at := time.UnixMilli(1_700_000_000_123)
-	evidence := []suspect.Evidence{{Fingerprint: 1, Endpoint: "e", Cleared: true, At: at, Until: at.Add(time.Minute)}}
+	evidence := []suspect.Evidence{{Fingerprint: 1, Endpoint: "e", Cleared: true, At: at, Until: at.Add(time.Minute), BeganAt: at.Add(-time.Second)}}
 	for _, m := range []suspect.Message{
 		suspect.EvidenceUpdate{Evidence: evidence},
 		suspect.PermitRequest{Fingerprint: 1, Until: at},
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -99,8 +99,9 @@
 	// Crashed is set if the process of the endpoint is known to have ended,
 	// unplanned, while it ran the attempt.
 	Crashed bool
-	// AnsweredAt is when the answer to the attempt began; zero if it has not.
-	AnsweredAt time.Time
+	// BeganAt is when the attempt began, and AnsweredAt when its answer did; zero if
+	// it has not.
+	BeganAt, AnsweredAt time.Time
 }
 
 // Views provides the router's current view of the fleet.
@@ -286,7 +287,7 @@
 	r.Scheduling.Input(schedule.Completion{
 		ID: start.ID, Result: result, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
-	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, AnsweredAt: a.AnsweredAt}, err
+	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, BeganAt: meter.begin, AnsweredAt: a.AnsweredAt}, err
 }
 
 // examineBreak reports whether the endpoint crashed under an attempt that broke
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -281,7 +281,7 @@
 // reportFailure reports to all routers that an endpoint failed while it ran a
 // request. The returned function waits until each of them has received the report
 // or cannot be reached.
-func (s *suspects) reportFailure(f suspect.Fingerprint, id view.EndpointID) (confirmed func(context.Context)) {
+func (s *suspects) reportFailure(f suspect.Fingerprint, o *execution.Outcome) (confirmed func(context.Context)) {
 	s.evidence.Inc(1)
 	done := make(chan struct{})
 	s.mu.Lock()
@@ -289,7 +289,7 @@
 	reportID := s.lastID
 	s.reports[reportID] = done
 	s.mu.Unlock()
-	s.driver.Input(suspect.EndpointFailed{ID: reportID, Fingerprint: f, Endpoint: id})
+	s.driver.Input(suspect.EndpointFailed{ID: reportID, Fingerprint: f, Endpoint: o.Endpoint, BeganAt: o.BeganAt})
 	return func(ctx context.Context) {
 		select {
 		case <-done:
@@ -303,7 +303,7 @@
 func (s *suspects) Done(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
 	switch {
 	case s.isEvidence(time.Now(), o):
-		confirmed = s.reportFailure(fingerprint(c), o.Endpoint)
+		confirmed = s.reportFailure(fingerprint(c), o)
 	case o.Crashed:
 		s.driver.Input(suspect.LateFailure{Fingerprint: fingerprint(c), Endpoint: o.Endpoint})
 	}
