--- a/internal/coordination/suspect/conviction_test.go
+++ b/internal/coordination/suspect/conviction_test.go
@@ -23,11 +23,19 @@
 func (f *fleet) failed(at view.RouterID, e view.EndpointID, requests ...Fingerprint) {
 	for _, fp := range requests {
 		f.lastID++
-		f.step(at, EndpointFailed{f.lastID, fp, e})
+		f.step(at, EndpointFailed{ID: f.lastID, Fingerprint: fp, Endpoint: e})
 		f.step(at, RunEnded{fp, false})
 	}
 }
 
+// failedAfter reports that an endpoint failed after a request had run there for the
+// given time.
+func (f *fleet) failedAfter(d time.Duration, at view.RouterID, e view.EndpointID, fp Fingerprint) {
+	f.lastID++
+	f.step(at, EndpointFailed{ID: f.lastID, Fingerprint: fp, Endpoint: e, BeganAt: f.now.Add(-d)})
+	f.step(at, RunEnded{fp, false})
+}
+
 func (f *fleet) rejectedEverywhere(fp Fingerprint) bool {
 	for _, id := range f.ids {
 		if f.check(id, fp) != VerdictRejected {
@@ -75,6 +83,36 @@
 	is.True(f.rejectedEverywhere(7))
 }
 
+// TestSecondCrashRejectsTheOneThatFailsAlike guards against losing a third endpoint
+// to a request because another one met it at both endpoints.
+func TestSecondCrashRejectsTheOneThatFailsAlike(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failedAfter(40*time.Millisecond, "r0", "e1", 7)
+	f.failedAfter(300*time.Millisecond, "r1", "e1", 8)
+	f.failedAfter(65*time.Millisecond, "r0", "e2", 7)
+	f.failedAfter(65*time.Millisecond, "r1", "e2", 8)
+	is.True(f.freeEverywhere(8))
+	is.True(f.rejectedEverywhere(7))
+}
+
+// TestCopiesCountByTheLongestRun guards against verdicts that differ between routers
+// because evidence of several copies of a request reached them in another order.
+func TestCopiesCountByTheLongestRun(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	for _, copies := range [][]time.Duration{{10, 300}, {300, 10}} {
+		for i, d := range copies {
+			f.failedAfter(d*time.Millisecond, f.ids[i], "e1", 8)
+		}
+	}
+	f.failedAfter(40*time.Millisecond, "r0", "e1", 7)
+	f.failedAfter(60*time.Millisecond, "r0", "e2", 7)
+	f.failedAfter(60*time.Millisecond, "r1", "e2", 8)
+	is.True(f.freeEverywhere(8))
+	is.True(f.rejectedEverywhere(7))
+}
+
 // TestVerdictWaitsForOtherEvidence guards against rejecting a request because the
 // evidence against the one that crashed the endpoint has not arrived yet.
 func TestVerdictWaitsForOtherEvidence(t *testing.T) {
@@ -92,6 +130,73 @@
 	is.True(f.rejectedEverywhere(7))
 }
 
+// TestConvictionWaitsForRunsUnderWay guards against refusing a request that is sent
+// often and was at two endpoints that crashed for another reason, although other
+// runs of it are about to finish.
+func TestConvictionWaitsForRunsUnderWay(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.advance(300 * time.Millisecond)
+	f.failed("r1", "e2", 7)
+	f.step("r1", CheckRequest{900, 7, f.now.Add(time.Second)})
+	for range 4 {
+		f.advance(settleTime)
+	}
+	_, decided := f.checked[900]
+	is.True(!decided)
+	f.step("r2", RunEnded{7, true}) // it ran at an endpoint that did not crash
+	is.Equal(f.checked[900].Verdict, VerdictFree)
+}
+
+// TestConvictionDoesNotWaitForLong guards against a caller that is refused late, and
+// against runs of a request that crashes endpoints while its conviction waits.
+func TestConvictionDoesNotWaitForLong(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.failed("r1", "e2", 7)
+	for i, id := range f.ids {
+		f.step(id, CheckRequest{uint64(900 + i), 7, f.now.Add(time.Second)})
+		f.step(id, CheckRequest{uint64(910 + i), 7, time.Time{}}) // right before it is sent
+		is.True(f.checked[uint64(910+i)].Verdict != VerdictFree)
+	}
+	for range 5 {
+		f.advance(100 * time.Millisecond)
+	}
+	for i := range f.ids {
+		is.Equal(f.checked[uint64(900+i)].Verdict, VerdictRejected)
+	}
+}
+
+// TestRequestThatFinishedNeedsThirdCrash guards against refusing a request that is
+// sent often beside frequent crashes: it finishes between them, but two may follow
+// each other before one of its runs does.
+func TestRequestThatFinishedNeedsThirdCrash(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.step("r1", RunEnded{7, true})
+	f.failed("r0", "e2", 7)
+	f.failed("r1", "e3", 7)
+	is.True(f.freeEverywhere(7))
+	f.failed("r2", "e4", 7)
+	is.True(f.rejectedEverywhere(7))
+}
+
+// TestAnswerLongAgoIsNoExcuse guards against losing a third endpoint to a request
+// that finished only before it began to crash endpoints.
+func TestAnswerLongAgoIsNoExcuse(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(3)
+	f.failed("r0", "e1", 7)
+	f.step("r1", RunEnded{7, true})
+	f.failed("r0", "e2", 7)
+	f.advance(clearedLifetime)
+	f.failed("r1", "e3", 7)
+	is.True(f.rejectedEverywhere(7))
+}
+
 // TestThirdCrashRejectsInAnyCase guards against requests that always crash
 // endpoints together, so that neither is the only suspect.
 func TestThirdCrashRejectsInAnyCase(t *testing.T) {
@@ -204,6 +309,43 @@
 	})
 }
 
+// TestCrashingRequestStopsAfterTwoWithoutIsolation checks that a request which crashes
+// every endpoint after about the same time crashes two, whatever else ran there, and
+// that requests that had run there for other times are not rejected beside it.
+func TestCrashingRequestStopsAfterTwoWithoutIsolation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const crashing = Fingerprint(7)
+		f := newOpenFleet(rapid.IntRange(2, 7).Draw(t, "routers"))
+		millis := func(from, to int, what string) time.Duration {
+			return time.Duration(rapid.IntRange(from, to).Draw(t, what)) * time.Millisecond
+		}
+		router := func() view.RouterID { return rapid.SampledFrom(f.ids).Draw(t, "router") }
+		lasted := map[Fingerprint]time.Duration{}
+		crashed := 0
+		for send := range rapid.IntRange(1, 6).Draw(t, "sends") {
+			at := router()
+			if f.check(at, crashing) != VerdictRejected {
+				e := endpoint(send)
+				f.failedAfter(millis(30, 80, "crash"), at, e, crashing)
+				crashed++
+				for n := range 4 {
+					fp := Fingerprint(100 + n)
+					d := millis(1, 999, "run")
+					f.failedAfter(d, router(), e, fp)
+					if before, ok := lasted[fp]; ok && (before-d).Abs() > alikeTolerance && f.check(router(), fp) != VerdictFree {
+						t.Fatalf("a request that failed after %v and %v is rejected", before, d)
+					}
+					lasted[fp] = d
+				}
+			}
+			f.advance(millis(1, 2000, "pause"))
+		}
+		if crashed > rejectThreshold {
+			t.Fatalf("the request crashed %d endpoints", crashed)
+		}
+	})
+}
+
 // TestFullTableKeepsRejections guards against a request that crashes endpoints
 // again because many others that failed once have filled the table.
 func TestFullTableKeepsRejections(t *testing.T) {
--- a/internal/coordination/suspect/record.go
+++ b/internal/coordination/suspect/record.go
@@ -14,6 +14,9 @@
 	until    time.Time
 	// changedAt is when this router got the last piece of evidence.
 	changedAt time.Time
+	// clearedAt is when this router last cleared evidence, or learned that another
+	// router did.
+	clearedAt time.Time
 	// loggedRejection is the number of failed endpoints at the last rejection that
 	// was logged.
 	loggedRejection int
@@ -32,6 +35,15 @@
 	grantedBy   view.RouterID
 }
 
+// lasted returns how long the longest run that failed had lasted; zero if that is
+// unknown.
+func (e *Evidence) lasted() time.Duration {
+	if e.BeganAt.IsZero() {
+		return 0
+	}
+	return e.At.Sub(e.BeganAt)
+}
+
 // startResending makes this router send the evidence of a record repeatedly.
 func (t *Table) startResending(now time.Time, c *record) {
 	c.resends, c.resendDelay, c.resendAt = true, firstResendDelay, now.Add(firstResendDelay)
@@ -54,6 +66,7 @@
 		}
 		e.Cleared = true
 		cleared = append(cleared, *e)
+		c.clearedAt = now
 	}
 	t.expireIfCleared(now, c)
 	t.startResending(now, c)
@@ -87,9 +100,13 @@
 		}
 	case e.Cleared && !known.Cleared:
 		known.Cleared = true
+		c.clearedAt = now
 		t.expireIfCleared(now, c)
 		return true
 	default:
+		if known.lasted() < e.lasted() {
+			known.BeganAt = known.At.Add(-e.lasted())
+		}
 		return false
 	}
 	if !e.Cleared {
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -22,8 +22,10 @@
 
 const (
 	// maxAttempts bounds the attempts of one call, even if the retry budget
-	// allows more.
-	maxAttempts = 4
+	// allows more. For a call with MaxAttempts it bounds those that reached an
+	// endpoint, and maxUnreached the others.
+	maxAttempts  = 4
+	maxUnreached = 8
 	// copyBytes is the size of the buffer between endpoint and caller.
 	copyBytes = 16 << 10
 	// resumeObjective is the time within which a resumed stream should deliver
@@ -97,8 +99,9 @@
 	// Crashed is set if the process of the endpoint is known to have ended,
 	// unplanned, while it ran the attempt.
 	Crashed bool
-	// AnsweredAt is when the answer to the attempt began; zero if it has not.
-	AnsweredAt time.Time
+	// BeganAt is when the attempt began, and AnsweredAt when its answer did; zero if
+	// it has not.
+	BeganAt, AnsweredAt time.Time
 }
 
 // Views provides the router's current view of the fleet.
@@ -210,19 +213,18 @@
 		p.retryReserved = false
 		return true
 	}
-	if p.attempts >= maxAttempts {
-		return false
-	}
 	if p.mayHaveRun && !p.call.Class.Idempotent {
 		return false
 	}
-	if p.call.MaxAttempts > 0 {
-		if result == schedule.ResultNotSent {
-			return true
-		}
-		if p.sentAttempts >= p.call.MaxAttempts {
+	switch {
+	case p.call.MaxAttempts == 0:
+		if p.attempts >= maxAttempts {
 			return false
 		}
+	case result == schedule.ResultNotSent:
+		return p.attempts-p.sentAttempts < maxUnreached
+	case p.sentAttempts >= min(p.call.MaxAttempts, maxAttempts):
+		return false
 	}
 	return r.Budget.Withdraw(p.call)
 }
@@ -285,7 +287,7 @@
 	r.Scheduling.Input(schedule.Completion{
 		ID: start.ID, Result: result, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
-	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, AnsweredAt: a.AnsweredAt}, err
+	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, BeganAt: meter.begin, AnsweredAt: a.AnsweredAt}, err
 }
 
 // examineBreak reports whether the endpoint crashed under an attempt that broke
