--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -24,8 +24,9 @@
 	idleCheckInterval = 50 * time.Millisecond
 	// Between two turns of all other goroutines that can run, connections are
 	// accepted that cost batchCost together: serveCost each, or rejectCost if they
-	// are rejected.
-	batchCost, serveCost, rejectCost = 64, 4, 1
+	// are rejected. A turn may take tens of milliseconds on a router without
+	// processor time, and callers whose connections wait meanwhile get no answer.
+	batchCost, serveCost, rejectCost = 1024, 64, 1
 	// emptyWait is the time that Accept waits at least if the accept queue is
 	// empty. The queue counts as empty after emptyAccepts such calls in a row,
 	// since a process that is not running makes single calls long.
@@ -70,6 +71,8 @@
 	backlog         time.Duration
 	// newConnTimeout is the constant of that name; tests use a longer time.
 	newConnTimeout time.Duration
+	// yield lets all other goroutines that can run have a turn.
+	yield func()
 
 	mu sync.Mutex
 	// idle maps each idle connection to the time since which it has been idle;
@@ -84,7 +87,7 @@
 	maxOpen = max(maxOpen, 1)
 	l := &Listener{
 		Listener: inner, newSlots: make(chan struct{}, maxNewConns), openSlots: make(chan struct{}, maxOpen),
-		closed: make(chan struct{}), idle: map[*conn]time.Time{}, newConnTimeout: newConnTimeout,
+		closed: make(chan struct{}), idle: map[*conn]time.Time{}, newConnTimeout: newConnTimeout, yield: runtime.Gosched,
 	}
 	if overload != nil {
 		if l.rejecter = newRejecter(inner, max(maxOpen/lingerDivisor, 1)); l.rejecter != nil {
@@ -125,7 +128,7 @@
 			// Under a flood, the goroutines of new connections always find their
 			// requests and never wait. Goroutines for which data arrives, such as
 			// those of streams and of other routers, would hardly run.
-			runtime.Gosched()
+			l.yield()
 		}
 		rejecting := l.overload != nil && l.overload.Observe(l.backlog)
 		if rejecting {
--- a/internal/transport/connlimit/listener_test.go
+++ b/internal/transport/connlimit/listener_test.go
@@ -240,6 +240,29 @@
 	is.True(overload.greatest.Load() < int64(500*time.Millisecond)) // of one second
 }
 
+// TestWaitingConnectionsAreRejectedInOneTurn guards against callers that get no
+// answer because each turn of a busy router's other goroutines lets a few
+// connections be rejected only.
+func TestWaitingConnectionsAreRejectedInOneTurn(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	const rejected = 200
+	l := New(inner, 100, &rejectAll{left: rejected})
+	turns := 0
+	l.yield = func() { turns++ }
+	for range rejected + 1 {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+	}
+	c, err := l.Accept()
+	is.NoErr(err)
+	is.Equal(turns, 0)
+	is.NoErr(c.Close())
+	is.NoErr(l.Close())
+}
+
 // rejectMarked is an Overload that rejects the requests for one path.
 type rejectMarked struct{ rejectAll }
 
