--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -263,6 +263,19 @@
 	}
 }
 
+// ResetOnClose makes the close of the connection in ctx a reset. ctx is the context
+// of a request.
+func ResetOnClose(ctx context.Context) error {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return nil
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(0)
+	}
+	return nil
+}
+
 // conn is an accepted connection.
 type conn struct {
 	net.Conn
