--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -34,7 +34,7 @@
 	work     work
 	timing   timing
 	// deadlineUse is the expected end of the answer as a fraction of the time that
-	// it may take; see Policy.deadlineUse. saturation is the greater of it and
+	// it may take; see pool.deadlineUse. saturation is the greater of it and
 	// timing.saturation.
 	deadlineUse, saturation float64
 	// timeToFirstToken is the expected time from now to the first token, and
@@ -57,11 +57,18 @@
 	return !e.Leaving && !now.Before(e.EjectedUntil) && !now.Before(e.health.avoidUntil)
 }
 
+// endpointState is the state of an endpoint on which all requests of a scan are
+// judged.
+type endpointState struct {
+	load   load
+	timing timing
+}
+
 // choose returns the endpoint with the lowest score for the request: the one
 // where the answer should begin soonest, with penalties added for failures,
 // saturation and the loss of a cached prefix. It returns false if no endpoint
 // can run the request.
-func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, loads []load, meanTiming timing, capacityShare float64) (candidate, bool) {
+func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, states []endpointState, capacityShare float64) (candidate, bool) {
 	home := p.home(now, l, w)
 	var best candidate
 	found := false
@@ -77,16 +84,16 @@
 			if w.request.Exclusive && e.exclusive > 0 || w.request.Model != "" && !e.Accepts(w.request.Model, now) {
 				continue
 			}
-			c := p.evaluate(now, w, e, loads[i], meanTiming, e == home)
-			if !e.fits(loads[i], c.work) {
+			c := p.evaluate(now, l, w, e, &states[i], e == home)
+			if !e.fits(states[i].load, c.work) {
 				continue
 			}
-			c.startNow = p.canStart(now, w, c, capacityShare)
 			if !found || c.score < best.score {
 				best, found = c, true
 			}
 		}
 		if found {
+			best.startNow = p.canStart(now, w, &best, capacityShare)
 			break
 		}
 	}
@@ -94,20 +101,20 @@
 }
 
 // evaluate estimates how the endpoint would serve the request.
-func (p *Policy) evaluate(now time.Time, w *queuedRequest, e *endpoint, l load, meanTiming timing, home bool) candidate {
+func (p *Policy) evaluate(now time.Time, l *pool, w *queuedRequest, e *endpoint, s *endpointState, home bool) candidate {
 	c := candidate{endpoint: e, work: e.workOf(now, w.request.Prompt), home: home}
 	if w.request.Prompt == nil {
 		// Without a prompt there is no prefill; the expected time depends on
 		// the number of requests in flight. The random part spreads the calls
 		// over endpoints of equal load.
-		c.score = e.health.penalty() + time.Duration(l.requests+1)*plainCallTime + p.domainPenalty(e) +
+		c.score = e.health.penalty() + time.Duration(s.load.requests+1)*plainCallTime + p.domainPenalty(e) +
 			time.Duration(p.random.Int64N(int64(plainCallTime)))
 		return c
 	}
-	c.tokensAhead = l.backlog + c.work.prefill
+	c.tokensAhead = s.load.backlog + c.work.prefill
 	c.timeToFirstToken = e.timeToFirstToken(c.tokensAhead)
-	c.timing = e.timing(now, l, meanTiming)
-	c.deadlineUse = p.deadlineUse(now, w, &c)
+	c.timing = s.timing
+	c.deadlineUse = l.deadlineUse(now, w, &c)
 	c.saturation = max(c.timing.saturation(), c.deadlineUse)
 	c.score = c.timeToFirstToken + e.health.penalty() + time.Duration(max(c.saturation-1, 0)*float64(saturationPenalty))
 	if !home {
@@ -120,12 +127,11 @@
 // deadlineUse returns the time after which the answer is expected to end, at
 // the endpoint's mean interval between events, as a fraction of the time
 // available until the deadline.
-func (p *Policy) deadlineUse(now time.Time, w *queuedRequest, c *candidate) float64 {
-	perEvent := p.pools[c.endpoint.Pool].tokensPerEvent
-	if perEvent <= 0 {
+func (l *pool) deadlineUse(now time.Time, w *queuedRequest, c *candidate) float64 {
+	if l.tokensPerEvent <= 0 {
 		return 0
 	}
-	events := float64(w.request.Prompt.OutputTokens) / perEvent
+	events := float64(w.request.Prompt.OutputTokens) / l.tokensPerEvent
 	ends := float64(c.timeToFirstToken) + events*float64(c.timing.eventInterval)
 	return ends / max(deadlineMargin*float64(w.request.Deadline.Sub(now)), 1)
 }
--- a/internal/coordination/admission/cost_test.go
+++ b/internal/coordination/admission/cost_test.go
@@ -104,3 +104,26 @@
 	small, large := shortestCheck(largeFleetRouters), shortestCheck(4*largeFleetRouters)
 	is.True(large < 8*small) // with four times the routers; quadratic growth would give sixteen times
 }
+
+// BenchmarkScan measures a scan of eight waiting requests that can't be started, in
+// a pool of 145 saturated engines.
+func BenchmarkScan(b *testing.B) {
+	w := newSimulation(145, 3_300_000)
+	l := w.policy.pools["p"]
+	w.send("o", 5000)
+	request := *w.requests[w.last]
+	for b.Loop() {
+		w.now = w.now.Add(scanInterval)
+		for _, e := range l.endpoints {
+			e.own.requests = 10
+			e.measured = measurement{weight: 1, intervals: float64(maxEventInterval), at: w.now}
+		}
+		request.Objective, request.Deadline = w.now.Add(objective), w.now.Add(deadline)
+		l.queue.requests = l.queue.requests[:0]
+		for range 8 {
+			l.queue.add(&queuedRequest{request: request, arrived: w.now, cost: Cost(request.Prompt)})
+		}
+		l.scannedAt = time.Time{}
+		w.policy.scan(w.now, l)
+	}
+}
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -59,15 +59,16 @@
 	shares := newShares(p.usage.fleetRates(now), l.tokensPerSecond)
 	p.logBound(now, &shares)
 	l.queue.order(shares.rates, shares.fairRate)
-	loads := make([]load, len(l.endpoints))
+	meanTiming := l.meanTiming(now)
+	states := make([]endpointState, len(l.endpoints))
 	for i, e := range l.endpoints {
-		loads[i] = e.total()
+		load := e.total()
+		states[i] = endpointState{load, e.timing(now, load, meanTiming)}
 	}
 	// queueTime is the time that the remaining requests earlier in the queue
 	// will take.
 	queueTime := time.Duration(0)
 	speed := p.ownSpeedShare(now, l)
-	meanTiming := l.meanTiming(now)
 	remaining := l.queue.requests[:0]
 	for _, w := range l.queue.requests {
 		if heldUntil := p.heldUntil(now, w, &shares); !heldUntil.IsZero() {
@@ -75,11 +76,12 @@
 			continue
 		}
 		capacityShare := shares.capacityShare(&w.request)
-		best, found := p.choose(now, l, w, loads, meanTiming, capacityShare)
+		best, found := p.choose(now, l, w, states, capacityShare)
 		switch {
 		case found && best.startNow:
 			p.start(now, w, best)
-			loads[slices.Index(l.endpoints, best.endpoint)] = best.endpoint.total()
+			load := best.endpoint.total()
+			states[slices.Index(l.endpoints, best.endpoint)] = endpointState{load, best.endpoint.timing(now, load, meanTiming)}
 		case p.mustRefuse(now, w, best, found, queueTime, capacityShare < 1):
 			p.refuse(now, w, best, queueTime, refusalDetail(now, w, best, found, queueTime, capacityShare, &shares))
 		default:
@@ -151,7 +153,7 @@
 
 // canStart reports whether the request should be started on the candidate now.
 // On an endpoint without a backlog only saturation prevents the start.
-func (p *Policy) canStart(now time.Time, w *queuedRequest, c candidate, capacityShare float64) bool {
+func (p *Policy) canStart(now time.Time, w *queuedRequest, c *candidate, capacityShare float64) bool {
 	if w.request.Prompt == nil {
 		return true
 	}
