--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"time"
@@ -10,18 +11,28 @@
 
 const (
 	// maxGap is the ratio of what an organisation may receive to what the least
-	// served organisation receives that is refused a large part of its requests.
-	// It is below 2, the ratio that the operators accept over several seconds,
-	// since rates of other routers are up to a second old.
+	// served organisation receives that is refused a large part of its requests. The
+	// operators accept 2 over several seconds; rates of other routers are up to a
+	// second old.
 	maxGap = 1.6
 	// maxServedShare is the part of its requests that an organisation receives at
-	// most if it counts as one that is refused a large part. It is above one half,
-	// from which on the operators accept any ratio.
+	// most if it counts as one that is refused a large part.
 	maxServedShare = 0.6
-	// minBoundShare is the least bound, in proportion to the rate of the best
-	// served organisation. Where an organisation gets even less, the bound would
-	// leave most capacity idle without bringing the ratio near to what is accepted.
+	// returnedShare is the part of the refused and rejected requests that are taken
+	// to be the same requests again, sent by callers that return.
+	returnedShare = 0.5
+	// minBoundShare is the part of the fair rate, and of what the best served
+	// organisation receives, below which no bound applies: it would leave most
+	// capacity idle.
 	minBoundShare = 0.2
+	// heldThreshold is the part of the bound from which on an organisation is held to
+	// it. It is below 1, so that an organisation that has reached the bound remains
+	// held while its mean rate varies.
+	heldThreshold = 0.9
+	// maxStartInterval is the longest time between two starts of an organisation at a
+	// router because of the bound. The router's part of the bound may be less than
+	// one request in that time.
+	maxStartInterval = 5 * time.Second
 	// boundLogInterval is the time between two log lines about the bound.
 	boundLogInterval = time.Second
 )
@@ -30,17 +41,17 @@
 type shares struct {
 	rates    map[string]usageRates
 	fairRate float64
-	// bound is the rate up to which organisations may receive work, and shortest
-	// the least served organisation, on whose behalf it applies; infinite and empty
-	// if there is none.
+	// bound is the rate up to which organisations may receive work, and leastServed
+	// the organisation on whose behalf it applies; infinite and empty if there is
+	// none.
 	//
 	// Without a bound, an organisation may receive a multiple of what another one
 	// receives that can't be served as it requests, for instance because its callers
 	// use a router that has no processor time for them. Capacity stays idle while
 	// organisations are held back, so the bound applies only while requests are
 	// refused for other reasons than the bound itself.
-	bound    float64
-	shortest string
+	bound       float64
+	leastServed string
 }
 
 func newShares(rates map[string]usageRates, tokensPerSecond float64) shares {
@@ -49,28 +60,34 @@
 	for _, o := range rates {
 		best = max(best, o.received)
 	}
+	minBound := minBoundShare * best
+	if !math.IsInf(s.fairRate, 1) {
+		minBound = max(minBound, minBoundShare*s.fairRate)
+	}
 	for name, o := range rates {
 		limit := maxGap * o.received
-		if !s.isShort(o, best) || limit < minBoundShare*best {
+		if limit <= minBound || !s.isMostlyRefused(o, best) {
 			continue
 		}
-		if limit < s.bound || limit == s.bound && name < s.shortest {
-			s.bound, s.shortest = limit, name
+		if limit < s.bound || limit == s.bound && name < s.leastServed {
+			s.bound, s.leastServed = limit, name
 		}
 	}
 	return s
 }
 
-// isShort reports whether an organisation is refused a large part of its requests
-// while others may be in its way: it requests no less than the fair rate, or than
-// the best served one receives. The requests of any other come first at the engines.
-func (s *shares) isShort(o usageRates, best float64) bool {
-	if o.requested < min(s.fairRate, best) {
+// isMostlyRefused reports whether an organisation is refused a large part of what it
+// requests while others may be in its way: it requests no less than the fair rate,
+// or than the best served one receives. The requests of any other organisation come
+// first at the engines.
+func (s *shares) isMostlyRefused(o usageRates, best float64) bool {
+	demand := o.received + (1-returnedShare)*max(o.requested-o.received, o.unserved)
+	if demand < min(s.fairRate, best) {
 		return false
 	}
-	// The second condition ends soon after the shortage, the first one does not
-	// follow single requests.
-	return o.received < maxServedShare*o.requested && o.received < maxServedShare*(o.received+o.unserved)
+	// The rates of requested and received work are means over seconds, which single
+	// refusals do not change. That of unserved work ends soon after the refusals.
+	return o.received < maxServedShare*demand && o.received < maxServedShare*(o.received+o.unserved)
 }
 
 // capacityShare returns the capacity share of a request; see capacityShareFor.
@@ -83,39 +100,65 @@
 	return capacityShareFor(s.rates[r.Organisation].received, s.fairRate)
 }
 
-// heldUntil returns the instant until which this router starts no requests like
-// this one because of the bound; zero if it may start one now. A router may give an
-// organisation the part of the bound that corresponds to its part of the
-// organisation's requests. Of these its own rates are exact, whereas it learns the
-// rates of other routers late.
-func (p *Policy) heldUntil(now time.Time, w *queuedRequest, s *shares) time.Time {
-	own := p.usage.own[w.request.Organisation]
-	if s.shortest == "" || own == nil || w.request.Prompt == nil || w.request.Resumes {
-		return time.Time{}
+// holds reports whether the bound holds back the organisation of the request.
+func (s *shares) holds(r *schedule.Request) bool {
+	return s.leastServed != "" && r.Prompt != nil && !r.Resumes && !r.Nested &&
+		s.rates[r.Organisation].received >= heldThreshold*s.bound
+}
+
+// startInterval returns the time between the start of this request and that of the
+// next one of its organisation at which the organisation receives the router's part
+// of the bound. That part corresponds to the router's part of the organisation's
+// requests.
+func (p *Policy) startInterval(now time.Time, w *queuedRequest, s *shares) time.Duration {
+	own := p.usage.organisationUsage(w.request.Organisation)
+	part := min(own.requested.perSecond(now)/max(s.rates[w.request.Organisation].requested, 1), 1)
+	return time.Duration(min(w.cost/max(s.bound*part, 1), maxStartInterval.Seconds()) * float64(time.Second))
+}
+
+// mayStart reports whether this router may start a request of the organisation now
+// by the bound.
+func (p *Policy) mayStart(now time.Time, w *queuedRequest, s *shares) bool {
+	return !s.holds(&w.request) || !now.Before(p.usage.organisationUsage(w.request.Organisation).nextStartAt)
+}
+
+// paceStarts records that a request has been started while the bound holds back its
+// organisation.
+func (p *Policy) paceStarts(now time.Time, w *queuedRequest, s *shares) {
+	if s.holds(&w.request) {
+		p.usage.organisationUsage(w.request.Organisation).nextStartAt = now.Add(p.startInterval(now, w, s))
 	}
-	allowed := s.bound * min(own.requested.perSecond(now)/max(s.rates[w.request.Organisation].requested, 1), 1)
-	received := own.received.perSecond(now)
-	if received < allowed {
-		return time.Time{}
+}
+
+// refuseHeld refuses a request of an organisation that the bound holds back. Each
+// further caller is told to return when one more request may have been started.
+func (p *Policy) refuseHeld(now time.Time, w *queuedRequest, s *shares) {
+	own := p.usage.organisationUsage(w.request.Organisation)
+	if own.returnAt.Before(own.nextStartAt) {
+		own.returnAt = own.nextStartAt
 	}
-	// The rate falls exponentially as long as nothing is started.
-	wait := math.Log(received/max(allowed, 1)) * float64(usageTimeConstant)
-	return now.Add(min(max(time.Duration(wait), minRetryDelay), maxRetryDelay))
+	delay := min(max(own.returnAt.Sub(now), minRetryDelay), maxRetryDelay)
+	own.returnAt = now.Add(delay + p.startInterval(now, w, s))
+	delay += time.Duration(p.random.Int64N(int64(minRetryDelay)))
+	p.emit(schedule.Refusal{
+		ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(delay),
+		Detail: fmt.Sprintf("bounded=%s,received=%.0f,bound=%.0f", s.leastServed, s.rates[w.request.Organisation].received, s.bound),
+	})
 }
 
 // logBound logs the bound once per boundLogInterval, and its end.
 func (p *Policy) logBound(now time.Time, s *shares) {
-	if now.Before(p.nextBoundLogAt) || s.shortest == "" && !p.bounded {
+	if now.Before(p.nextBoundLogAt) || s.leastServed == "" && !p.bounded {
 		return
 	}
-	p.nextBoundLogAt, p.bounded = now.Add(boundLogInterval), s.shortest != ""
-	if s.shortest == "" {
+	p.nextBoundLogAt, p.bounded = now.Add(boundLogInterval), s.leastServed != ""
+	if s.leastServed == "" {
 		p.emit(schedule.Decision{Event: "ShareBoundEnded"})
 		return
 	}
-	o := s.rates[s.shortest]
+	o := s.rates[s.leastServed]
 	p.emit(schedule.Decision{Event: "ShareBounded", Fields: []string{
-		"Organisation", s.shortest, "Requested", formatRate(o.requested), "Received", formatRate(o.received),
+		"Organisation", s.leastServed, "Requested", formatRate(o.requested), "Received", formatRate(o.received),
 		"Unserved", formatRate(o.unserved), "Bound", formatRate(s.bound), "FairRate", formatRate(s.fairRate),
 	}})
 }
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -71,8 +71,8 @@
 	speed := p.ownSpeedShare(now, l)
 	remaining := l.queue.requests[:0]
 	for _, w := range l.queue.requests {
-		if heldUntil := p.heldUntil(now, w, &shares); !heldUntil.IsZero() {
-			p.refuseHeld(w, heldUntil, &shares)
+		if !p.mayStart(now, w, &shares) {
+			p.refuseHeld(now, w, &shares)
 			continue
 		}
 		capacityShare := shares.capacityShare(&w.request)
@@ -80,6 +80,7 @@
 		switch {
 		case found && best.startNow:
 			p.start(now, w, best)
+			p.paceStarts(now, w, &shares)
 			load := best.endpoint.total()
 			states[slices.Index(l.endpoints, best.endpoint)] = endpointState{load, best.endpoint.timing(now, load, meanTiming)}
 		case p.mustRefuse(now, w, best, found, queueTime, capacityShare < 1):
@@ -245,10 +246,3 @@
 	delay += time.Duration(p.random.Int64N(int64(delay)/2 + 1))
 	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(delay), Detail: detail})
 }
-
-// refuseHeld refuses a request of an organisation that is held back by the bound.
-func (p *Policy) refuseHeld(w *queuedRequest, until time.Time, s *shares) {
-	detail := fmt.Sprintf("heldfor=%s,received=%.0f,bound=%.0f", s.shortest, s.rates[w.request.Organisation].received, s.bound)
-	retryAt := until.Add(time.Duration(p.random.Int64N(int64(minRetryDelay))))
-	p.emit(schedule.Refusal{ID: w.request.ID, Reason: schedule.RefusalOverload, RetryAt: retryAt, Detail: detail})
-}
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -61,7 +61,13 @@
 
 // organisationUsage is the work that an organisation has requested from, and
 // received through, this router; see usageRates.
-type organisationUsage struct{ requested, received, unserved rate }
+type organisationUsage struct {
+	requested, received, unserved rate
+	// nextStartAt is when this router may start the next request of the organisation
+	// while the bound holds it back, and returnAt when a caller that is refused for
+	// it should return; see Policy.refuseHeld.
+	nextStartAt, returnAt time.Time
+}
 
 func (o *organisationUsage) rates(now time.Time) usageRates {
 	return usageRates{o.requested.perSecond(now), o.received.perSecond(now), o.unserved.perSecond(now)}
@@ -95,7 +101,10 @@
 func (u *usage) organisationUsage(organisation string) *organisationUsage {
 	a := u.own[organisation]
 	if a == nil {
-		a = &organisationUsage{rate{timeConstant: usageTimeConstant}, rate{timeConstant: usageTimeConstant}, rate{timeConstant: unservedTimeConstant}}
+		a = &organisationUsage{
+			requested: rate{timeConstant: usageTimeConstant}, received: rate{timeConstant: usageTimeConstant},
+			unserved: rate{timeConstant: unservedTimeConstant},
+		}
 		u.own[organisation] = a
 	}
 	return a
