--- a/internal/coordination/overload/controller.go
+++ b/internal/coordination/overload/controller.go
@@ -19,6 +19,9 @@
 	// maxFraction leaves some connections, by whose requests the router learns
 	// who still calls it.
 	maxFraction = 0.99
+	// evenPart is the part of the connections that are not rejected that is divided
+	// evenly between organisations.
+	evenPart = 0.25
 	// offeredWeight is the weight of the newest sample in the mean number of
 	// connections that an organisation opens between two samples. An organisation
 	// below minOffered is forgotten.
@@ -64,15 +67,19 @@
 	c.divide(received)
 }
 
-// divide divides the connections that are not rejected between the organisations:
-// those that receive least from the fleet come first, since their callers may have
-// no other router, and get as many as they open. Connections of unknown callers are
-// rejected in the mean proportion. It requires that mu is held.
+// divide divides the connections that are not rejected between the organisations.
+// A part of them is divided evenly, so that none takes all of the router's processor
+// time by requests that count little work. Of the others, organisations that receive
+// least from the fleet get as many as they open, since their callers may have no
+// other router. Connections of unknown callers are rejected in the mean proportion.
+// It requires that mu is held.
 func (c *Controller) divide(received func(organisation string) float64) {
 	type entry struct {
 		name     string
 		received float64
 		*organisation
+		// kept is the number of connections that are not rejected.
+		kept float64
 	}
 	var entries []entry
 	total := 0.0
@@ -92,19 +99,27 @@
 		if received != nil {
 			rate = received(name)
 		}
-		entries = append(entries, entry{name, rate, o})
+		entries = append(entries, entry{name, rate, o, 0})
 	}
+	keepable := total * (1 - c.fraction)
+	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.offered, b.offered) })
+	remaining := keepable * evenPart
+	for i := range entries {
+		e := &entries[i]
+		e.kept = min(e.offered, remaining/float64(len(entries)-i))
+		remaining -= e.kept
+	}
+	remaining += keepable * (1 - evenPart)
 	slices.SortFunc(entries, func(a, b entry) int {
 		if order := cmp.Compare(a.received, b.received); order != 0 {
 			return order
 		}
 		return strings.Compare(a.name, b.name)
 	})
-	remaining := total * (1 - c.fraction)
 	for _, e := range entries {
-		kept := min(e.offered, remaining)
-		remaining -= kept
-		e.fraction = min(1-kept/e.offered, maxFraction)
+		more := min(e.offered-e.kept, remaining)
+		remaining -= more
+		e.fraction = min(1-(e.kept+more)/e.offered, maxFraction)
 	}
 }
 
@@ -132,6 +147,17 @@
 	return true
 }
 
+// FractionOf returns the part of the organisation's connections that is rejected, 0
+// to 1.
+func (c *Controller) FractionOf(name string) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.organisations[name]; o != nil {
+		return o.fraction
+	}
+	return c.fraction
+}
+
 // Fraction returns the part of the connections that is rejected, 0 to 1.
 func (c *Controller) Fraction() float64 {
 	c.mu.Lock()
--- a/internal/coordination/overload/doc.go
+++ b/internal/coordination/overload/doc.go
@@ -10,7 +10,8 @@
 //
 // Which connections are rejected follows what their organisations receive from the
 // whole fleet: callers of an organisation that receives little come first, since
-// they may have no other router.
+// they may have no other router. A part of the connections is divided evenly, since
+// requests that count little work take processor time too.
 //
 // A Controller starts no goroutine and reads no clock. Its methods may be called
 // concurrently.
