--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -246,7 +246,7 @@
 
 // Cost returns the work that a request with the prompt is charged for, in tokens.
 func Cost(p *schedule.Prompt) float64 {
-	return float64(p.InputTokens + outputWeight*p.OutputTokens)
+	return float64(p.InputTokens) + outputWeight*float64(p.OutputTokens)
 }
 
 // change replaces the view. The state of an endpoint is retained for as long
