--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -149,7 +149,7 @@
 		now := time.Now()
 		l.measureBacklog(now.Sub(begun), now)
 		l.accepted += serveCost
-		if err != nil || !rejecting || !l.overload.Reject(nil) {
+		if err != nil || !rejecting || !l.overload.Reject(l.rejecter.peek(inner)) {
 			return inner, err
 		}
 		l.rejecter.reject(inner, l.overload.Answer())
--- a/internal/transport/connlimit/listener_test.go
+++ b/internal/transport/connlimit/listener_test.go
@@ -317,6 +317,35 @@
 	}
 }
 
+// TestConnectionThatFindsEmptyQueueIsJudgedByItsCaller guards against a rejection by
+// the order of arrival of the connections that arrive one by one, as most do at a
+// router that keeps up while it rejects.
+func TestConnectionThatFindsEmptyQueueIsJudgedByItsCaller(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	const connections = 40
+	l := New(inner, 100, &rejectMarked{rejectAll{left: connections}})
+	var marked atomic.Int64
+	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		MarkRequestRead(r.Context())
+		marked.Add(1)
+	})}
+	l.InstallHooks(s)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for range connections {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		_, err = fmt.Fprint(c, "GET /marked HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.NoErr(err)
+		is.NoErr(readAnswer(bufio.NewReader(c)))
+		is.NoErr(c.Close())
+	}
+	t.Logf("%d of %d were served", marked.Load(), connections)
+	is.True(marked.Load() <= connections/2)
+}
+
 // TestBacklogIsTimeSinceQueueWasEmpty checks what counts as an empty accept
 // queue: calls that wait, but neither a single long one nor a quiet period.
 func TestBacklogIsTimeSinceQueueWasEmpty(t *testing.T) {
--- a/internal/transport/connlimit/rejecter.go
+++ b/internal/transport/connlimit/rejecter.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -22,6 +23,10 @@
 	// maxHeadBytes is the number of bytes of a request that are looked at to decide
 	// whether to reject its connection.
 	maxHeadBytes = 2 << 10
+	// peekTimeout is the time that a connection that was accepted as it arrived has
+	// for the beginning of its request. No other connection waits meanwhile, or only
+	// for so long.
+	peekTimeout = 5 * time.Millisecond
 	// lingerDivisor divides the number of open connections to give the number of
 	// rejected connections that linger.
 	lingerDivisor = 4
@@ -95,6 +100,30 @@
 	return nil, true
 }
 
+// peek returns the beginning of the request on an accepted connection, without
+// taking it from the connection. It waits for at most peekTimeout and returns
+// nothing if no request has arrived by then.
+func (r *rejecter) peek(c net.Conn) []byte {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	n := 0
+	// An error of the deadline or of the read shows at the next use.
+	_ = c.SetReadDeadline(time.Now().Add(peekTimeout))
+	_ = raw.Read(func(descriptor uintptr) bool {
+		var peekErr error
+		n, _, peekErr = unix.Recvfrom(int(descriptor), r.head[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(peekErr, unix.EAGAIN)
+	})
+	_ = c.SetReadDeadline(time.Time{})
+	return r.head[:max(n, 0)]
+}
+
 // newConn prepares an accepted connection for use with package net. It closes the
 // connection and returns nil if there are no descriptors left.
 func newConn(accepted int) net.Conn {
