--- a/internal/transport/router/rejecter.go
+++ b/internal/transport/router/rejecter.go
@@ -116,6 +116,9 @@
 	answer   func(now, retryAt time.Time) []byte
 	logger   log.Interface
 	count    metrics.Counter
+	// fraction is the part of the connections that is rejected of the organisation
+	// whose connection was rejected last.
+	fraction float64
 	// unlogged is the number of rejections since the last log line by organisation,
 	// and nextLogAt the instant of the next one.
 	unlogged  map[string]int
@@ -136,7 +139,7 @@
 func newRejecter(c *overloadController, identify func(head []byte) (string, float64), answer func(now, retryAt time.Time) []byte, logger log.Interface, registry metrics.Registry) *rejecter {
 	return &rejecter{
 		controller: c, identify: identify, answer: answer, logger: logger,
-		count: metrics.GetOrRegisterCounter(metricRejected, registry), unlogged: map[string]int{},
+		count: metrics.GetOrRegisterCounter(metricRejected, registry), unlogged: map[string]int{}, logged: routerLoad{at: time.Now()},
 		requests: metrics.GetOrRegisterCounter(entry.MetricRequests, registry), refusals: metrics.GetOrRegisterCounter(entry.MetricRefusals, registry),
 	}
 }
@@ -156,6 +159,7 @@
 	if !r.controller.Reject(organisation) {
 		return false
 	}
+	r.fraction = r.controller.FractionOf(organisation)
 	r.controller.addRejected(organisation, work)
 	r.unlogged[organisation]++
 	return true
@@ -169,11 +173,11 @@
 		r.log(now)
 		r.nextLogAt = now.Add(rejectLogInterval)
 	}
-	return r.answer(now, now.Add(rejectDelay(r.controller.Fraction(), rand.Float64())))
+	return r.answer(now, now.Add(rejectDelay(r.fraction, rand.Float64())))
 }
 
 // rejectDelay returns the time after which a caller may retry that is rejected
-// while the given part of the connections is. If few are accepted, those that have
+// while the given part of its organisation's connections is. If few are accepted, those that have
 // been rejected take longer to be served. The jitter, 0 to 1, spreads callers that
 // were rejected at the same time.
 func rejectDelay(fraction, jitter float64) time.Duration {
--- a/internal/transport/router/rejecter_test.go
+++ b/internal/transport/router/rejecter_test.go
@@ -19,6 +19,39 @@
 	is.Equal(rejectDelay(1, 1), 2*maxRejectDelay) // spread over as much time again
 }
 
+// TestCallersAreToldToReturnByTheirOrganisation guards against callers that are told
+// to stay away for seconds because another organisation floods the router.
+func TestCallersAreToldToReturnByTheirOrganisation(t *testing.T) {
+	is := is.New(t)
+	var c overloadController
+	var delay time.Duration
+	answer := func(now, retryAt time.Time) []byte {
+		delay = retryAt.Sub(now)
+		return nil
+	}
+	identify := func(head []byte) (string, float64) { return string(head), 1 }
+	r := newRejecter(&c, identify, answer, log.Log, metrics.NewRegistry())
+	c.setReceived(map[string]float64{"flood": 100, "small": 1})
+	delays := map[string]time.Duration{}
+	for range 200 {
+		r.Observe(time.Second)
+		c.Observe(0)
+		for range 100 {
+			r.Reject([]byte("flood"))
+		}
+		r.Answer()
+		delays["flood"] = delay
+		for range 3 {
+			if r.Reject([]byte("small")) {
+				r.Answer()
+				delays["small"] = delay
+			}
+		}
+	}
+	is.True(delays["flood"] >= maxRejectDelay)
+	is.True(delays["small"] < maxRejectDelay)
+}
+
 // TestBacklogIsForgottenWithoutConnections guards against a router that goes on
 // rejecting connections after a flood has ended, by the backlog that it left.
 func TestBacklogIsForgottenWithoutConnections(t *testing.T) {
