--- a/internal/coordination/admission/pacedfleet_test.go
+++ b/internal/coordination/admission/pacedfleet_test.go
@@ -226,6 +226,8 @@
 		requests, requested := at(interval * 11 / 10)
 		is.Equal(requests, routers-1)
 		is.True(requested > 0)
+		_, requested = at(interval * 22 / 10) // one pulse is lost
+		is.True(requested > 0)
 		requests, requested = at(3*interval + 3*time.Second)
 		is.Equal(requests, 0)
 		is.Equal(requested, 0.0)
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -308,7 +308,7 @@
 	expirePeers := !now.Before(p.nextPeerExpiryAt)
 	if expirePeers {
 		p.nextPeerExpiryAt = now.Add(peerExpiryInterval)
-		p.usage.expirePeers(now.Add(-p.reportLifetime()))
+		p.usage.expirePeers(now.Add(-p.ratesLifetime()))
 	}
 	for _, l := range p.pools {
 		for _, e := range l.endpoints {
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -23,12 +23,19 @@
 	return max(minPulseInterval, time.Duration(len(p.view.Routers)-1)*time.Second/maxPulsesPerSecond)
 }
 
-// reportLifetime returns the time for which the loads and rates in a peer's Pulse
-// are taken into account. It exceeds the time until the next one.
+// reportLifetime returns the time for which the loads in a peer's Pulse are taken
+// into account. It exceeds the time until the next one.
 func (p *Policy) reportLifetime() time.Duration {
 	return max(minReportLifetime, p.pulseInterval()*3/2)
 }
 
+// ratesLifetime returns the time for which the rates of organisations in a peer's
+// Pulse are taken into account. It allows for one that is lost or late: the bound
+// must not end because the router that is short of processor time sends late.
+func (p *Policy) ratesLifetime() time.Duration {
+	return max(minReportLifetime, p.pulseInterval()*5/2)
+}
+
 // sendPulse sends this router's loads and usage to all other routers if the
 // last broadcast was long enough ago.
 func (p *Policy) sendPulse(now time.Time) {
