--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -26,7 +26,7 @@
 	// accepted that cost batchCost together: serveCost each, or rejectCost if they
 	// are rejected. A turn may take tens of milliseconds on a router without
 	// processor time, and callers whose connections wait meanwhile get no answer.
-	batchCost, serveCost, rejectCost = 1024, 64, 1
+	batchCost, serveCost, rejectCost = 512, 32, 1
 	// emptyWait is the time that Accept waits at least if the accept queue is
 	// empty. The queue counts as empty after emptyAccepts such calls in a row,
 	// since a process that is not running makes single calls long.
