--- a/internal/transport/router/network.go
+++ b/internal/transport/router/network.go
@@ -21,6 +21,8 @@
 	// further probes.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
+	// acceptedKeepAlive is the same two times for accepted connections.
+	acceptedKeepAlive = 15 * time.Second
 	// tcpUserTimeout is the number of Linux's socket option TCP_USER_TIMEOUT,
 	// whose value is in milliseconds.
 	tcpUserTimeout = 18
@@ -64,6 +66,21 @@
 	return errors.Join(err, sockErr)
 }
 
+// setKeepAlive sets the keep-alive options on the socket of a listener. Accepted
+// connections inherit them, which saves the system calls to set them on each.
+func setKeepAlive(_, _ string, raw syscall.RawConn) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) {
+		seconds := int(acceptedKeepAlive.Seconds())
+		sockErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, seconds),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, seconds),
+		)
+	})
+	return errors.Join(err, sockErr)
+}
+
 // DialContext opens a connection.
 func (n *hostNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	return n.dialer.DialContext(ctx, network, address)
@@ -71,7 +88,7 @@
 
 // Listen accepts connections at the address.
 func (n *hostNetwork) Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var config net.ListenConfig
+	config := net.ListenConfig{KeepAlive: -1, Control: setKeepAlive}
 	l, err := config.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
