--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -28,6 +28,9 @@
 	maxIdleConns = 8192
 	// maxHeaderBytes bounds the size of an answer's header.
 	maxHeaderBytes = 64 << 10
+	// writeBufferBytes is the size of a connection's write buffer. Most attempts,
+	// with their bodies, fit and are written at once.
+	writeBufferBytes = 8 << 10
 )
 
 // Options describes the conventions of the endpoints and the limits on
@@ -134,6 +137,7 @@
 		MaxIdleConns:           maxIdleConns,
 		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
+		WriteBufferSize:        writeBufferBytes,
 	}}
 }
 
