--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -14,6 +14,7 @@
 	"hyssopreach/internal/state/route"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/clock"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 )
@@ -87,7 +88,8 @@
 	if e, ok := c.fleet.View().Endpoint(id); !ok || e.Leaving {
 		return false
 	}
-	return c.sources.listUsable(c.options.listFor()) && (o.Name == "" || c.sources.confirmedWithin(c.options.confirmFor()))
+	now := clock.Now()
+	return c.sources.listUsable(now, c.options.listFor()) && (o.Name == "" || c.sources.confirmedAt(now, c.options.confirmFor()))
 }
 
 // KeepsConnection reports whether a caller's connection is kept open after an
@@ -134,14 +136,15 @@
 		}
 		return nil, entry.NewRefusal(http.StatusNotFound, "Match", fmt.Sprintf("no route of host %q leads to %q", a.Host, a.Path))
 	}
-	organisation, problem := c.identify(table, matched, a, now)
+	at := clock.Now()
+	organisation, problem := c.identify(table, matched, a, now, at)
 	if problem != nil {
 		return nil, problem
 	}
 	if problem := c.checkStopping(matched, now); problem != nil {
 		return nil, problem
 	}
-	if !c.sources.listUsable(c.options.listFor()) {
+	if !c.sources.listUsable(at, c.options.listFor()) {
 		return nil, unconfirmed(now, fmt.Sprintf("the list of endpoints is %v old, and this router runs %v late",
 			c.sources.listAge().Round(time.Millisecond), c.lateness().Round(time.Millisecond)))
 	}
@@ -174,19 +177,20 @@
 
 // identify returns the organisation that holds the caller's key. While the
 // configuration is too old to judge the key, it refuses the request with status
-// 503 rather than 401, because the key may be valid.
-func (c *Core) identify(table *route.Table, matched *route.Route, a *IncomingRequest, now time.Time) (*text.Organisation, *caller.Problem) {
+// 503 rather than 401, because the key may be valid. Both now and at are the
+// current time.
+func (c *Core) identify(table *route.Table, matched *route.Route, a *IncomingRequest, now time.Time, at clock.Instant) (*text.Organisation, *caller.Problem) {
 	if matched.Anonymous || !table.RequiresKey() {
 		return &text.Organisation{}, nil
 	}
-	if !c.sources.confirmedWithin(c.options.confirmFor()) {
+	if !c.sources.confirmedAt(at, c.options.confirmFor()) {
 		return nil, unconfirmed(now, "keys cannot be judged by a configuration that has not been confirmed lately")
 	}
 	o := table.Organisation(a.Key)
 	if o != nil {
 		return o, nil
 	}
-	if !c.sources.confirmedWithin(absenceTrustedFor) {
+	if !c.sources.confirmedAt(at, absenceTrustedFor) {
 		return nil, unconfirmed(now, "the configuration may be old, and it does not hold this key")
 	}
 	return nil, entry.NewRefusal(http.StatusUnauthorized, "Identify", "the key belongs to no organisation")
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -478,17 +478,23 @@
 	return clock.Now().Sub(s.current.Load().list.at)
 }
 
-// listUsable reports whether attempts may be sent by the current list of
+// listUsable reports whether attempts may be sent now by the current list of
 // endpoints: it is not older than maxAge, including the time by which the attempt
 // may be late, or is old only because the store can't be read. In the latter case
 // it is the best that any router has.
-func (s *sources) listUsable(maxAge time.Duration) bool {
-	return s.listAge()+s.router.lateness.Recent() <= maxAge || !s.runsLate()
+func (s *sources) listUsable(now clock.Instant, maxAge time.Duration) bool {
+	return now.Sub(s.current.Load().list.at)+s.router.lateness.Recent() <= maxAge || !s.runsLate()
 }
 
 // confirmedWithin reports whether the configuration in force was the newest one
 // at some instant within the last maxAge.
 func (s *sources) confirmedWithin(maxAge time.Duration) bool {
+	return s.confirmedAt(clock.Now(), maxAge)
+}
+
+// confirmedAt is confirmedWithin for callers that have read the clock, which is a
+// system call.
+func (s *sources) confirmedAt(now clock.Instant, maxAge time.Duration) bool {
 	c := s.current.Load()
-	return c.version > 0 && clock.Now().Sub(c.configuration.at) <= maxAge
+	return c.version > 0 && now.Sub(c.configuration.at) <= maxAge
 }
