--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -11,9 +11,9 @@
 
 const (
 	// maxGap is the ratio of what an organisation may receive to what the least
-	// served organisation receives that is refused a large part of its requests. The
-	// operators accept 2 over several seconds; rates of other routers are up to a
-	// second old.
+	// served organisation receives that is refused a large part of its requests. It is
+	// below the 2 that operators accept over several seconds, because rates of other
+	// routers are up to a second old.
 	maxGap = 1.6
 	// maxServedShare is the part of its requests that an organisation receives at
 	// most if it counts as one that is refused a large part.
@@ -146,19 +146,19 @@
 	})
 }
 
-// logBound logs the bound once per boundLogInterval, and its end.
-func (p *Policy) logBound(now time.Time, s *shares) {
-	if now.Before(p.nextBoundLogAt) || s.leastServed == "" && !p.bounded {
+// logBound logs the bound in a pool once per boundLogInterval, and its end.
+func (p *Policy) logBound(now time.Time, l *pool, s *shares) {
+	if now.Before(l.nextBoundLogAt) || s.leastServed == "" && !l.bounded {
 		return
 	}
-	p.nextBoundLogAt, p.bounded = now.Add(boundLogInterval), s.leastServed != ""
+	l.nextBoundLogAt, l.bounded = now.Add(boundLogInterval), s.leastServed != ""
 	if s.leastServed == "" {
-		p.emit(schedule.Decision{Event: "ShareBoundEnded"})
+		p.emit(schedule.Decision{Event: "ShareBoundEnded", Fields: []string{"Pool", l.name}})
 		return
 	}
 	o := s.rates[s.leastServed]
 	p.emit(schedule.Decision{Event: "ShareBounded", Fields: []string{
-		"Organisation", s.leastServed, "Requested", formatRate(o.requested), "Received", formatRate(o.received),
+		"Pool", l.name, "Organisation", s.leastServed, "Requested", formatRate(o.requested), "Received", formatRate(o.received),
 		"Unserved", formatRate(o.unserved), "Bound", formatRate(s.bound), "FairRate", formatRate(s.fairRate),
 	}})
 }
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -54,10 +54,7 @@
 	nextPulseAt      time.Time
 	nextCheckAt      time.Time
 	nextPeerExpiryAt time.Time
-	// bounded is set while a bound is logged as being in force; see logBound.
-	bounded        bool
-	nextBoundLogAt time.Time
-	out            []schedule.Output
+	out              []schedule.Output
 }
 
 // pool is a set of interchangeable endpoints with the queue of requests that
@@ -76,6 +73,9 @@
 	// minScanInterval.
 	scannedAt   time.Time
 	scanPending bool
+	// bounded is set while a bound is logged as being in force; see logBound.
+	bounded        bool
+	nextBoundLogAt time.Time
 }
 
 // nextScan returns the instant at which the queue should be scanned again.
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -57,7 +57,7 @@
 	}
 	l.scannedAt, l.scanPending = now, false
 	shares := newShares(p.usage.fleetRates(now), l.tokensPerSecond)
-	p.logBound(now, &shares)
+	p.logBound(now, l, &shares)
 	l.queue.order(shares.rates, shares.fairRate)
 	meanTiming := l.meanTiming(now)
 	states := make([]endpointState, len(l.endpoints))
