--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -81,10 +81,10 @@
 // or than the best served one receives. The requests of any other organisation come
 // first at the engines.
 func (s *shares) isMostlyRefused(o usageRates, best float64) bool {
-	if max(o.requested, o.received+o.unserved) < min(s.fairRate, best) {
+	demand := o.received + (1-returnedShare)*max(o.requested-o.received, o.unserved)
+	if demand < min(s.fairRate, best) {
 		return false
 	}
-	demand := o.received + (1-returnedShare)*max(o.requested-o.received, o.unserved)
 	// The rates of requested and received work are means over seconds, which single
 	// refusals do not change. That of unserved work ends soon after the refusals.
 	return o.received < maxServedShare*demand && o.received < maxServedShare*(o.received+o.unserved)
