--- a/internal/transport/router/rejecter.go
+++ b/internal/transport/router/rejecter.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -11,102 +9,19 @@
 	"golang.org/x/sys/unix"
 
 	"hyssopreach/internal/coordination/overload"
-	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/transport/entry"
-	"hyssopreach/internal/transport/execution"
 )
 
 const (
 	// minRejectDelay and maxRejectDelay bound the time after which a rejected caller
 	// may retry, without the random part.
 	minRejectDelay, maxRejectDelay = 250 * time.Millisecond, 2 * time.Second
-	// maxBacklogAge is the time without a new connection after which the accept
-	// queue counts as empty.
-	maxBacklogAge = 200 * time.Millisecond
 	// rejectLogInterval is the time between two log lines about rejections.
 	rejectLogInterval = time.Second
 	// metricRejected counts the rejected connections.
 	metricRejected = "ConnectionsRejected"
 )
 
-// overloadController is the controller of a hosted router. The router is late if
-// its goroutines are, and if callers' connections have waited to be accepted.
-type overloadController struct {
-	overload.Controller
-	backlog atomic.Pointer[backlog]
-	// scheduling learns of rejected requests and states what organisations receive
-	// from the fleet. It is nil until the router starts.
-	scheduling atomic.Pointer[execution.Scheduling]
-
-	mu sync.Mutex
-	// rejected is the work of rejected requests, by organisation, that scheduling
-	// has not learnt of. Guarded by mu.
-	rejected map[string]float64
-	// received is the last statement of scheduling. Guarded by mu.
-	received map[string]float64
-}
-
-// backlog is the time for which the accept queue had not been empty when the last
-// connection was accepted.
-type backlog struct {
-	duration   time.Duration
-	acceptedAt time.Time
-}
-
-// Observe adjusts the controller to a sample of the router's lateness.
-func (c *overloadController) Observe(lateness time.Duration) {
-	c.report()
-	c.mu.Lock()
-	received := c.received
-	c.mu.Unlock()
-	c.Controller.Observe(max(lateness, c.recentBacklog()), func(organisation string) float64 { return received[organisation] })
-}
-
-// recentBacklog returns the time for which the accept queue had not been empty;
-// zero without a recent connection.
-func (c *overloadController) recentBacklog() time.Duration {
-	if b := c.backlog.Load(); b != nil && time.Since(b.acceptedAt) < maxBacklogAge {
-		return b.duration
-	}
-	return 0
-}
-
-// report tells the scheduler of the requests that were rejected since the last
-// call, and learns what organisations receive.
-func (c *overloadController) report() {
-	scheduling := c.scheduling.Load()
-	if scheduling == nil {
-		return
-	}
-	c.mu.Lock()
-	rejected := c.rejected
-	c.rejected = nil
-	c.mu.Unlock()
-	if len(rejected) > 0 || c.Fraction() > 0 {
-		scheduling.Input(schedule.Rejections{Work: rejected})
-	}
-}
-
-// addRejected adds the work of a rejected request.
-func (c *overloadController) addRejected(organisation string, work float64) {
-	if organisation == overload.Unknown || work <= 0 {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.rejected == nil {
-		c.rejected = map[string]float64{}
-	}
-	c.rejected[organisation] += work
-}
-
-// setReceived sets the rates of the work that organisations receive from the fleet.
-func (c *overloadController) setReceived(rates map[string]float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.received = rates
-}
-
 // rejecter implements connlimit.Overload. Only one goroutine may use it.
 type rejecter struct {
 	controller *overloadController
