Log and count why answers break off, by cause

AnswerBroken held a text from which neither the cause nor the silence of the endpoint could be counted, so that streams which our own admission refused to continue looked like those whose endpoint had ended. It now states the cause, the time since the last event and the number of attempts, and BrokenAnswers is counted by cause. A call whose caller accepts nothing is no longer sent to another endpoint (endCause).

--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/view"
@@ -20,6 +21,9 @@
 	// lastEvent is the ID of the last event that the caller has received; empty
 	// if it has received none.
 	lastEvent string
+	// lastEventAt is when the caller received the last event; it is when the call
+	// began if the caller has received none.
+	lastEventAt time.Time
 	// events is the number of events forwarded to the caller.
 	events int
 	// retryReserved is set if the next retry has already been allowed and taken
@@ -63,6 +67,9 @@
 	if last != "" {
 		p.lastEvent = last
 	}
+	if count > 0 {
+		p.lastEventAt = time.Now()
+	}
 	p.events += count
 }
 
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -37,25 +37,6 @@
 	defaultRetryDelay = time.Second
 )
 
-// BrokenError reports that an answer broke off after it had begun. Its cause is
-// never a *caller.Problem, which stands for an answer that has not begun.
-type BrokenError struct{ Err error }
-
-// NewBrokenError returns the error of an answer that broke off because of err.
-func NewBrokenError(err error) *BrokenError {
-	var problem *caller.Problem
-	if errors.As(err, &problem) {
-		err = fmt.Errorf("continue the answer: %s: %s", problem.Step, problem.Detail)
-	}
-	return &BrokenError{Err: err}
-}
-
-// Error describes why the answer broke off.
-func (e *BrokenError) Error() string { return fmt.Sprintf("the answer broke off: %v", e.Err) }
-
-// Unwrap returns the cause.
-func (e *BrokenError) Unwrap() error { return e.Err }
-
 // sinkError reports that the answer could not be written to the caller, as
 // opposed to a failure of the endpoint.
 type sinkError struct{ Err error }
@@ -144,13 +125,13 @@
 	defer cancel()
 	r.Budget.Deposit(c)
 	out := &sinkTracker{Sink: sink}
-	p := &progress{call: c, lastEvent: c.LastEvent}
+	p := &progress{call: c, lastEvent: c.LastEvent, lastEventAt: time.Now()}
 	for {
 		start, err := r.admit(ctx, p)
 		if err != nil {
 			p.awaitConfirmation(ctx)
 			if out.started {
-				return NewBrokenError(err)
+				return p.broken(admitCause(ctx, err), err)
 			}
 			return refusal(c, err, p.mayHaveRun)
 		}
@@ -163,11 +144,10 @@
 		}
 		result := outcome.Result
 		p.recordFailure(start.Endpoint, result)
-		mayContinue := !out.started || p.canResume()
-		if ctx.Err() != nil || !mayContinue || !r.mayRetry(p, result) {
+		if cause := r.endCause(ctx, p, out, result, err); cause != "" {
 			p.awaitConfirmation(ctx)
 			if out.started {
-				return NewBrokenError(err)
+				return p.broken(cause, err)
 			}
 			return failure(c, err, p.mayHaveRun)
 		}
@@ -202,31 +182,57 @@
 	}
 }
 
-// mayRetry reports whether another attempt is allowed, and takes it from the
-// retry budget unless it has been reserved before. A retry is allowed only if it
-// is certainly safe: no attempt can have run, or the call is idempotent. For a
-// call with MaxAttempts, the retry budget protects the endpoints from load.
-// Therefore a retry after an attempt that did not reach an endpoint takes
-// nothing from the budget.
-func (r *Runner) mayRetry(p *progress, result schedule.Result) bool {
+// endCause returns why the call ends after an attempt that failed with the given
+// error; it is empty if another attempt is allowed, which is then taken from the
+// retry budget.
+func (r *Runner) endCause(ctx context.Context, p *progress, out *sinkTracker, result schedule.Result, err error) BreakCause {
+	var callerErr *sinkError
+	switch {
+	case errors.As(err, &callerErr):
+		return CauseCaller
+	case ctx.Err() != nil:
+		return contextCause(ctx)
+	case out.started && !p.canResume():
+		if result == schedule.ResultSilent {
+			return CauseSilence
+		}
+		return CauseEndpoint
+	default:
+		return r.retryDenied(p, result)
+	}
+}
+
+// retryDenied returns why no further attempt is allowed. If it returns nothing, the
+// attempt is taken from the retry budget unless it has been reserved before. A
+// retry is allowed only if it is certainly safe: no attempt can have run, or the
+// call is idempotent. For a call with MaxAttempts, the retry budget protects the
+// endpoints from load. Therefore a retry after an attempt that did not reach an
+// endpoint takes nothing from the budget.
+func (r *Runner) retryDenied(p *progress, result schedule.Result) BreakCause {
 	if p.retryReserved {
 		p.retryReserved = false
-		return true
+		return ""
 	}
 	if p.mayHaveRun && !p.call.Class.Idempotent {
-		return false
+		return CauseEndpoint
 	}
 	switch {
 	case p.call.MaxAttempts == 0:
 		if p.attempts >= maxAttempts {
-			return false
+			return CauseAttempts
 		}
 	case result == schedule.ResultNotSent:
-		return p.attempts-p.sentAttempts < maxUnreached
+		if p.attempts-p.sentAttempts >= maxUnreached {
+			return CauseAttempts
+		}
+		return ""
 	case p.sentAttempts >= min(p.call.MaxAttempts, maxAttempts):
-		return false
+		return CauseAttempts
+	}
+	if !r.Budget.Withdraw(p.call) {
+		return CauseRetryBudget
 	}
-	return r.Budget.Withdraw(p.call)
+	return ""
 }
 
 func newScheduleRequest(p *progress, now time.Time) schedule.Request {
@@ -336,7 +342,7 @@
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered status %d: it has not run the attempt", a.Endpoint.ID, answer.Status())
 	}
-	if a.Call.RetryServerErrors && answer.Status() >= http.StatusInternalServerError && r.mayRetry(p.afterAttempt(schedule.ResultFailed), schedule.ResultFailed) {
+	if a.Call.RetryServerErrors && answer.Status() >= http.StatusInternalServerError && r.retryDenied(p.afterAttempt(schedule.ResultFailed), schedule.ResultFailed) == "" {
 		p.retryReserved = true
 		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
 	}
