Show with tests that silence ends answers, and that admission refuses continuations

What callers saw: a stream that had begun was broken off although its endpoint would have continued.

--- /dev/null
+++ b/internal/coordination/admission/continuation_test.go
@@ -0,0 +1,137 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/view"
+)
+
+// resume sends a request that continues an answer of the organisation, which its
+// caller holds a part of, and returns its ID.
+func (w *simulation) resume(organisation string, tokens int64, objective time.Duration, tried ...view.EndpointID) schedule.RequestID {
+	w.last++
+	r := &schedule.Request{
+		ID: w.last, Organisation: organisation, Pool: "p", MayWait: true, Resumes: true, Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
+		Prompt: &schedule.Prompt{InputTokens: tokens, OutputTokens: 100}, Tried: tried,
+	}
+	w.requests[r.ID], w.arrived[r.ID] = r, w.now
+	w.input(schedule.Arrival{Request: *r})
+	return r.ID
+}
+
+// endRuns ends all requests in flight.
+func (w *simulation) endRuns() {
+	runs := w.runs
+	w.runs = nil
+	for _, r := range runs {
+		w.input(schedule.Completion{ID: r.id, Result: schedule.ResultFinished})
+	}
+}
+
+// TestContinuationIsNeverRefused guards against a stream that had begun and that
+// the router itself ends, because it refuses its continuation like a new request.
+func TestContinuationIsNeverRefused(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// fill takes the capacity away, so that a new request of organisation "o" is
+		// refused.
+		fill func(w *simulation)
+	}{
+		{"queue full", func(w *simulation) {
+			w.fillSlots()
+			for range MaxQueuedRequests {
+				w.send("o", 100)
+			}
+		}},
+		{"no room", func(w *simulation) { w.fillSlots() }},
+		{"late", func(w *simulation) {
+			for range 4 {
+				w.send("p", 200_000)
+			}
+		}},
+		{"saturated", func(w *simulation) {
+			for _, e := range w.policy.endpoints {
+				e.measured.add(w.now, schedule.Samples{Count: 100, EventInterval: 3 * maxEventInterval, LongestGap: 3 * maxEventGap})
+				e.own.requests = 1
+			}
+		}},
+		{"above the fair rate", func(w *simulation) {
+			w.fillSlots()
+			w.policy.usage.addReceived(w.now, "o", 3_000_000)
+			w.policy.usage.addRequested(w.now, "o", 3_000_000)
+			w.policy.usage.addRequested(w.now, "p", 3_000_000)
+		}},
+		{"no endpoint", func(w *simulation) {
+			w.engines = nil
+			w.setView(100_000)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(2, 100_000)
+			for i := range w.engines {
+				w.engines[i].Slots = 4
+			}
+			w.setView(100_000)
+			test.fill(w)
+			before := len(w.refusals)
+			id := w.resume("o", 20_000, 600*time.Millisecond)
+			for range 200 {
+				w.now = w.now.Add(testStep)
+				w.input(schedule.Alarm{})
+			}
+			for _, r := range w.refusals[before:] {
+				is.True(r.ID != id)
+			}
+		})
+	}
+}
+
+// fillSlots takes all slots of all engines.
+func (w *simulation) fillSlots() {
+	for _, e := range w.policy.endpoints {
+		e.own.requests = e.Slots
+	}
+}
+
+// TestContinuationIsFirst guards against a continuation that waits behind new
+// requests, urgent ones or nested ones, until its caller has left.
+func TestContinuationIsFirst(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	w.engines[0].Slots = 1
+	w.setView(100_000)
+	w.send("p", 100) // runs
+	is.Equal(w.started["p"], 1)
+	w.last++
+	nested := &schedule.Request{
+		ID: w.last, Organisation: "p", Pool: "p", MayWait: true, Nested: true, Urgency: 5, Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
+		Prompt: &schedule.Prompt{InputTokens: 100, OutputTokens: 100},
+	}
+	w.requests[nested.ID], w.arrived[nested.ID] = nested, w.now
+	w.input(schedule.Arrival{Request: *nested})
+	w.send("q", 100)
+	w.policy.usage.addReceived(w.now, "o", 1_000_000)
+	w.resume("o", 100, 600*time.Millisecond)
+	is.Equal(w.started["o"], 0)
+	w.now = w.now.Add(testStep)
+	w.endRuns()
+	is.Equal(w.started["o"], 1)
+}
+
+// TestContinuationsTakeNoPlacesOfNewRequests guards against refusing new requests of
+// an organisation because continuations of its streams wait.
+func TestContinuationsTakeNoPlacesOfNewRequests(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	w.fillSlots()
+	for range MaxQueuedRequests {
+		w.resume("o", 100, 600*time.Millisecond)
+	}
+	w.send("o", 100)
+	is.Equal(len(w.refusals), 0)
+}
--- /dev/null
+++ b/internal/transport/execution/silence_test.go
@@ -0,0 +1,292 @@
+package execution
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/state/view"
+)
+
+const (
+	// testSilence is the silence after which the runner looks for a continuation,
+	// and shortPause one that lasts longer.
+	testSilence = 50 * time.Millisecond
+	shortPause  = 4 * testSilence
+	// forever is longer than any call of the tests.
+	forever = time.Hour
+)
+
+// timedPart is a part of a timed answer, which arrives after a pause.
+type timedPart struct {
+	pause time.Duration
+	data  string
+}
+
+// timedExchange is the timed outcome of one attempt: its head arrives after a
+// pause, and its parts follow. It ends with io.EOF unless err is set.
+type timedExchange struct {
+	head  time.Duration
+	parts []timedPart
+	err   error
+}
+
+// timedBackend plays one timed exchange per attempt.
+type timedBackend struct {
+	exchanges []timedExchange
+
+	mu         sync.Mutex
+	endpoints  []view.EndpointID // guarded by mu
+	lastEvents []string          // guarded by mu
+	running    int               // guarded by mu
+	// overlapped is set once two attempts ran beside each other. Guarded by mu.
+	overlapped bool
+}
+
+func (b *timedBackend) Send(ctx context.Context, a *Attempt) (Answer, error) {
+	b.mu.Lock()
+	x := b.exchanges[min(len(b.endpoints), len(b.exchanges)-1)]
+	b.endpoints, b.lastEvents = append(b.endpoints, a.Endpoint.ID), append(b.lastEvents, a.LastEvent)
+	b.running++
+	b.overlapped = b.overlapped || b.running > 1
+	b.mu.Unlock()
+	answer := &timedAnswer{ctx: ctx, backend: b, parts: x.parts, end: x.err}
+	if err := answer.wait(x.head); err != nil {
+		_ = answer.Close()
+		return nil, err
+	}
+	return answer, nil
+}
+
+type timedAnswer struct {
+	ctx     context.Context
+	backend *timedBackend
+	parts   []timedPart
+	end     error
+	once    sync.Once
+}
+
+func (a *timedAnswer) wait(pause time.Duration) error {
+	select {
+	case <-a.ctx.Done():
+		return a.ctx.Err()
+	case <-time.After(pause):
+		return nil
+	}
+}
+
+func (a *timedAnswer) Status() int         { return http.StatusOK }
+func (a *timedAnswer) Header() http.Header { return http.Header{} }
+
+func (a *timedAnswer) Close() error {
+	a.once.Do(func() {
+		a.backend.mu.Lock()
+		a.backend.running--
+		a.backend.mu.Unlock()
+	})
+	return nil
+}
+
+func (a *timedAnswer) Read(p []byte) (int, error) {
+	if len(a.parts) == 0 {
+		if a.end != nil {
+			return 0, a.end
+		}
+		return 0, io.EOF
+	}
+	if err := a.wait(a.parts[0].pause); err != nil {
+		return 0, err
+	}
+	n := copy(p, a.parts[0].data)
+	a.parts = a.parts[1:]
+	return n, nil
+}
+
+// scriptedScheduler decides on requests in their order: it starts them at an
+// endpoint, refuses them if the endpoint is empty, and lets them wait if there is no
+// decision.
+type scriptedScheduler struct {
+	decisions []view.EndpointID
+	arrivals  []schedule.Request
+	departed  int
+	results   []schedule.Result
+}
+
+func (s *scriptedScheduler) Step(now time.Time, in schedule.Input) []schedule.Output {
+	switch in := in.(type) {
+	case schedule.Arrival:
+		n := len(s.arrivals)
+		s.arrivals = append(s.arrivals, in.Request)
+		switch {
+		case n >= len(s.decisions):
+			return nil
+		case s.decisions[n] == "":
+			return []schedule.Output{schedule.Refusal{ID: in.Request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(testSilence)}}
+		}
+		return []schedule.Output{schedule.Start{ID: in.Request.ID, Endpoint: s.decisions[n]}}
+	case schedule.Departure:
+		s.departed++
+	case schedule.Completion:
+		s.results = append(s.results, in.Result)
+	}
+	return nil
+}
+
+// newTimedRunner returns a runner with three endpoints and the given scheduler; the
+// returned function stops the scheduler, whose fields may then be read.
+func newTimedRunner(t *testing.T, backend Backend, s schedule.Scheduler) (*Runner, func()) {
+	t.Helper()
+	v := &view.Snapshot{Self: "r"}
+	for _, id := range []view.EndpointID{"e1", "e2", "e3"} {
+		v.Endpoints = append(v.Endpoints, view.Endpoint{ID: id, Pool: "p"})
+	}
+	logger := &log.Logger{Handler: discard.New()}
+	scheduling := NewScheduling(s, noPeers{}, logger)
+	t.Cleanup(scheduling.Close)
+	scheduling.Input(schedule.Change{View: v})
+	return NewRunner(scheduling, backend, fixedView{v}, admitAllGate{}, NewBudget(), logger), scheduling.Close
+}
+
+func silentCall(stream bool) *Call {
+	call := testCall(true)
+	call.Stream, call.Events, call.Resumable = stream, stream, stream
+	call.MaxAttempts, call.MaxSilence, call.Deadline = 2, testSilence, time.Now().Add(10*time.Second)
+	return call
+}
+
+// TestSilenceEndsNoAnswerWithoutContinuation guards against an answer that the
+// router ends because its endpoint is silent, before it is certain that another
+// endpoint continues it: the caller then gets neither an answer nor a refusal,
+// although the endpoint would have continued.
+func TestSilenceEndsNoAnswerWithoutContinuation(t *testing.T) {
+	const first, second, third = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	begun := timedExchange{parts: []timedPart{{0, first}, {shortPause, second}}}
+	unbegun := timedExchange{parts: []timedPart{{shortPause, first}}}
+	late := timedExchange{head: shortPause, parts: []timedPart{{0, first}}}
+	for _, test := range []struct {
+		name      string
+		plain     bool
+		exchanges []timedExchange
+		decisions []view.EndpointID
+		adapt     func(r *Runner, c *Call)
+		want      string
+		sent      int
+	}{
+		{name: "continuation refused", exchanges: []timedExchange{begun}, decisions: []view.EndpointID{"e1", "", "", "", "", "", "", ""}, want: first + second, sent: 1},
+		{name: "continuation waits", exchanges: []timedExchange{begun}, decisions: []view.EndpointID{"e1"}, want: first + second, sent: 1},
+		{
+			name: "second endpoint silent too", exchanges: []timedExchange{{parts: []timedPart{{0, first}, {forever, second}}}, {parts: []timedPart{{0, second}, {shortPause, third}}}},
+			decisions: []view.EndpointID{"e1", "e2", "e3"}, want: first + second + third, sent: 2,
+		},
+		{
+			name: "second endpoint silent from the beginning", exchanges: []timedExchange{{parts: []timedPart{{0, first}, {forever, second}}}, {head: shortPause, parts: []timedPart{{shortPause, second}}}},
+			decisions: []view.EndpointID{"e1", "e2", "e3"}, want: first + second, sent: 2,
+		},
+		{
+			name: "no retry left", exchanges: []timedExchange{begun}, decisions: []view.EndpointID{"e1", "e2", "e2", "e2", "e2"},
+			adapt: func(r *Runner, _ *Call) { r.Budget = emptyBudget{r.Budget} }, want: first + second, sent: 1,
+		},
+		{
+			name: "refused by the gate", exchanges: []timedExchange{begun}, decisions: []view.EndpointID{"e1", "e2"},
+			adapt: func(r *Runner, _ *Call) { r.Gate = &admitOnceGate{} }, want: first + second, sent: 1,
+		},
+		{
+			name: "no attempt left", exchanges: []timedExchange{begun}, decisions: []view.EndpointID{"e1", "e2"},
+			adapt: func(_ *Runner, c *Call) { c.MaxAttempts = 1 }, want: first + second, sent: 1,
+		},
+		{name: "events without ids", exchanges: []timedExchange{{parts: []timedPart{{0, "data: a\n\n"}, {shortPause, "data: b\n\n"}}}}, decisions: []view.EndpointID{"e1", "e2"}, want: "data: a\n\ndata: b\n\n", sent: 1},
+		{name: "not begun, refused", exchanges: []timedExchange{unbegun}, decisions: []view.EndpointID{"e1", "", "", "", "", "", "", ""}, want: first, sent: 1},
+		{name: "no head, refused", exchanges: []timedExchange{late}, decisions: []view.EndpointID{"e1", "", "", "", "", "", "", ""}, want: first, sent: 1},
+		{name: "no head, no attempt left", exchanges: []timedExchange{{head: forever}, late}, decisions: []view.EndpointID{"e1", "e2", "e3"}, want: first, sent: 2},
+		{name: "idempotent call, refused", plain: true, exchanges: []timedExchange{late}, decisions: []view.EndpointID{"e1", "", "", "", "", "", "", ""}, want: first, sent: 1},
+		{name: "idempotent call, no attempt left", plain: true, exchanges: []timedExchange{{head: forever}, late}, decisions: []view.EndpointID{"e1", "e2", "e3"}, want: first, sent: 2},
+		{name: "idempotent call, silent within the answer", plain: true, exchanges: []timedExchange{begun}, decisions: []view.EndpointID{"e1", "e2"}, want: first + second, sent: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			backend := &timedBackend{exchanges: test.exchanges}
+			scheduler := &scriptedScheduler{decisions: test.decisions}
+			r, stop := newTimedRunner(t, backend, scheduler)
+			call := silentCall(!test.plain)
+			if test.adapt != nil {
+				test.adapt(r, call)
+			}
+			out := &recordingSink{}
+			is.NoErr(r.Run(t.Context(), call, out))
+			stop()
+			is.True(out.complete)
+			is.Equal(out.String(), test.want)
+			is.Equal(len(backend.endpoints), test.sent)
+			is.True(!backend.overlapped)
+		})
+	}
+}
+
+// TestSilentAttemptIsCancelledBeforeItsContinuation guards against two endpoints
+// that run one stream at the same time, and a continuation that repeats or omits
+// events.
+func TestSilentAttemptIsCancelledBeforeItsContinuation(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{
+		{parts: []timedPart{{0, "id: 1\n\n"}, {0, "id: 2\n\nid: 3"}, {forever, "\n\n"}}},
+		{parts: []timedPart{{0, "id: 3\n\n"}}},
+	}}
+	scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "e2"}}
+	r, stop := newTimedRunner(t, backend, scheduler)
+	out := &recordingSink{}
+	is.NoErr(r.Run(t.Context(), silentCall(true), out))
+	stop()
+	is.Equal(out.String(), "id: 1\n\nid: 2\n\nid: 3\n\n")
+	is.Equal(backend.endpoints, []view.EndpointID{"e1", "e2"})
+	is.Equal(backend.lastEvents, []string{"", "2"})
+	is.True(!backend.overlapped)
+	is.True(slices.Contains(scheduler.arrivals[1].Tried, "e1")) // it must be another endpoint
+	is.True(scheduler.arrivals[1].Resumes)
+	is.Equal(scheduler.results, []schedule.Result{schedule.ResultSilent, schedule.ResultFinished})
+}
+
+// TestCallerThatLeavesEndsSilentAttempt guards against an endpoint that works on
+// after the caller has left while the router looks for another one.
+func TestCallerThatLeavesEndsSilentAttempt(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {forever, "id: 2\n\n"}}}}}
+	r, stop := newTimedRunner(t, backend, &scriptedScheduler{decisions: []view.EndpointID{"e1"}})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(shortPause, cancel)
+	begun := time.Now()
+	var broken *BrokenError
+	is.True(errors.As(r.Run(ctx, silentCall(true), &recordingSink{}), &broken))
+	is.Equal(broken.Cause, CauseCaller)
+	is.True(time.Since(begun) < 5*time.Second)
+	is.Equal(backend.running, 0)
+	is.Equal(r.Scheduling.Waiting(), 0)
+	stop()
+}
+
+// TestSilenceUntilDeadlineIsAnswered guards against a call that ends without an
+// answer because its endpoint was silent all the time.
+func TestSilenceUntilDeadlineIsAnswered(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		is := is.New(t)
+		backend := &timedBackend{exchanges: []timedExchange{{head: forever}}}
+		r, _ := newTimedRunner(t, backend, &scriptedScheduler{decisions: []view.EndpointID{"e1", "", "", "", ""}})
+		call := silentCall(stream)
+		call.Deadline = time.Now().Add(shortPause)
+		var problem *caller.Problem
+		is.True(errors.As(r.Run(t.Context(), call, &recordingSink{}), &problem))
+		is.Equal(problem.Status, http.StatusGatewayTimeout)
+		is.Equal(problem.NotRun, caller.NotRunUnknown)
+		is.Equal(len(backend.endpoints), 1)
+	}
+}
