Never refuse the rest of an answer that has begun

Cause: admission judged a continuation like a new request. It counted towards MaxQueuedRequests, had to begin within its objective, and was refused after a part of it.

A request with Resumes is now first in the queue, takes no place of a new one, may use an engine up to maxCapacityShare, and waits until an endpoint has room or its context ends, also while the pool has no endpoint. It is refused only where it has failed at every endpoint of the pool. Its number is bounded by the streams that have begun.

--- a/internal/coordination/admission/continuation_test.go
+++ b/internal/coordination/admission/continuation_test.go
@@ -135,3 +135,13 @@
 	w.send("o", 100)
 	is.Equal(len(w.refusals), 0)
 }
+
+// TestContinuationThatFailedEverywhereIsRefused guards against a caller that waits for
+// an endpoint that will not come, although it could resume its stream itself.
+func TestContinuationThatFailedEverywhereIsRefused(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(2, 100_000)
+	id := w.resume("o", 100, 600*time.Millisecond, "e0", "e1")
+	is.Equal(len(w.refusals), 1)
+	is.Equal(w.refusals[0].ID, id)
+}
--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -95,7 +95,7 @@
 	if r.Resumes {
 		// The part of the answer that the caller has already received would be
 		// wasted.
-		return 1
+		return maxCapacityShare
 	}
 	return capacityShareFor(s.rates[r.Organisation].received, s.fairRate)
 }
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -27,7 +27,8 @@
 	// peers, a fraction of the lifetime of these reports.
 	peerExpiryInterval = minReportLifetime / 3
 	// MaxQueuedRequests is the maximum number of waiting requests per
-	// organisation and pool. It bounds the cost of refusing a flood of requests.
+	// organisation and pool, without those that resume an answer. It bounds the cost
+	// of refusing a flood of requests.
 	MaxQueuedRequests = 12
 	// queueFullDetail is the detail of a refusal because of
 	// MaxQueuedRequests.
@@ -170,7 +171,10 @@
 
 func (p *Policy) arrive(now time.Time, r *schedule.Request) {
 	l := p.pools[r.Pool]
-	if l == nil || len(l.endpoints) == 0 {
+	if l == nil && r.Resumes {
+		l = p.addPool(r.Pool)
+	}
+	if l == nil || len(l.endpoints) == 0 && !r.Resumes {
 		p.emit(schedule.Refusal{ID: r.ID, Reason: schedule.RefusalNoEndpoint, RetryAt: now.Add(noEndpointRetryDelay)})
 		return
 	}
@@ -184,7 +188,7 @@
 	if w.counts {
 		p.usage.addRequested(now, r.Organisation, w.cost)
 	}
-	if l.queue.countOf(r.Organisation) >= MaxQueuedRequests {
+	if !r.Resumes && l.queue.countOf(r.Organisation) >= MaxQueuedRequests {
 		// The request would only wait behind the organisation's other requests,
 		// which are started or refused before it.
 		p.addUnserved(now, w)
@@ -279,8 +283,7 @@
 		listed := &v.Endpoints[i]
 		l := p.pools[listed.Pool]
 		if l == nil {
-			l = &pool{name: listed.Pool, queue: newQueue(), classes: make(map[string]*classPrefill)}
-			p.pools[listed.Pool] = l
+			l = p.addPool(listed.Pool)
 		}
 		e := previous[listed.ID]
 		if e == nil {
@@ -306,6 +309,12 @@
 	}
 }
 
+func (p *Policy) addPool(name string) *pool {
+	l := &pool{name: name, queue: newQueue(), classes: make(map[string]*classPrefill)}
+	p.pools[name] = l
+	return l
+}
+
 // checkEndpoints avoids silent endpoints for a while, removes the expired reports
 // of peers, and scans the queues. It does so at intervals of idleInterval.
 func (p *Policy) checkEndpoints(now time.Time) {
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -32,11 +32,12 @@
 
 func newQueue() queue { return queue{} }
 
-// countOf returns the number of waiting requests of the organisation.
+// countOf returns the number of waiting requests of the organisation, without those
+// that resume an answer.
 func (l *queue) countOf(organisation string) int {
 	n := 0
 	for _, w := range l.requests {
-		if w.request.Organisation == organisation {
+		if w.request.Organisation == organisation && !w.request.Resumes {
 			n++
 		}
 	}
@@ -53,17 +54,18 @@
 	return len(l.requests) < before
 }
 
-// order sorts the queue. Nested calls are first, since their parents occupy
-// capacity. Requests of organisations below the fair rate are next. The
+// order sorts the queue. Requests that resume an answer are first, since their
+// callers have already received a part of it. Nested calls are next, since their
+// parents occupy capacity. Requests of organisations below the fair rate follow. The
 // remaining order is by the rate that the organisation has received, and within
 // an organisation by urgency and then by arrival.
 func (l *queue) order(rates map[string]usageRates, fairRate float64) {
 	slices.SortStableFunc(l.requests, func(a, b *queuedRequest) int {
-		if a.request.Nested != b.request.Nested {
-			if a.request.Nested {
-				return -1
-			}
-			return 1
+		if order := cmp.Compare(boolToInt(b.request.Resumes), boolToInt(a.request.Resumes)); order != 0 {
+			return order
+		}
+		if order := cmp.Compare(boolToInt(b.request.Nested), boolToInt(a.request.Nested)); order != 0 {
+			return order
 		}
 		if a.request.Organisation != b.request.Organisation {
 			x, y := rates[a.request.Organisation].received, rates[b.request.Organisation].received
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -88,7 +88,7 @@
 			load := best.endpoint.total()
 			states[slices.Index(l.endpoints, best.endpoint)] = endpointState{load, best.endpoint.timing(now, load, meanTiming)}
 		default:
-			if cause := p.mustRefuse(now, w, best, found, queueTime, capacityShare < 1); cause != "" {
+			if cause := p.mustRefuse(now, l, w, best, found, queueTime, capacityShare < 1); cause != "" {
 				detail := fmt.Sprintf("cause=%s,%s,%s", cause, refusalDetail(now, w, best, found, queueTime, capacityShare, &shares), p.leastLoaded(now, l, states))
 				p.refuse(now, w, best, queueTime, detail)
 				continue
@@ -168,10 +168,18 @@
 		return true
 	}
 	total, remaining := w.objective(now)
-	if c.timing.saturation() >= capacityShare || c.deadlineUse >= 1 {
+	if c.timing.saturation() >= capacityShare {
 		return false
 	}
 	unqueued := c.endpoint.timeToFirstToken(w.class.tokens(c.work.prefill))
+	if w.request.Resumes {
+		// The caller takes what it can still get of the answer, so the expected end
+		// does not matter, and its objective is the time until it gives up.
+		return c.classTimeToFirstToken <= max(time.Duration(startMargin*float64(remaining)), unqueued)
+	}
+	if c.deadlineUse >= 1 {
+		return false
+	}
 	// A share above 1 is no right to a longer queue, which would delay the prompts
 	// of others.
 	return c.classTimeToFirstToken <= max(time.Duration(min(capacityShare, 1)*engineQueueShare*float64(total)), unqueued) &&
@@ -193,6 +201,8 @@
 	causeLate refusalCause = "Late"
 	// causeQueueFull stands for MaxQueuedRequests waiting requests.
 	causeQueueFull refusalCause = "QueueFull"
+	// causeTried stands for a continuation that has failed at every endpoint.
+	causeTried refusalCause = "Tried"
 	// causeBounded stands for an organisation that is held to a bound; see gap.go.
 	causeBounded refusalCause = "Bounded"
 )
@@ -202,8 +212,17 @@
 // waited for too long, or the answer to a typical request of its class can't begin
 // by the objective after the queueTime of the requests before it. If found is set,
 // c is the best candidate; aboveFairRate is set if the request's organisation has
-// received more than the fair rate, unless the request resumes an answer.
-func (p *Policy) mustRefuse(now time.Time, w *queuedRequest, c candidate, found bool, queueTime time.Duration, aboveFairRate bool) refusalCause {
+// received more than the fair rate.
+//
+// A request that resumes an answer waits as long as its caller, whatever the load:
+// a caller that has received a part of an answer loses more than a new one.
+func (p *Policy) mustRefuse(now time.Time, l *pool, w *queuedRequest, c candidate, found bool, queueTime time.Duration, aboveFairRate bool) refusalCause {
+	if w.request.Resumes {
+		if l.allTried(w) {
+			return causeTried
+		}
+		return ""
+	}
 	if !w.request.MayWait {
 		return causeMayNotWait
 	}
@@ -228,6 +247,11 @@
 	return ""
 }
 
+// allTried reports whether the request has failed at every endpoint of the pool.
+func (l *pool) allTried(w *queuedRequest) bool {
+	return len(l.endpoints) > 0 && !slices.ContainsFunc(l.endpoints, func(e *endpoint) bool { return !slices.Contains(w.request.Tried, e.ID) })
+}
+
 // leastLoaded states, for the log of a refusal, how much capacity the pool had:
 // the number of endpoints without a prompt to process, of all usable ones, and
 // the least number of tokens that any of them has to process.
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -49,7 +49,8 @@
 	// Tried lists the endpoints at which earlier attempts failed.
 	Tried []view.EndpointID
 	// Resumes is set when the request continues an answer of which the caller
-	// has already received a part.
+	// has already received a part. It is not refused while an endpoint may still
+	// run it.
 	Resumes bool
 	// Nested marks a call made on behalf of a request in flight. It is served
 	// before other requests of its organisation, since its parent occupies
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -56,11 +56,13 @@
 // waiter is a request that waits for a decision.
 type waiter struct {
 	organisation string
-	decision     chan schedule.Output
+	// resumes is schedule.Request.Resumes.
+	resumes  bool
+	decision chan schedule.Output
 }
 
 // QueueStats holds the statistics of one organisation's queue of waiting
-// requests.
+// requests, without those that resume an answer.
 type QueueStats struct {
 	// Waiting is the number of requests that wait for a decision.
 	Waiting int
@@ -115,7 +117,7 @@
 func (d *Scheduling) Wait(ctx context.Context, r schedule.Request) (schedule.Start, error) {
 	r.ID = schedule.RequestID(d.lastID.Add(1))
 	decision := make(chan schedule.Output, 1)
-	d.addWaiter(r.ID, waiter{r.Organisation, decision})
+	d.addWaiter(r.ID, waiter{r.Organisation, r.Resumes, decision})
 	d.driver.Input(schedule.Arrival{Request: r})
 	select {
 	case out := <-decision:
@@ -183,6 +185,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.waiting[id] = w
+	if w.resumes {
+		return
+	}
 	queue := d.queues[w.organisation]
 	queue.Waiting++
 	d.queues[w.organisation] = queue
@@ -198,6 +203,9 @@
 		return waiter{}, false
 	}
 	delete(d.waiting, id)
+	if w.resumes {
+		return w, true
+	}
 	queue := d.queues[w.organisation]
 	queue.Waiting--
 	if queue.Waiting == 0 {
@@ -207,10 +215,10 @@
 	return w, true
 }
 
-// QueueFull reports whether maxWaiting requests of the organisation already
-// wait, in which case the scheduler would refuse another one. Under a flood of
-// requests, checking this first saves the router most of the cost of such a
-// refusal.
+// QueueFull reports whether maxWaiting requests of the organisation, without those
+// that resume an answer, already wait, in which case the scheduler would refuse
+// another one. Under a flood of requests, checking this first saves the router most
+// of the cost of such a refusal.
 func (d *Scheduling) QueueFull(organisation string, maxWaiting int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
