Do not avoid an endpoint because a start there was withdrawn

What callers saw: an endpoint that works was avoided for a quarter of a second, and longer after each repetition, when a caller left or new evidence came while the scheduler started a request there. The start was returned as NotSent, which stands for an endpoint that could not be reached.

ResultUnused returns a start without a verdict on the endpoint. TestUnusedStartIsNoFailure fails with NotSent in its place.

--- a/internal/coordination/admission/continuation_test.go
+++ b/internal/coordination/admission/continuation_test.go
@@ -145,3 +145,18 @@
 	is.Equal(len(w.refusals), 1)
 	is.Equal(w.refusals[0].ID, id)
 }
+
+// TestUnusedStartIsNoFailure guards against avoiding an endpoint because a request
+// that was to start there was withdrawn.
+func TestUnusedStartIsNoFailure(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	e := w.policy.endpoints["e0"]
+	for range 5 {
+		w.send("o", 100)
+		w.input(schedule.Completion{ID: w.last, Result: schedule.ResultUnused})
+	}
+	is.Equal(e.own, load{})
+	is.True(w.policy.usable(w.now, e))
+	is.Equal(w.policy.usage.fleetRates(w.now)["o"].received, 0.0)
+}
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -236,7 +236,8 @@
 	delete(p.running, in.ID)
 	e := r.endpoint
 	e.release(r)
-	if in.Result == schedule.ResultNotSent || in.Result == schedule.ResultRejected {
+	switch in.Result {
+	case schedule.ResultNotSent, schedule.ResultRejected, schedule.ResultUnused:
 		p.usage.subtractReceived(now, r.request.Organisation, r.cost())
 		e.promptCache.remove(r.request.Prompt)
 	}
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -148,11 +148,15 @@
 	// ResultSilent means that the attempt timed out because the endpoint sent
 	// nothing.
 	ResultSilent
+	// ResultUnused means that the router did not use the start; nothing was sent, and
+	// no attempt was made to reach the endpoint.
+	ResultUnused
 )
 
 var resultNames = map[Result]string{
 	ResultFinished: "Finished", ResultNotSent: "NotSent", ResultRejected: "Rejected", ResultBroken: "Broken",
 	ResultCancelled: "Cancelled", ResultFailed: "Failed", ResultSilent: "Silent",
+	ResultUnused: "Unused",
 }
 
 // String returns the name of the result as it appears in logs.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -177,7 +177,7 @@
 		if r.Gate.StillAdmitted(c, exclusive) {
 			return start, nil
 		}
-		r.Scheduling.Input(schedule.Completion{ID: start.ID, Result: schedule.ResultNotSent})
+		r.Scheduling.Input(schedule.Completion{ID: start.ID, Result: schedule.ResultUnused})
 		r.Gate.Done(c, &Outcome{Result: schedule.ResultNotSent})
 	}
 }
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -131,7 +131,7 @@
 		// The scheduler started the request just before its departure; return
 		// the slot.
 		if s, ok := out.(schedule.Start); ok {
-			d.driver.Input(schedule.Completion{ID: s.ID, Result: schedule.ResultNotSent})
+			d.driver.Input(schedule.Completion{ID: s.ID, Result: schedule.ResultUnused})
 		}
 	default:
 	}
