Read a silent attempt on until its continuation at another endpoint is certain

What callers saw: an accepted stream was broken off, and got neither an answer nor a refusal, because its endpoint had been silent for 1.3 s; sound endpoints may be silent for a second or so and continue.

Cause: the watchdog cancelled the attempt first, and the runner looked for a continuation afterwards, which the retry budget, the gate, admission or the number of attempts may refuse, or which meets another silent endpoint. A plain answer that had begun was ended in the same way. The time was a constant below the 2 s that callers wait at least.

The silence now only begins a search beside the attempt: the gate admits the call, the scheduler reserves a place at an endpoint that is neither silent nor avoided, the endpoint accepts a connection, this router may send there, and a retry is left. Only then the attempt is cancelled, and the continuation sent after that. An event withdraws the search; a search that is refused is repeated later; without attempts left, or where the answer cannot be resumed, the attempt is read until the deadline. An endpoint that was silent before may continue a stream whose second one is silent.

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -77,14 +77,7 @@
 	found := false
 	for pass := range 2 {
 		for i, e := range l.endpoints {
-			// The second pass admits endpoints that are being avoided and, for
-			// a request without a model, ejected ones, since one of these is
-			// better than none. Accepts excludes ejected endpoints for a model.
-			// Endpoints that this request has already tried stay excluded.
-			if e.Leaving || pass == 0 && !p.usable(now, e) || slices.Contains(w.request.Tried, e.ID) {
-				continue
-			}
-			if w.request.Exclusive && e.exclusive > 0 || w.request.Model != "" && !e.Accepts(w.request.Model, now) {
+			if !p.eligible(now, w, e, pass > 0) {
 				continue
 			}
 			c := p.evaluate(now, l, w, e, &states[i], e == home)
@@ -103,6 +96,26 @@
 	return best, found
 }
 
+// eligible reports whether the request may start at the endpoint, if that has room.
+// Endpoints that are being avoided are admitted if avoided is set, and for a
+// request without a model, ejected ones, since one of these is better than none;
+// Accepts excludes ejected endpoints for a model. Endpoints that the request has
+// already tried stay excluded, and so do those that are no better than the silent
+// one that still runs it.
+func (p *Policy) eligible(now time.Time, w *queuedRequest, e *endpoint, avoided bool) bool {
+	r := &w.request
+	switch {
+	case e.Leaving, slices.Contains(r.Tried, e.ID):
+		return false
+	case r.StillRuns && (e.inactive(now) || !p.usable(now, e)), !avoided && !p.usable(now, e):
+		return false
+	case r.Exclusive && e.exclusive > 0:
+		return false
+	default:
+		return r.Model == "" || e.Accepts(r.Model, now)
+	}
+}
+
 // evaluate estimates how the endpoint would serve the request.
 func (p *Policy) evaluate(now time.Time, l *pool, w *queuedRequest, e *endpoint, s *endpointState, home bool) candidate {
 	c := candidate{endpoint: e, work: e.workOf(now, w.request.Prompt), home: home}
--- a/internal/coordination/admission/continuation_test.go
+++ b/internal/coordination/admission/continuation_test.go
@@ -160,3 +160,26 @@
 	is.True(w.policy.usable(w.now, e))
 	is.Equal(w.policy.usage.fleetRates(w.now)["o"].received, 0.0)
 }
+
+// TestSilentStreamDoesNotMoveToSilentEndpoint guards against giving up an attempt at
+// a silent endpoint in favour of one that is silent as well.
+func TestSilentStreamDoesNotMoveToSilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(2, 100_000)
+	second := w.policy.endpoints["e1"]
+	second.own.requests = 1
+	w.now = w.now.Add(silenceTimeout + second.timeToFirstToken(0) + testStep)
+	w.last++
+	r := &schedule.Request{
+		ID: w.last, Organisation: "o", Pool: "p", MayWait: true, Resumes: true, StillRuns: true, Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
+		Prompt: &schedule.Prompt{InputTokens: 100, OutputTokens: 100}, Tried: []view.EndpointID{"e0"},
+	}
+	w.requests[r.ID], w.arrived[r.ID] = r, w.now
+	w.input(schedule.Arrival{Request: *r})
+	is.Equal(w.started["o"], 0) // e1 is silent
+	second.health.avoidUntil = time.Time{}
+	second.lastActivityAt = w.now // it sends again
+	w.input(schedule.Alarm{})
+	is.Equal(w.started["o"], 1)
+	is.Equal(len(w.refusals), 0)
+}
--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -225,13 +225,15 @@
 	}
 }
 
-// silent reports whether the endpoint has shown no activity for too long while
-// it has requests of this router in flight.
+// silent reports whether an endpoint that is not avoided has shown no activity for
+// too long while it has requests of this router in flight.
 func (e *endpoint) silent(now time.Time) bool {
-	if e.own.requests == 0 || now.Before(e.health.avoidUntil) {
-		return false
-	}
-	return now.Sub(e.lastActivityAt) > silenceTimeout+e.timeToFirstToken(e.own.backlog)
+	return e.inactive(now) && !now.Before(e.health.avoidUntil)
+}
+
+// inactive is like silent, also while the endpoint is avoided.
+func (e *endpoint) inactive(now time.Time) bool {
+	return e.own.requests > 0 && now.Sub(e.lastActivityAt) > silenceTimeout+e.timeToFirstToken(e.own.backlog)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -52,6 +52,10 @@
 	// has already received a part. It is not refused while an endpoint may still
 	// run it.
 	Resumes bool
+	// StillRuns is set while an earlier attempt of the request, at an endpoint that is
+	// silent, may still continue. It should then not start at another endpoint that
+	// is silent or being avoided.
+	StillRuns bool
 	// Nested marks a call made on behalf of a request in flight. It is served
 	// before other requests of its organisation, since its parent occupies
 	// capacity until the call is answered.
--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -32,6 +32,9 @@
 	Timeout time.Duration
 	// Objective is the time within which the answer should start.
 	Objective time.Duration
+	// Patience is the time without an event after which callers give up a stream;
+	// zero if it is not known.
+	Patience time.Duration
 	// Targets are the services among which the requests are split by weight.
 	Targets []Target
 }
--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -33,6 +33,12 @@
 	Send(ctx context.Context, a *Attempt) (Answer, error)
 }
 
+// SendChecker is implemented by backends that can tell whether they may send a call
+// to an endpoint now.
+type SendChecker interface {
+	CheckSend(c *Call, id view.EndpointID) error
+}
+
 // NotSentError reports that no part of an attempt was sent.
 type NotSentError struct{ Err error }
 
--- a/internal/transport/execution/broken.go
+++ b/internal/transport/execution/broken.go
@@ -17,9 +17,6 @@
 	// CauseEndpoint means that the endpoint broke off an answer that cannot be
 	// resumed.
 	CauseEndpoint BreakCause = "Endpoint"
-	// CauseSilence means that the endpoint was silent for too long within an answer
-	// that cannot be resumed.
-	CauseSilence BreakCause = "Silence"
 	// CauseScheduler and CauseGate mean that the scheduler or the Gate refused the
 	// continuation.
 	CauseScheduler BreakCause = "Scheduler"
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -53,13 +53,15 @@
 	LastEvent string
 	// Reused is set if the caller's connection carried another request before.
 	Reused bool
-	// MaxSilence bounds the time until the head of the answer arrives. The timer
-	// then restarts, and it restarts with each whole event if Events is set;
-	// otherwise, the rest of the answer must arrive before it expires. When the
-	// timer expires, the attempt is cancelled, and the call may be retried at
-	// another endpoint if its answer has not begun or can be resumed. Zero means
-	// to wait until the deadline.
+	// MaxSilence is the time without the head of the answer after which the runner
+	// looks for another endpoint. It counts anew from the head and, if Events is set,
+	// from each whole event, as long as the call can still be retried or its answer
+	// resumed. The attempt is read on until another one is certain. Zero means to
+	// wait until the deadline.
 	MaxSilence time.Duration
+	// Patience is the time without an event after which the caller gives up a
+	// stream; zero if it is not known.
+	Patience time.Duration
 	// RetryServerErrors is set if an answer with a server error (status 5xx)
 	// may be retried.
 	RetryServerErrors bool
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -71,7 +71,7 @@
 // head of the answer, and comments before the first event, only with that event,
 // so that a stream that breaks off earlier can still be retried at another endpoint. A stream that is
 // resumed at another endpoint retains the head that was sent first.
-func (r *Runner) copyEvents(ctx context.Context, answer Answer, reporter *streamReporter, watch *watchdog, out *sinkTracker, p *progress) error {
+func (r *Runner) copyEvents(ctx context.Context, answer Answer, reporter *streamReporter, watch *silenceWatch, out *sinkTracker, p *progress) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(pooled)
 	var buffer eventBuffer
@@ -88,7 +88,9 @@
 		if count > 0 {
 			// Bytes that complete no event are of no use to callers, who give up a
 			// stream after a time without events.
-			watch.reset()
+			if err := watch.checkGivenUp(); err != nil && !errors.Is(readErr, io.EOF) {
+				return err
+			}
 		}
 		switch {
 		case len(events) > 0 && (out.started || count > 0 || errors.Is(readErr, io.EOF)):
@@ -98,6 +100,9 @@
 			p.received(last, count)
 			reporter.eventsForwarded(p.events)
 			buffer.discard(len(events))
+			if count > 0 && readErr == nil {
+				watch.resume(p, out.started)
+			}
 		case len(buffer.buffered) > maxEventBytes:
 			return errEventTooLong
 		}
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -16,8 +16,18 @@
 	// sentAttempts is the number of attempts that reached an endpoint.
 	sentAttempts int
 	// mayHaveRun is set once an attempt may have run.
-	mayHaveRun     bool
+	mayHaveRun bool
+	// triedEndpoints are those at which attempts failed, except silentEndpoint, at
+	// which the last attempt that was given up because of silence was made. An
+	// endpoint that was silent earlier may have recovered.
 	triedEndpoints []view.EndpointID
+	silentEndpoint view.EndpointID
+	// stillRuns is set while the search for a continuation goes on beside the last
+	// attempt.
+	stillRuns bool
+	// continuation is the admission of the next attempt if the last one was given up
+	// in its favour; nil if there is none.
+	continuation *schedule.Start
 	// lastEvent is the ID of the last event that the caller has received; empty
 	// if it has received none.
 	lastEvent string
@@ -44,9 +54,21 @@
 // recordFailure records an attempt that did not end with a complete answer.
 func (p *progress) recordFailure(e view.EndpointID, result schedule.Result) {
 	*p = *p.afterAttempt(result)
+	if result == schedule.ResultSilent {
+		p.silentEndpoint = e
+		return
+	}
 	p.triedEndpoints = append(slices.Clip(p.triedEndpoints), e)
 }
 
+// excludedEndpoints returns the endpoints at which the next attempt must not be made.
+func (p *progress) excludedEndpoints() []view.EndpointID {
+	if p.silentEndpoint == "" {
+		return p.triedEndpoints
+	}
+	return append(slices.Clip(p.triedEndpoints), p.silentEndpoint)
+}
+
 // afterAttempt returns the progress as it will be if the current attempt ends
 // with the given result.
 func (p *progress) afterAttempt(result schedule.Result) *progress {
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -28,10 +28,6 @@
 	maxUnreached = 8
 	// copyBytes is the size of the buffer between endpoint and caller.
 	copyBytes = 16 << 10
-	// resumeObjective is the time within which a resumed stream should deliver
-	// its next event. Callers give up after about two seconds without an event,
-	// and the silence that ended the previous attempt has used part of them.
-	resumeObjective = 600 * time.Millisecond
 	// defaultRetryDelay is the delay that a refused caller is asked to wait if
 	// the scheduler specifies no time.
 	defaultRetryDelay = time.Second
@@ -127,7 +123,7 @@
 	out := &sinkTracker{Sink: sink}
 	p := &progress{call: c, lastEvent: c.LastEvent, lastEventAt: time.Now()}
 	for {
-		start, err := r.admit(ctx, p)
+		start, err := r.next(ctx, p)
 		if err != nil {
 			p.awaitConfirmation(ctx)
 			if out.started {
@@ -140,11 +136,13 @@
 			p.confirmed = confirmed
 		}
 		if err == nil {
+			r.releaseContinuation(p)
 			return nil
 		}
 		result := outcome.Result
 		p.recordFailure(start.Endpoint, result)
 		if cause := r.endCause(ctx, p, out, result, err); cause != "" {
+			r.releaseContinuation(p)
 			p.awaitConfirmation(ctx)
 			if out.started {
 				return p.broken(cause, err)
@@ -177,8 +175,7 @@
 		if r.Gate.StillAdmitted(c, exclusive) {
 			return start, nil
 		}
-		r.Scheduling.Input(schedule.Completion{ID: start.ID, Result: schedule.ResultUnused})
-		r.Gate.Done(c, &Outcome{Result: schedule.ResultNotSent})
+		r.release(c, &start, schedule.ResultUnused)
 	}
 }
 
@@ -193,10 +190,9 @@
 	case ctx.Err() != nil:
 		return contextCause(ctx)
 	case out.started && !p.canResume():
-		if result == schedule.ResultSilent {
-			return CauseSilence
-		}
 		return CauseEndpoint
+	case p.continuation != nil:
+		return "" // taken from the budget when it was found
 	default:
 		return r.retryDenied(p, result)
 	}
@@ -213,26 +209,30 @@
 		p.retryReserved = false
 		return ""
 	}
-	if p.mayHaveRun && !p.call.Class.Idempotent {
+	switch {
+	case p.mayHaveRun && !p.call.Class.Idempotent:
 		return CauseEndpoint
+	case !r.attemptsLeft(p, result):
+		return CauseAttempts
+	case p.call.MaxAttempts > 0 && result == schedule.ResultNotSent:
+		return ""
+	case !r.Budget.Withdraw(p.call):
+		return CauseRetryBudget
 	}
+	return ""
+}
+
+// attemptsLeft reports whether the limits on attempts allow one more after an
+// attempt with the given result.
+func (r *Runner) attemptsLeft(p *progress, result schedule.Result) bool {
 	switch {
 	case p.call.MaxAttempts == 0:
-		if p.attempts >= maxAttempts {
-			return CauseAttempts
-		}
+		return p.attempts < maxAttempts
 	case result == schedule.ResultNotSent:
-		if p.attempts-p.sentAttempts >= maxUnreached {
-			return CauseAttempts
-		}
-		return ""
-	case p.sentAttempts >= min(p.call.MaxAttempts, maxAttempts):
-		return CauseAttempts
-	}
-	if !r.Budget.Withdraw(p.call) {
-		return CauseRetryBudget
+		return p.attempts-p.sentAttempts < maxUnreached
+	default:
+		return p.sentAttempts < min(p.call.MaxAttempts, maxAttempts)
 	}
-	return ""
 }
 
 func newScheduleRequest(p *progress, now time.Time) schedule.Request {
@@ -249,16 +249,21 @@
 		Deadline:     c.Deadline,
 		Objective:    c.Objective,
 		Prompt:       c.Prompt,
-		Tried:        p.triedEndpoints,
+		Tried:        p.excludedEndpoints(),
 		Prefix:       c.Prefix,
 		BodyBytes:    int64(len(c.Body)),
 		Exclusive:    c.Exclusive,
 		Nested:       c.Parent != "",
 		Resumes:      p.canResume(),
+		StillRuns:    p.stillRuns,
 	}
-	if r.Resumes {
-		// Call.Objective applies to the beginning of the answer only.
-		r.Objective = now.Add(resumeObjective)
+	// Call.Objective applies to the beginning of the answer only. Later, an event is
+	// of use until the caller gives up.
+	switch givesUpAt := p.lastEventAt.Add(c.Patience); {
+	case c.Patience > 0 && (r.Resumes || p.attempts > 0 && now.After(c.Objective)):
+		r.Objective = givesUpAt
+	case r.Resumes:
+		r.Objective = c.Deadline
 	}
 	return r
 }
@@ -330,15 +335,17 @@
 
 // exchange sends the attempt and copies the answer to the sink.
 func (r *Runner) exchange(ctx context.Context, a *Attempt, id schedule.RequestID, m *meter, out *sinkTracker, p *progress) (schedule.Result, error) {
-	ctx, watch := newWatchdog(ctx, a.Call.MaxSilence)
-	defer watch.stop()
+	ctx, watch := r.watchSilence(ctx, p, a.Endpoint.ID, out.started)
+	defer func() { p.continuation = watch.stop() }()
 	answer, err := r.Backend.Send(ctx, a)
 	if err != nil {
 		return watch.result(sendResult(ctx, err)), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
 	}
 	defer func() { _ = answer.Close() }()
 	a.AnsweredAt = time.Now()
-	watch.reset()
+	if err := watch.checkGivenUp(); err != nil {
+		return schedule.ResultSilent, err
+	}
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered status %d: it has not run the attempt", a.Endpoint.ID, answer.Status())
 	}
@@ -346,13 +353,14 @@
 		p.retryReserved = true
 		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
 	}
+	watch.resume(p, out.started)
 	switch {
 	case a.Call.Events && answer.Status() < http.StatusMultipleChoices:
 		err = r.copyEvents(ctx, answer, newStreamReporter(m.begin, r.Scheduling, id, r.Late), watch, out, p)
 	case out.started:
 		err = fmt.Errorf("the answer to a resumed stream has status %d", answer.Status())
 	default:
-		err = r.copyAnswer(ctx, answer, id, m, out)
+		err = r.copyAnswer(ctx, answer, id, m, watch, out)
 	}
 	if err != nil {
 		var callerErr *sinkError
@@ -404,7 +412,7 @@
 // copyAnswer copies the answer to the sink. It sends the head of the answer
 // only once the first bytes have arrived, so that an answer that breaks off
 // earlier can still be retried.
-func (r *Runner) copyAnswer(ctx context.Context, answer Answer, id schedule.RequestID, m *meter, out *sinkTracker) error {
+func (r *Runner) copyAnswer(ctx context.Context, answer Answer, id schedule.RequestID, m *meter, watch *silenceWatch, out *sinkTracker) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(pooled)
 	buffer := pooled[:]
@@ -415,6 +423,9 @@
 			return err
 		}
 		if !out.started {
+			if err := watch.checkGivenUp(); err != nil && !complete {
+				return err
+			}
 			if err := out.Begin(answer.Status(), answer.Header()); err != nil {
 				return &sinkError{fmt.Errorf("begin the answer to the caller: %w", err)}
 			}
--- a/internal/transport/execution/silence_test.go
+++ b/internal/transport/execution/silence_test.go
@@ -290,3 +290,121 @@
 		is.Equal(len(backend.endpoints), 1)
 	}
 }
+
+// scriptedProber reports endpoints as alive unless they are listed.
+type scriptedProber map[view.EndpointID]ProcessState
+
+func (p scriptedProber) Probe(_ context.Context, e *view.Endpoint) ProcessState {
+	if state, listed := p[e.ID]; listed {
+		return state
+	}
+	return ProcessAlive
+}
+
+// TestSilentAttemptMovesToReachableEndpoint guards against giving up an attempt for
+// an endpoint that cannot be reached.
+func TestSilentAttemptMovesToReachableEndpoint(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {forever, ""}}}, {parts: []timedPart{{0, "id: 2\n\n"}}}}}
+	scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "e2", "e3"}}
+	r, stop := newTimedRunner(t, backend, scheduler)
+	r.Prober = scriptedProber{"e2": ProcessUnknown}
+	is.NoErr(r.Run(t.Context(), silentCall(true), &recordingSink{}))
+	stop()
+	is.Equal(backend.endpoints, []view.EndpointID{"e1", "e3"})
+	is.Equal(scheduler.arrivals[2].Tried, []view.EndpointID{"e2", "e1"})
+	is.Equal(scheduler.results, []schedule.Result{schedule.ResultUnused, schedule.ResultSilent, schedule.ResultFinished})
+}
+
+// TestRecoveredEndpointMayContinue guards against a stream that has to stay at its
+// second endpoint, which is silent, because its first was silent before.
+func TestRecoveredEndpointMayContinue(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{
+		{parts: []timedPart{{0, "id: 1\n\n"}, {forever, ""}}}, {parts: []timedPart{{0, "id: 2\n\n"}, {forever, ""}}}, {parts: []timedPart{{0, "id: 3\n\n"}}},
+	}}
+	scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "e2", "e1"}}
+	r, stop := newTimedRunner(t, backend, scheduler)
+	call := silentCall(true)
+	call.MaxAttempts = 3
+	out := &recordingSink{}
+	is.NoErr(r.Run(t.Context(), call, out))
+	stop()
+	is.Equal(out.String(), "id: 1\n\nid: 2\n\nid: 3\n\n")
+	is.Equal(scheduler.arrivals[2].Tried, []view.EndpointID{"e2"})
+}
+
+// balancedGate counts admissions that have not ended. A search that reaches it after
+// the first admission waits until it is withdrawn.
+type balancedGate struct {
+	admitAllGate
+	mu         sync.Mutex
+	admissions int // guarded by mu
+	open       int // guarded by mu
+}
+
+func (g *balancedGate) Admit(ctx context.Context, _ *Call) (bool, error) {
+	g.mu.Lock()
+	g.admissions++
+	wait := g.admissions%2 == 0
+	g.mu.Unlock()
+	if wait {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open++
+	return false, nil
+}
+
+func (g *balancedGate) Done(*Call, *Outcome) (confirmed func(context.Context)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open--
+	return nil
+}
+
+// TestEventEndsSearch guards against searches, places and admissions that remain
+// after the silent endpoint has continued.
+func TestEventEndsSearch(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {shortPause, "id: 2\n\n"}, {shortPause, "id: 3\n\n"}, {0, "id: 4\n\n"}}}}}
+	scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1"}} // the second search waits there
+	r, stop := newTimedRunner(t, backend, scheduler)
+	gate := &balancedGate{}
+	r.Gate = gate
+	out := &recordingSink{}
+	is.NoErr(r.Run(t.Context(), silentCall(true), out))
+	is.Equal(r.Scheduling.Waiting(), 0)
+	stop()
+	is.Equal(out.String(), "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n")
+	is.Equal(len(backend.endpoints), 1)
+	is.True(gate.admissions >= 3) // those of the attempt and of a search in each pause
+	is.Equal(gate.open, 0)
+	is.True(scheduler.departed >= 1)
+}
+
+// refusingBackend may send a call to no endpoint but the first.
+type refusingBackend struct{ *timedBackend }
+
+func (refusingBackend) CheckSend(_ *Call, id view.EndpointID) error {
+	if id == "e1" {
+		return nil
+	}
+	return errors.New("the list of endpoints is too old")
+}
+
+// TestSilentAttemptIsKeptWhileNothingMayBeSent guards against giving up an attempt
+// for one that this router may not send.
+func TestSilentAttemptIsKeptWhileNothingMayBeSent(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {shortPause, "id: 2\n\n"}}}}}
+	scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "e2"}}
+	r, stop := newTimedRunner(t, refusingBackend{backend}, scheduler)
+	out := &recordingSink{}
+	is.NoErr(r.Run(t.Context(), silentCall(true), out))
+	stop()
+	is.Equal(out.String(), "id: 1\n\nid: 2\n\n")
+	is.Equal(scheduler.results, []schedule.Result{schedule.ResultUnused, schedule.ResultFinished})
+}
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -29,15 +29,17 @@
 	// stoppingRetryDelay is the delay after which a caller may retry while the
 	// router stops. It is short because another router can serve the retry.
 	stoppingRetryDelay = 50 * time.Millisecond
-	// streamSilenceTimeout is the time without an event after which a resumable
-	// stream continues at another endpoint. It is shorter than the time that
-	// callers wait, a little more than two seconds, so that the other endpoint
-	// still has time to continue the stream.
-	streamSilenceTimeout = 1300 * time.Millisecond
+	// continuationObjectives is the number of latency objectives that the continuation
+	// of a stream at another endpoint needs: one to find the endpoint, and one until
+	// the next event. It takes at least minContinuationShare of the time that callers
+	// wait for an event, and at most maxContinuationShare.
+	continuationObjectives = 2
+	minContinuationShare   = 0.25
+	maxContinuationShare   = 0.5
 	// idempotentSilenceFactor, multiplied by the latency objective of an
 	// idempotent call that is not a stream, is the MaxSilence of the call: if
-	// the head of the answer has not arrived within this time, the call is
-	// retried at another endpoint.
+	// the head of the answer has not arrived within this time, the router looks for
+	// another endpoint.
 	idempotentSilenceFactor = 2.5
 	// joinGrace is the time after its start during which a router that knows no
 	// other router does not yet list the routers to callers, because it may not
@@ -250,6 +252,7 @@
 		Urgency: matched.Class.Urgency, Method: a.Method, Path: a.Target, Host: a.Host, Header: a.Header,
 		Deadline: a.Deadline, MaxAttempts: max(matched.MaxAttempts, 1), LastEvent: a.LastEvent,
 		Stream: matched.Stream, Events: matched.Stream, Resumable: matched.Resumable, Prompt: a.Prompt, Reused: a.Reused,
+		Patience: matched.Patience,
 	}
 	if matched.Timeout > 0 {
 		if at := now.Add(matched.Timeout); call.Deadline.IsZero() || at.Before(call.Deadline) {
@@ -267,7 +270,7 @@
 	}
 	switch {
 	case matched.Resumable:
-		call.MaxSilence = streamSilenceTimeout
+		call.MaxSilence = maxSilence(matched)
 	case matched.Class.Idempotent && !matched.Stream:
 		call.RetryServerErrors = true
 		call.MaxSilence = time.Duration(idempotentSilenceFactor * float64(matched.Objective))
@@ -275,6 +278,14 @@
 	return call
 }
 
+// maxSilence returns the time without an event after which the router looks for an
+// endpoint that continues a stream: what is left until the caller gives up is the time
+// that the continuation needs.
+func maxSilence(r *route.Route) time.Duration {
+	shortest, longest := minContinuationShare*float64(r.Patience), maxContinuationShare*float64(r.Patience)
+	return r.Patience - time.Duration(min(max(continuationObjectives*float64(r.Objective), shortest), longest))
+}
+
 // ReadsLate reports whether this router has lately read requests some time after they
 // arrived.
 func (c *Core) ReadsLate() bool {
