Let no socket option end an answer of a hosted router

Cause: connections to endpoints had the options that detect lost routers: a keep-alive after 2 s, five probes a second apart, and TCP_USER_TIMEOUT of 5 s.

Connections for requests of a hosted router have neither option now; the runner and the deadline end an attempt, and idle connections are closed after 2 s as before. Routers' connections to each other and to the store keep them.

--- a/internal/transport/router/network.go
+++ b/internal/transport/router/network.go
@@ -8,13 +8,16 @@
 	"net/netip"
 	"syscall"
 	"time"
+
+	"hyssopreach/internal/transport/endpoint"
 )
 
 const (
 	// dialTimeout bounds one attempt to open a connection.
 	dialTimeout = 2 * time.Second
 	// silenceTimeout is the time without an acknowledgement from the other end
-	// after which a connection that this router opened is broken off.
+	// after which a connection that this router opened is broken off; see
+	// WithoutSilenceTimeout for those to endpoints of a hosted router.
 	silenceTimeout = 5 * time.Second
 	// keepAliveIdle is the time after which the host sends a TCP keep-alive
 	// probe on an idle connection, and keepAliveInterval is the time between
@@ -66,6 +69,40 @@
 	return errors.Join(err, sockErr)
 }
 
+// WithoutSilenceTimeout wraps a dial function so that the host does not break off its
+// connections, however long the other end acknowledges nothing. It is for requests:
+// the runner decides how long it waits for an endpoint, at most until the deadline.
+func WithoutSilenceTimeout(dial endpoint.Dial) endpoint.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		// Connections of a simulated network have no socket.
+		if c, ok := conn.(syscall.Conn); ok {
+			if err := clearSilenceTimeout(c); err != nil {
+				return nil, errors.Join(fmt.Errorf("set the options of the connection to %s: %w", address, err), conn.Close())
+			}
+		}
+		return conn, nil
+	}
+}
+
+func clearSilenceTimeout(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sockErr error
+	err = raw.Control(func(fd uintptr) {
+		sockErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 0),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, 0),
+		)
+	})
+	return errors.Join(err, sockErr)
+}
+
 // setKeepAlive sets the keep-alive options on the socket of a listener. Accepted
 // connections inherit them, which saves the system calls to set them on each.
 func setKeepAlive(_, _ string, raw syscall.RawConn) error {
