Start a continuation at the best engine once no attempt is left

What callers saw: a stream whose endpoint had ended, and whose caller had nearly lost patience, was not continued although engines had room: it waited behind new requests until its caller left.

Cause: a request that resumes an answer started only where its first token was expected within the rest of its caller's patience, or at an engine without a queue. New requests may start at an engine with a queue of about half of their objective, so under load there is never one without. Before, such a continuation was refused; since it waits, the fault is that of silence once more: the answer ends by a limit of our own.

Engines process prompts in their order, so waiting in the router never makes the answer begin sooner. Without an attempt left, only saturation, slots and memory prevent the start now. While a silent attempt still runs, the limit stays, since that attempt may continue.

--- a/internal/coordination/admission/continuation_test.go
+++ b/internal/coordination/admission/continuation_test.go
@@ -183,3 +183,26 @@
 	is.Equal(w.started["o"], 1)
 	is.Equal(len(w.refusals), 0)
 }
+
+// TestLateContinuationIsNotPassedByNewRequests guards against a continuation that waits
+// for an engine without a queue once its caller's patience is nearly over, while new
+// requests keep starting at the engines.
+func TestLateContinuationIsNotPassedByNewRequests(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	for range 4 {
+		w.send("p", 10_000)
+	}
+	started := w.started["p"]
+	is.True(started > 0) // the engine has a queue
+	w.resume("o", 10_000, 50*time.Millisecond)
+	for range 400 {
+		w.send("p", 5_000)
+		w.advance(testStep)
+		if w.started["o"] > 0 {
+			break
+		}
+	}
+	is.Equal(w.started["o"], 1)
+	is.True(w.started["p"]-started <= 1)
+}
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -174,8 +174,11 @@
 	unqueued := c.endpoint.timeToFirstToken(w.class.tokens(c.work.prefill))
 	if w.request.Resumes {
 		// The caller takes what it can still get of the answer, so the expected end
-		// does not matter, and its objective is the time until it gives up.
-		return c.classTimeToFirstToken <= max(time.Duration(startMargin*float64(remaining)), unqueued)
+		// does not matter. Its objective is the time until it gives up: a silent
+		// attempt is given up only for an answer that is expected by then. If no
+		// attempt is left, waiting here would not make the answer begin sooner, since
+		// engines process prompts in their order, and new requests start meanwhile.
+		return !w.request.StillRuns || c.classTimeToFirstToken <= max(time.Duration(startMargin*float64(remaining)), unqueued)
 	}
 	if c.deadlineUse >= 1 {
 		return false
