Give the end of an answer its own time to be accepted

What callers saw: an answer without an end. Its endpoint had sent the last part and then been silent for 10 s, less by up to a quarter, before it ended the answer; the caller's connection was closed in the middle of it, although the whole answer was here.

Cause: the write deadline of the caller's connection is set with each part and stays. The HTTP server writes the end of the body, and what it has buffered, only after that: under a deadline that had passed meanwhile. It is the same cause as that of silence: an accepted request ended by a limit of our own. Plain answers are buffered, so their last bytes are missing too.

End now extends the deadline like a write.

--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -46,14 +46,7 @@
 // Write sends a part of the answer. It fails if the caller does not accept the
 // part in time.
 func (s *Sink) Write(p []byte) (int, error) {
-	// A stream has many small parts, and setting the deadline for each would
-	// cost more than writing it. The deadline is therefore extended only once
-	// less than three quarters of the timeout remain.
-	if now := time.Now(); s.deadline.Sub(now) < s.timeout*3/4 {
-		s.deadline = now.Add(s.timeout)
-		// Only the response recorders of tests do not support deadlines.
-		_ = s.controller.SetWriteDeadline(s.deadline)
-	}
+	s.extendDeadline()
 	n, err := s.writer.Write(p)
 	if err != nil {
 		return n, fmt.Errorf("write to the caller: %w", err)
@@ -67,8 +60,23 @@
 }
 
 // End implements execution.Sink; the HTTP server ends a complete answer when the
-// handler returns.
-func (s *Sink) End() error { return nil }
+// handler returns. It then writes what it has buffered, and the end of the body.
+func (s *Sink) End() error {
+	s.extendDeadline()
+	return nil
+}
+
+// extendDeadline gives the caller time to accept what is written next. A stream has
+// many small parts, and setting the deadline for each would cost more than writing it.
+// The deadline is therefore extended only once less than three quarters of the timeout
+// remain.
+func (s *Sink) extendDeadline() {
+	if now := time.Now(); s.deadline.Sub(now) < s.timeout*3/4 {
+		s.deadline = now.Add(s.timeout)
+		// Only the response recorders of tests do not support deadlines.
+		_ = s.controller.SetWriteDeadline(s.deadline)
+	}
+}
 
 // streamError is the last event of a stream that broke off.
 type streamError struct {
