Let searches for another endpoint take no places of new requests

What callers saw: new requests of an organisation were refused with QueueFull while 12 of its requests in flight, whose endpoints had not answered yet, looked for another endpoint.

Cause: such a search waits in the queue like a new request. It may not start at an endpoint that is silent or avoided, where a new one may, so it waits longest when endpoints are silent. Only requests that resume an answer were left out of the count.

Neither kind counts now; their number is bounded by the attempts in flight. TestSearchesTakeNoPlacesOfNewRequests failed before: the new request was refused (go test -race -run TestSearchesTake ./internal/coordination/admission).

--- a/internal/coordination/admission/continuation_test.go
+++ b/internal/coordination/admission/continuation_test.go
@@ -206,3 +206,24 @@
 	is.Equal(w.started["o"], 1)
 	is.True(w.started["p"]-started <= 1)
 }
+
+// TestSearchesTakeNoPlacesOfNewRequests guards against refusing new requests of an
+// organisation because its requests in flight look for another endpoint meanwhile.
+func TestSearchesTakeNoPlacesOfNewRequests(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	for range MaxQueuedRequests {
+		w.last++
+		r := &schedule.Request{
+			ID: w.last, Organisation: "o", Pool: "p", MayWait: true, StillRuns: true, Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
+			Prompt: &schedule.Prompt{InputTokens: 100, OutputTokens: 100}, Tried: []view.EndpointID{"e0"},
+		}
+		w.requests[r.ID], w.arrived[r.ID] = r, w.now
+		w.input(schedule.Arrival{Request: *r})
+	}
+	w.send("o", 100)
+	is.Equal(len(w.refusals), 0)
+	w.now = w.now.Add(testStep)
+	w.input(schedule.Alarm{})
+	is.Equal(w.started["o"], 1)
+}
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -27,7 +27,7 @@
 	// peers, a fraction of the lifetime of these reports.
 	peerExpiryInterval = minReportLifetime / 3
 	// MaxQueuedRequests is the maximum number of waiting requests per
-	// organisation and pool, without those that resume an answer. It bounds the cost
+	// organisation and pool, without those that are underway. It bounds the cost
 	// of refusing a flood of requests.
 	MaxQueuedRequests = 12
 	// queueFullDetail is the detail of a refusal because of
@@ -188,7 +188,7 @@
 	if w.counts {
 		p.usage.addRequested(now, r.Organisation, w.cost)
 	}
-	if !r.Resumes && l.queue.countOf(r.Organisation) >= MaxQueuedRequests {
+	if !r.Underway() && l.queue.countOf(r.Organisation) >= MaxQueuedRequests {
 		// The request would only wait behind the organisation's other requests,
 		// which are started or refused before it.
 		p.addUnserved(now, w)
--- a/internal/coordination/admission/queue.go
+++ b/internal/coordination/admission/queue.go
@@ -33,11 +33,11 @@
 func newQueue() queue { return queue{} }
 
 // countOf returns the number of waiting requests of the organisation, without those
-// that resume an answer.
+// that are underway; see schedule.Request.Underway.
 func (l *queue) countOf(organisation string) int {
 	n := 0
 	for _, w := range l.requests {
-		if w.request.Organisation == organisation && !w.request.Resumes {
+		if w.request.Organisation == organisation && !w.request.Underway() {
 			n++
 		}
 	}
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -62,6 +62,11 @@
 	Nested bool
 }
 
+// Underway reports whether the router has accepted the request before and has not ended
+// it: it resumes an answer, or an earlier attempt of it still runs. Such requests take no
+// place of a new one in a queue; their number is bounded by the attempts in flight.
+func (r *Request) Underway() bool { return r.Resumes || r.StillRuns }
+
 // Prompt describes a prompt as its caller declares it.
 type Prompt struct {
 	// Parts are the parts of the prompt in order. All but the last one may be
--- a/internal/transport/execution/scheduling.go
+++ b/internal/transport/execution/scheduling.go
@@ -56,13 +56,13 @@
 // waiter is a request that waits for a decision.
 type waiter struct {
 	organisation string
-	// resumes is schedule.Request.Resumes.
-	resumes  bool
+	// underway is the result of schedule.Request.Underway.
+	underway bool
 	decision chan schedule.Output
 }
 
 // QueueStats holds the statistics of one organisation's queue of waiting
-// requests, without those that resume an answer.
+// requests, without those that are underway.
 type QueueStats struct {
 	// Waiting is the number of requests that wait for a decision.
 	Waiting int
@@ -117,7 +117,7 @@
 func (d *Scheduling) Wait(ctx context.Context, r schedule.Request) (schedule.Start, error) {
 	r.ID = schedule.RequestID(d.lastID.Add(1))
 	decision := make(chan schedule.Output, 1)
-	d.addWaiter(r.ID, waiter{r.Organisation, r.Resumes, decision})
+	d.addWaiter(r.ID, waiter{r.Organisation, r.Underway(), decision})
 	d.driver.Input(schedule.Arrival{Request: r})
 	select {
 	case out := <-decision:
@@ -185,7 +185,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.waiting[id] = w
-	if w.resumes {
+	if w.underway {
 		return
 	}
 	queue := d.queues[w.organisation]
@@ -203,7 +203,7 @@
 		return waiter{}, false
 	}
 	delete(d.waiting, id)
-	if w.resumes {
+	if w.underway {
 		return w, true
 	}
 	queue := d.queues[w.organisation]
@@ -216,7 +216,7 @@
 }
 
 // QueueFull reports whether maxWaiting requests of the organisation, without those
-// that resume an answer, already wait, in which case the scheduler would refuse
+// that are underway, already wait, in which case the scheduler would refuse
 // another one. Under a flood of requests, checking this first saves the router most
 // of the cost of such a refusal.
 func (d *Scheduling) QueueFull(organisation string, maxWaiting int) bool {
