Do not end a stream because its continuation was rejected

What callers saw: a stream was broken off with the cause Attempts after its silent attempt had been given up for an endpoint that then rejected the continuation: it was full, which this router could not know, since other routers fill it too. With two attempts allowed, any rejection after a silence or a crash ended the stream.

Cause: a rejection counted towards MaxAttempts like a run, although the endpoint states that it has not run the attempt.

For a stream that has begun, only runs count towards MaxAttempts now. The number of rejections is bounded by the retry budget, by maxUnreached, and by the endpoints, each of which is asked once. New requests are handled as before. TestRejectedContinuationEndsNoAnswer failed before: "the answer broke off: endpoint e2 answered status 503: it has not run the attempt" (go test -race -run TestRejectedContinuation ./internal/transport/execution).

--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -15,6 +15,9 @@
 	attempts int
 	// sentAttempts is the number of attempts that reached an endpoint.
 	sentAttempts int
+	// rejectedAttempts is the number of sent attempts that their endpoints rejected
+	// without running them.
+	rejectedAttempts int
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 	// triedEndpoints are those at which attempts failed, except silentEndpoint, at
@@ -77,6 +80,9 @@
 	if result != schedule.ResultNotSent {
 		next.sentAttempts++
 	}
+	if result == schedule.ResultRejected {
+		next.rejectedAttempts++
+	}
 	if result != schedule.ResultNotSent && result != schedule.ResultRejected {
 		next.mayHaveRun = true
 	}
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -23,7 +23,7 @@
 const (
 	// maxAttempts bounds the attempts of one call, even if the retry budget
 	// allows more. For a call with MaxAttempts it bounds those that reached an
-	// endpoint, and maxUnreached the others.
+	// endpoint, and maxUnreached the others; see also attemptsLeft.
 	maxAttempts  = 4
 	maxUnreached = 8
 	// copyBytes is the size of the buffer between endpoint and caller.
@@ -223,13 +223,18 @@
 }
 
 // attemptsLeft reports whether the limits on attempts allow one more after an
-// attempt with the given result.
+// attempt with the given result. A stream that has begun is not ended because
+// endpoints reject its continuation, which they have not run: only its runs count
+// towards MaxAttempts.
 func (r *Runner) attemptsLeft(p *progress, result schedule.Result) bool {
 	switch {
 	case p.call.MaxAttempts == 0:
 		return p.attempts < maxAttempts
 	case result == schedule.ResultNotSent:
 		return p.attempts-p.sentAttempts < maxUnreached
+	case p.canResume():
+		runs := p.sentAttempts - p.rejectedAttempts
+		return runs < min(p.call.MaxAttempts, maxAttempts) && p.attempts-runs < maxUnreached
 	default:
 		return p.sentAttempts < min(p.call.MaxAttempts, maxAttempts)
 	}
