Do not end a begun stream because this router may not send for a moment

What callers saw: a stream whose endpoint had ended was broken off within milliseconds while the list of endpoints, or the configuration that holds its caller's key, was not confirmed: the attempts to continue it were withheld one after the other. Besides, each endpoint was avoided for a quarter of a second and more, although nothing was sent there.

Cause: the check before each send returned the same result as an endpoint that could not be reached.

NotSentError.Withheld distinguishes the two, and an attempt whose deadline has passed. The scheduler gets ResultUnused for it, and a stream that has begun tries again at intervals until its caller leaves or its time is over. New requests are refused as before.

--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -40,7 +40,12 @@
 }
 
 // NotSentError reports that no part of an attempt was sent.
-type NotSentError struct{ Err error }
+type NotSentError struct {
+	Err error
+	// Withheld is set if this router could have sent the attempt and did not, which
+	// says nothing about the endpoint.
+	Withheld bool
+}
 
 // Error describes why nothing was sent.
 func (e *NotSentError) Error() string { return fmt.Sprintf("nothing was sent: %v", e.Err) }
@@ -53,6 +58,11 @@
 	return errors.As(err, &n)
 }
 
+func withheld(err error) bool {
+	var n *NotSentError
+	return errors.As(err, &n) && n.Withheld
+}
+
 // ProcessState is what is known about the process of an endpoint.
 type ProcessState uint8
 
--- a/internal/transport/execution/continuation.go
+++ b/internal/transport/execution/continuation.go
@@ -15,7 +15,8 @@
 	"hyssopreach/internal/state/view"
 )
 
-// minSearchInterval is the minimum time between two searches for a continuation.
+// minSearchInterval is the minimum time between two searches for a continuation, and
+// the time between two attempts that this router withholds.
 const minSearchInterval = 100 * time.Millisecond
 
 var (
@@ -245,6 +246,23 @@
 	r.Gate.Done(c, &Outcome{Result: schedule.ResultNotSent})
 }
 
+// waitUntilNotWithheld waits if err shows that this router withheld the continuation of
+// a stream that has begun, and reports whether to try it again. Such an attempt counts
+// as none: the stream is not ended by what this router does not know for a moment.
+func (p *progress) waitUntilNotWithheld(ctx context.Context, err error) bool {
+	if !withheld(err) || !p.canResume() || p.continuation != nil {
+		return false
+	}
+	timer := time.NewTimer(minSearchInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // next returns the admission of the next attempt: the continuation of the last one,
 // or a new one.
 func (r *Runner) next(ctx context.Context, p *progress) (schedule.Start, error) {
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -139,6 +139,9 @@
 			r.releaseContinuation(p)
 			return nil
 		}
+		if p.waitUntilNotWithheld(ctx, err) {
+			continue
+		}
 		result := outcome.Result
 		p.recordFailure(start.Endpoint, result)
 		if cause := r.endCause(ctx, p, out, result, err); cause != "" {
@@ -301,8 +304,12 @@
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
 	}
 	now := time.Now()
+	completed := result
+	if withheld(err) {
+		completed = schedule.ResultUnused
+	}
 	r.Scheduling.Input(schedule.Completion{
-		ID: start.ID, Result: result, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
+		ID: start.ID, Result: completed, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
 	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, BeganAt: meter.begin, AnsweredAt: a.AnsweredAt}, err
 }
