Log the shared parts of a prompt and the age of its answer at a crash

AttemptBroken named one request by its fingerprint and no part of its prompt, so the logs could not tell whether the attempts at several crashes had a part in common, nor whether an answer had begun right before the crash or long ago. It now has SharedParts, all parts but the last, and SinceFirstEvent. No change of logic; examineBreak moves to a file of its own.

--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -89,6 +89,15 @@
 	Tokens int64
 }
 
+// SharedParts returns all parts but the last one: those that other prompts may
+// share. A nil prompt has none.
+func (p *Prompt) SharedParts() []PromptPart {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
+
 // SharedPart returns the ID of the last part that other prompts may share: that of
 // the last part but one, or of the only part. It is zero for a prompt without parts.
 func (p *Prompt) SharedPart() uint64 {
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -132,6 +132,9 @@
 	LastEvent string
 	// AnsweredAt is when the head of the answer arrived; zero if it has not.
 	AnsweredAt time.Time
+	// FirstEventAt is when the first event of the answer arrived, if it is a stream
+	// of events; zero if none has.
+	FirstEventAt time.Time
 }
 
 // Address returns the address that the attempt is sent to.
--- /dev/null
+++ b/internal/transport/execution/crash.go
@@ -0,0 +1,53 @@
+package execution
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+
+	"hyssopreach/internal/coordination/schedule"
+)
+
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// examineBreak reports whether the endpoint crashed under an attempt that broke
+// off there, and logs it. The fingerprint in the log shows which attempts were
+// sent for the same request.
+func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time) bool {
+	if r.Prober == nil {
+		return false
+	}
+	elapsed := time.Since(begin)
+	state := r.Prober.Probe(ctx, &a.Endpoint)
+	e, listed := r.Views.View().Endpoint(a.Endpoint.ID)
+	leaving := !listed || e.Leaving
+	fields := log.Fields{
+		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
+		"Fingerprint": strconv.FormatUint(a.Call.Fingerprint(), 16), "Endpoint": a.Endpoint.ID, "Process": state,
+		"Leaving": leaving, "Elapsed": elapsed.Round(time.Millisecond), "Answered": !a.AnsweredAt.IsZero(),
+	}
+	if !a.FirstEventAt.IsZero() {
+		fields["SinceFirstEvent"] = (elapsed - a.FirstEventAt.Sub(begin)).Round(time.Millisecond)
+	}
+	if parts := a.Call.Prompt.SharedParts(); len(parts) > 0 {
+		fields["SharedParts"] = formatParts(parts)
+	}
+	r.Logger.WithFields(fields).Info("AttemptBroken")
+	return state == ProcessGone && !leaving
+}
+
+// formatParts formats the IDs of up to maxLoggedParts parts of a prompt.
+func formatParts(parts []schedule.PromptPart) string {
+	var b strings.Builder
+	for i := range parts[:min(len(parts), maxLoggedParts)] {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(parts[i].ID, 16))
+	}
+	return b.String()
+}
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -151,10 +151,12 @@
 
 // streamReporter reports the progress of a stream to the scheduler.
 type streamReporter struct {
-	scheduling     *Scheduling
-	id             schedule.RequestID
-	begin          time.Time
-	lastReceived   time.Time
+	scheduling   *Scheduling
+	id           schedule.RequestID
+	begin        time.Time
+	lastReceived time.Time
+	// firstEventAt is when the first event was forwarded; zero if none was.
+	firstEventAt   time.Time
 	reportedAt     time.Time
 	longestPause   time.Duration
 	reportedEvents int
@@ -178,6 +180,9 @@
 // the scheduler at most once per reportInterval.
 func (c *streamReporter) eventsForwarded(count int) {
 	first := c.reportedAt.IsZero()
+	if c.firstEventAt.IsZero() {
+		c.firstEventAt = c.lastReceived
+	}
 	if !first && c.lastReceived.Sub(c.reportedAt) < reportInterval {
 		return
 	}
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -314,25 +313,6 @@
 	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, BeganAt: meter.begin, AnsweredAt: a.AnsweredAt}, err
 }
 
-// examineBreak reports whether the endpoint crashed under an attempt that broke
-// off there, and logs it. The fingerprint in the log shows which attempts were
-// sent for the same request.
-func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time) bool {
-	if r.Prober == nil {
-		return false
-	}
-	elapsed := time.Since(begin)
-	state := r.Prober.Probe(ctx, &a.Endpoint)
-	e, listed := r.Views.View().Endpoint(a.Endpoint.ID)
-	leaving := !listed || e.Leaving
-	r.Logger.WithFields(log.Fields{
-		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
-		"Fingerprint": strconv.FormatUint(a.Call.Fingerprint(), 16), "Endpoint": a.Endpoint.ID, "Process": state,
-		"Leaving": leaving, "Elapsed": elapsed.Round(time.Millisecond), "Answered": !a.AnsweredAt.IsZero(),
-	}).Info("AttemptBroken")
-	return state == ProcessGone && !leaving
-}
-
 func (r *Runner) logStart(a *Attempt, start schedule.Start) {
 	fields := log.Fields{
 		"RequestID": a.Call.RequestID, "Attempt": a.ID, "Organisation": a.Call.Organisation.Name,
@@ -368,7 +348,9 @@
 	watch.resume(p, out.started)
 	switch {
 	case a.Call.Events && answer.Status() < http.StatusMultipleChoices:
-		err = r.copyEvents(ctx, answer, newStreamReporter(m.begin, r.Scheduling, id, r.Late), watch, out, p)
+		reporter := newStreamReporter(m.begin, r.Scheduling, id, r.Late)
+		err = r.copyEvents(ctx, answer, reporter, watch, out, p)
+		a.FirstEventAt = reporter.firstEventAt
 	case out.started:
 		err = fmt.Errorf("the answer to a resumed stream has status %d", answer.Status())
 	default:
