Tell the table of suspects which parts a prompt shares with others

The inputs of package suspect named a request by its own fingerprint only. They now have the fingerprints of the parts of its prompt, all but the last, and whether its answer was a success. Fingerprints of parts have the top bit, which those of requests no longer have, so that one table and the present messages can hold both. The table does not look at them yet. In tests, RunEnded and CheckRequest name their fields.

--- a/internal/coordination/suspect/conviction_test.go
+++ b/internal/coordination/suspect/conviction_test.go
@@ -24,7 +24,7 @@
 	for _, fp := range requests {
 		f.lastID++
 		f.step(at, EndpointFailed{ID: f.lastID, Fingerprint: fp, Endpoint: e})
-		f.step(at, RunEnded{fp, false})
+		f.step(at, RunEnded{Fingerprint: fp})
 	}
 }
 
@@ -33,7 +33,7 @@
 func (f *fleet) failedAfter(d time.Duration, at view.RouterID, e view.EndpointID, fp Fingerprint) {
 	f.lastID++
 	f.step(at, EndpointFailed{ID: f.lastID, Fingerprint: fp, Endpoint: e, BeganAt: f.now.Add(-d)})
-	f.step(at, RunEnded{fp, false})
+	f.step(at, RunEnded{Fingerprint: fp})
 }
 
 func (f *fleet) rejectedEverywhere(fp Fingerprint) bool {
@@ -78,7 +78,7 @@
 	f.failed("r2", "e2", 8)
 	is.True(f.freeEverywhere(7))
 	is.True(f.freeEverywhere(8))
-	f.step("r2", RunEnded{8, true}) // its answer clears 8, and leaves 7 alone
+	f.step("r2", RunEnded{Fingerprint: 8, Finished: true}) // its answer clears 8, and leaves 7 alone
 	is.True(f.freeEverywhere(8))
 	is.True(f.rejectedEverywhere(7))
 }
@@ -120,13 +120,13 @@
 	f := newOpenFleet(3)
 	f.failed("r0", "e1", 7, 8)
 	f.failed("r1", "e2", 8)
-	f.step("r1", CheckRequest{900, 8, f.now.Add(time.Second)})
+	f.step("r1", CheckRequest{ID: 900, Fingerprint: 8, Deadline: f.now.Add(time.Second)})
 	_, decided := f.checked[900]
 	is.True(!decided)
 	f.failed("r0", "e2", 7) // the router at which 7 ran has just seen it
 	f.advance(settleTime)
 	is.Equal(f.checked[900].Verdict, VerdictFree)
-	f.step("r1", RunEnded{8, true})
+	f.step("r1", RunEnded{Fingerprint: 8, Finished: true})
 	is.True(f.rejectedEverywhere(7))
 }
 
@@ -139,13 +139,13 @@
 	f.failed("r0", "e1", 7)
 	f.advance(300 * time.Millisecond)
 	f.failed("r1", "e2", 7)
-	f.step("r1", CheckRequest{900, 7, f.now.Add(time.Second)})
+	f.step("r1", CheckRequest{ID: 900, Fingerprint: 7, Deadline: f.now.Add(time.Second)})
 	for range 4 {
 		f.advance(settleTime)
 	}
 	_, decided := f.checked[900]
 	is.True(!decided)
-	f.step("r2", RunEnded{7, true}) // it ran at an endpoint that did not crash
+	f.step("r2", RunEnded{Fingerprint: 7, Finished: true}) // it ran at an endpoint that did not crash
 	is.Equal(f.checked[900].Verdict, VerdictFree)
 }
 
@@ -157,8 +157,8 @@
 	f.failed("r0", "e1", 7)
 	f.failed("r1", "e2", 7)
 	for i, id := range f.ids {
-		f.step(id, CheckRequest{uint64(900 + i), 7, f.now.Add(time.Second)})
-		f.step(id, CheckRequest{uint64(910 + i), 7, time.Time{}}) // right before it is sent
+		f.step(id, CheckRequest{ID: uint64(900 + i), Fingerprint: 7, Deadline: f.now.Add(time.Second)})
+		f.step(id, CheckRequest{ID: uint64(910 + i), Fingerprint: 7}) // right before it is sent
 		is.True(f.checked[uint64(910+i)].Verdict != VerdictFree)
 	}
 	for range 5 {
@@ -176,7 +176,7 @@
 	is := is.New(t)
 	f := newOpenFleet(3)
 	f.failed("r0", "e1", 7)
-	f.step("r1", RunEnded{7, true})
+	f.step("r1", RunEnded{Fingerprint: 7, Finished: true})
 	f.failed("r0", "e2", 7)
 	f.failed("r1", "e3", 7)
 	is.True(f.freeEverywhere(7))
@@ -190,7 +190,7 @@
 	is := is.New(t)
 	f := newOpenFleet(3)
 	f.failed("r0", "e1", 7)
-	f.step("r1", RunEnded{7, true})
+	f.step("r1", RunEnded{Fingerprint: 7, Finished: true})
 	f.failed("r0", "e2", 7)
 	f.advance(clearedLifetime)
 	f.failed("r1", "e3", 7)
@@ -224,7 +224,7 @@
 	f.advance(firstRejection + time.Second)
 	is.True(f.rejectedEverywhere(7)) // twice as long as before
 	f.advance(firstRejection)
-	f.step("r2", RunEnded{7, true})
+	f.step("r2", RunEnded{Fingerprint: 7, Finished: true})
 	is.True(f.freeEverywhere(7))
 	f.failed("r0", "e4", 7)
 	is.True(f.freeEverywhere(7)) // its earlier failures no longer count
@@ -291,7 +291,7 @@
 					if rapid.IntRange(1, endpoints).Draw(t, "resumed") == 1 {
 						f.failed(router(), e, fp)
 					} else {
-						f.step(router(), RunEnded{fp, true})
+						f.step(router(), RunEnded{Fingerprint: fp, Finished: true})
 						delete(beside, fp)
 					}
 				}
@@ -367,7 +367,7 @@
 	is := is.New(t)
 	f := newOpenFleet(2)
 	f.failed("r0", "e1", 7, 8)
-	f.step("r1", RunEnded{7, true})
+	f.step("r1", RunEnded{Fingerprint: 7, Finished: true})
 	f.advance(clearedLifetime / 2)
 	f.failed("r1", "e1", 7) // a late report of the same crash
 	is.True(f.freeEverywhere(7))
@@ -390,12 +390,12 @@
 	}
 	is.True(f.freeEverywhere(7))
 	is.Equal(f.sent, before)
-	f.step("r0", RunEnded{8, true}) // 8 finishes elsewhere
+	f.step("r0", RunEnded{Fingerprint: 8, Finished: true}) // 8 finishes elsewhere
 	f.step("r0", LateFailure{7, "e3"})
 	f.step("r0", LateFailure{8, "e3"})
 	is.True(f.rejectedEverywhere(7))
 	is.True(f.freeEverywhere(8))
-	f.step("r0", RunEnded{8, true})
+	f.step("r0", RunEnded{Fingerprint: 8, Finished: true})
 	f.advance(evidenceLifetime)
 	is.True(f.tables["r0"].Empty())
 }
--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -6,10 +6,15 @@
 	"hyssopreach/internal/state/view"
 )
 
-// Fingerprint is a hash of the organisation, the service, the method, the path
-// and the body of a request.
+// Fingerprint identifies a feature of requests: the request itself, by a hash of
+// its organisation, service, method, path and body, or one part of its prompt, by
+// a hash of the service and the part. PartBit distinguishes the two.
 type Fingerprint uint64
 
+// PartBit is set in the fingerprint of a part of a prompt, and in no fingerprint
+// of a request.
+const PartBit Fingerprint = 1 << 63
+
 // Evidence records that an endpoint failed while it ran a request.
 type Evidence struct {
 	Fingerprint Fingerprint
@@ -74,6 +79,9 @@
 type CheckRequest struct {
 	ID          uint64
 	Fingerprint Fingerprint
+	// Parts are the fingerprints of the parts of the prompt that other requests may
+	// share.
+	Parts []Fingerprint
 	// Deadline is the deadline of the request. If the request cannot be judged by
 	// then, the verdict is VerdictBusy.
 	Deadline time.Time
@@ -87,7 +95,9 @@
 type EndpointFailed struct {
 	ID          uint64
 	Fingerprint Fingerprint
-	Endpoint    view.EndpointID
+	// Parts is as in CheckRequest.
+	Parts    []Fingerprint
+	Endpoint view.EndpointID
 	// BeganAt is when the run began; zero if that is unknown.
 	BeganAt time.Time
 }
@@ -103,12 +113,21 @@
 // router that starts. The table answers with one EvidenceList.
 type ListRequest struct{ ID uint64 }
 
-// RunEnded reports the end of a run. Finished is set if its answer was complete.
+// RunEnded reports the end of a run.
 type RunEnded struct {
 	Fingerprint Fingerprint
-	Finished    bool
+	// Parts is as in CheckRequest.
+	Parts []Fingerprint
+	// Finished is set if the answer was complete, and Served if it was also a
+	// success: an endpoint may reject a request without looking at its prompt.
+	Finished bool
+	Served   bool
 }
 
+// PartsServed reports parts of a prompt on which an endpoint has been answering for
+// so long that they did not crash it.
+type PartsServed struct{ Parts []Fingerprint }
+
 // EndpointAlive reports that an endpoint answered a probe that was sent at
 // ProbedAt and has not restarted.
 type EndpointAlive struct {
@@ -134,6 +153,7 @@
 func (LateFailure) suspectInput()    {}
 func (ListRequest) suspectInput()    {}
 func (RunEnded) suspectInput()       {}
+func (PartsServed) suspectInput()    {}
 func (EndpointAlive) suspectInput()  {}
 func (Delivery) suspectInput()       {}
 func (Change) suspectInput()         {}
--- a/internal/coordination/suspect/table_test.go
+++ b/internal/coordination/suspect/table_test.go
@@ -84,7 +84,7 @@
 func (f *fleet) check(at view.RouterID, fp Fingerprint) Verdict {
 	f.lastID++
 	id := f.lastID
-	f.step(at, CheckRequest{id, fp, f.now.Add(time.Second)})
+	f.step(at, CheckRequest{ID: id, Fingerprint: fp, Deadline: f.now.Add(time.Second)})
 	for range 20 {
 		if j, ok := f.checked[id]; ok {
 			return j.Verdict
@@ -112,7 +112,7 @@
 	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	is.Equal(f.check("r1", 7), VerdictExclusive)
 	f.step("r1", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e2"})
-	f.step("r1", RunEnded{7, false})
+	f.step("r1", RunEnded{Fingerprint: 7})
 	for _, id := range f.ids {
 		is.Equal(f.check(id, 7), VerdictRejected)
 	}
@@ -133,7 +133,7 @@
 	f.step("r0", EndpointFailed{ID: 41, Fingerprint: 7, Endpoint: "e1"})
 	is.True(!f.broadcastDone[41])
 	is.Equal(f.check("r1", 7), VerdictExclusive)
-	f.step("r1", RunEnded{7, false})
+	f.step("r1", RunEnded{Fingerprint: 7})
 	for f.now.Before(opensAt) {
 		is.True(!f.broadcastDone[41])
 		f.advance(resendInterval)
@@ -168,7 +168,7 @@
 	f := newFleet(3)
 	f.step("r0", EndpointFailed{ID: 1, Fingerprint: 7, Endpoint: "e1"})
 	is.Equal(f.check("r1", 7), VerdictExclusive)
-	f.step("r1", RunEnded{7, true})
+	f.step("r1", RunEnded{Fingerprint: 7, Finished: true})
 	f.step("r2", Delivery{"r0", EvidenceUpdate{Evidence: []Evidence{{Fingerprint: 7, Endpoint: "e1", At: f.now, Until: f.now.Add(time.Minute)}}}}) // delayed message from before the run
 	for _, id := range f.ids {
 		is.Equal(f.check(id, 7), VerdictFree)
@@ -182,7 +182,7 @@
 	probedAt := f.now
 	f.step("r0", EndpointAlive{"e1", probedAt}) // the probe was not sent after the failure
 	is.Equal(f.check("r1", 7), VerdictExclusive)
-	f.step("r1", RunEnded{7, false})
+	f.step("r1", RunEnded{Fingerprint: 7})
 	f.step("r0", EndpointAlive{"e1", probedAt.Add(2 * maxClockSkew)})
 	is.Equal(f.check("r1", 7), VerdictFree)
 }
@@ -194,7 +194,7 @@
 	is.Equal(f.check("r1", 7), VerdictExclusive)
 	is.Equal(f.check("r2", 7), VerdictBusy)
 	is.Equal(f.check("r1", 7), VerdictBusy) // not twice at one router either
-	f.step("r1", RunEnded{7, false})
+	f.step("r1", RunEnded{Fingerprint: 7})
 	is.Equal(f.check("r2", 7), VerdictExclusive)
 }
 
@@ -218,7 +218,7 @@
 	before := f.sent
 	for i := range 1000 {
 		is.Equal(f.check("r1", Fingerprint(100+i)), VerdictFree)
-		f.step("r1", RunEnded{Fingerprint(100 + i), true})
+		f.step("r1", RunEnded{Fingerprint: Fingerprint(100 + i), Finished: true})
 	}
 	is.Equal(f.sent, before)
 }
@@ -252,7 +252,7 @@
 			switch f.check(at, crashing) {
 			case VerdictFree, VerdictExclusive:
 				f.step(at, EndpointFailed{ID: 1, Fingerprint: crashing, Endpoint: endpoint(send)})
-				f.step(at, RunEnded{crashing, false})
+				f.step(at, RunEnded{Fingerprint: crashing})
 				crashed++
 				others = append(others, other)
 				f.step(router(), EndpointFailed{ID: 1, Fingerprint: other, Endpoint: endpoint(send)})
@@ -272,7 +272,7 @@
 			// A router that has not received the evidence cannot clear it; the
 			// request runs there without restrictions.
 			hasRecord := f.tables[at].records[fp] != nil
-			f.step(at, RunEnded{fp, true})
+			f.step(at, RunEnded{Fingerprint: fp, Finished: true})
 			if v := f.check(router(), fp); hasRecord && v != VerdictFree {
 				t.Fatalf("a request that finished got verdict %d", v)
 			}
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"encoding/binary"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/suspect"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 )
@@ -88,9 +90,12 @@
 	fingerprint uint64
 }
 
+// maxPartFingerprints bounds the parts of a prompt that are considered.
+const maxPartFingerprints = 32
+
 // Fingerprint returns a hash of the organisation, the service, the method, the
 // path and the body, which is the same for a request that its caller sends again.
-// It is never zero. It must not be called concurrently.
+// It is never zero and lacks suspect.PartBit. It must not be called concurrently.
 func (c *Call) Fingerprint() uint64 {
 	if c.fingerprint == 0 {
 		var d xxhash.Digest
@@ -100,11 +105,27 @@
 			_, _ = d.WriteString("\x00")
 		}
 		_, _ = d.Write(c.Body)
-		c.fingerprint = max(d.Sum64(), 1)
+		c.fingerprint = max(d.Sum64()&^uint64(suspect.PartBit), 1)
 	}
 	return c.fingerprint
 }
 
+// PartFingerprints returns the fingerprints of the parts of the prompt that other
+// requests may share, up to maxPartFingerprints of them.
+func (c *Call) PartFingerprints() []suspect.Fingerprint {
+	parts := c.Prompt.SharedParts()
+	if len(parts) == 0 {
+		return nil
+	}
+	all := make([]suspect.Fingerprint, 0, min(len(parts), maxPartFingerprints))
+	buffer := append(make([]byte, 0, 64), c.Service.Name...)
+	for _, part := range parts[:cap(all)] {
+		id := binary.BigEndian.AppendUint64(buffer, part.ID)
+		all = append(all, suspect.Fingerprint(xxhash.Sum64(id))|suspect.PartBit)
+	}
+	return all
+}
+
 // FieldInputTokens is the field of log lines with the length of a prompt.
 const FieldInputTokens = "InputTokens"
 
@@ -130,6 +151,8 @@
 	// LastEvent is the ID of the last event that the caller has received; empty
 	// if it has received none.
 	LastEvent string
+	// Status is the status of the answer; zero if its head has not arrived.
+	Status int
 	// AnsweredAt is when the head of the answer arrived; zero if it has not.
 	AnsweredAt time.Time
 	// FirstEventAt is when the first event of the answer arrived, if it is a stream
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -75,9 +75,11 @@
 	// Crashed is set if the process of the endpoint is known to have ended,
 	// unplanned, while it ran the attempt.
 	Crashed bool
-	// BeganAt is when the attempt began, and AnsweredAt when its answer did; zero if
-	// it has not.
-	BeganAt, AnsweredAt time.Time
+	// Status is the status of the answer; zero if its head has not arrived.
+	Status int
+	// BeganAt is when the attempt began, AnsweredAt when its answer did, and
+	// FirstEventAt when the first event of the stream arrived; zero if it has not.
+	BeganAt, AnsweredAt, FirstEventAt time.Time
 }
 
 // Views provides the router's current view of the fleet.
@@ -310,7 +312,10 @@
 	r.Scheduling.Input(schedule.Completion{
 		ID: start.ID, Result: completed, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
-	return Outcome{Endpoint: start.Endpoint, Result: result, Crashed: crashed, BeganAt: meter.begin, AnsweredAt: a.AnsweredAt}, err
+	return Outcome{
+		Endpoint: start.Endpoint, Result: result, Status: a.Status, Crashed: crashed,
+		BeganAt: meter.begin, AnsweredAt: a.AnsweredAt, FirstEventAt: a.FirstEventAt,
+	}, err
 }
 
 func (r *Runner) logStart(a *Attempt, start schedule.Start) {
@@ -334,7 +339,7 @@
 		return watch.result(sendResult(ctx, err)), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
 	}
 	defer func() { _ = answer.Close() }()
-	a.AnsweredAt = time.Now()
+	a.AnsweredAt, a.Status = time.Now(), answer.Status()
 	if err := watch.checkGivenUp(); err != nil {
 		return schedule.ResultSilent, err
 	}
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -171,6 +171,16 @@
 
 func fingerprint(c *execution.Call) suspect.Fingerprint { return suspect.Fingerprint(c.Fingerprint()) }
 
+// parts returns the fingerprints of the parts of a prompt that may crash endpoints.
+// Where suspects run isolated, a broken answer is evidence before it is known to be
+// a crash, which would be too little for what many requests share.
+func (s *suspects) parts(c *execution.Call) []suspect.Fingerprint {
+	if s.isolates {
+		return nil
+	}
+	return c.PartFingerprints()
+}
+
 // Admit implements execution.Gate. It waits for the permit of a suspect request
 // and refuses requests that crashed two endpoints.
 func (s *suspects) Admit(ctx context.Context, c *execution.Call) (bool, error) {
@@ -183,7 +193,7 @@
 	id := s.lastID
 	s.waiting[id] = verdict
 	s.mu.Unlock()
-	s.driver.Input(suspect.CheckRequest{ID: id, Fingerprint: fingerprint(c), Deadline: c.Deadline})
+	s.driver.Input(suspect.CheckRequest{ID: id, Fingerprint: fingerprint(c), Parts: s.parts(c), Deadline: c.Deadline})
 	select {
 	case j := <-verdict:
 		return s.admissionResult(c, j)
@@ -198,7 +208,7 @@
 	select {
 	case j := <-verdict:
 		if j.Verdict == suspect.VerdictExclusive {
-			s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c)})
+			s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Parts: s.parts(c)})
 		}
 	default:
 	}
@@ -264,7 +274,7 @@
 	id := s.lastID
 	s.waiting[id] = verdict
 	s.mu.Unlock()
-	s.driver.Input(suspect.CheckRequest{ID: id, Fingerprint: fingerprint(c)})
+	s.driver.Input(suspect.CheckRequest{ID: id, Fingerprint: fingerprint(c), Parts: s.parts(c)})
 	select {
 	case j := <-verdict:
 		return j.Verdict == suspect.VerdictFree
@@ -281,7 +291,7 @@
 // reportFailure reports to all routers that an endpoint failed while it ran a
 // request. The returned function waits until each of them has received the report
 // or cannot be reached.
-func (s *suspects) reportFailure(f suspect.Fingerprint, o *execution.Outcome) (confirmed func(context.Context)) {
+func (s *suspects) reportFailure(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
 	s.evidence.Inc(1)
 	done := make(chan struct{})
 	s.mu.Lock()
@@ -289,7 +299,9 @@
 	reportID := s.lastID
 	s.reports[reportID] = done
 	s.mu.Unlock()
-	s.driver.Input(suspect.EndpointFailed{ID: reportID, Fingerprint: f, Endpoint: o.Endpoint, BeganAt: o.BeganAt})
+	s.driver.Input(suspect.EndpointFailed{
+		ID: reportID, Fingerprint: fingerprint(c), Parts: s.parts(c), Endpoint: o.Endpoint, BeganAt: o.BeganAt,
+	})
 	return func(ctx context.Context) {
 		select {
 		case <-done:
@@ -303,7 +315,7 @@
 func (s *suspects) Done(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
 	switch {
 	case s.isEvidence(time.Now(), o):
-		confirmed = s.reportFailure(fingerprint(c), o)
+		confirmed = s.reportFailure(c, o)
 	case o.Crashed:
 		s.driver.Input(suspect.LateFailure{Fingerprint: fingerprint(c), Endpoint: o.Endpoint})
 	}
@@ -312,8 +324,11 @@
 		confirmed(context.Background())
 		confirmed = nil
 	}
-	if s.hasEvidence.Load() {
-		s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Finished: o.Result == schedule.ResultFinished})
+	parts := s.parts(c)
+	finished := o.Result == schedule.ResultFinished
+	served := finished && o.Status < http.StatusMultipleChoices
+	if s.hasEvidence.Load() || served && len(parts) > 0 {
+		s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Parts: parts, Finished: finished, Served: served})
 	}
 	return confirmed
 }
