--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -25,6 +25,7 @@
 
 	"hyssopreach/internal/coordination/listing"
 	"hyssopreach/internal/coordination/retry"
+	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/standin/loopback"
 	"hyssopreach/internal/state/route"
 	"hyssopreach/internal/state/settings"
@@ -40,8 +41,11 @@
 	crashRestartTime = time.Second
 	// bodyCrash and bodyCrashLate are the bodies of requests that crash endpoints
 	// at once, and after lateCrashTime. For those with bodyReset, endpoints reset
-	// the connection at times.
+	// the connection at times. The bodies of requests with a part that crashes
+	// endpoints begin with bodyCrashPart, or with bodyCrashPartEvent if that happens
+	// after the first event.
 	bodyCrash, bodyCrashLate, bodyReset = "crash", "crash late", "reset"
+	bodyCrashPart, bodyCrashPartEvent   = "part", "part after event"
 	lateCrashTime                       = crashDelay + 100*time.Millisecond
 	streamEventCount                    = 20
 	streamEventPause                    = 20 * time.Millisecond
@@ -51,15 +55,27 @@
 // front of them.
 type crashFleet struct {
 	t         *testing.T
+	options   crashOptions
 	endpoints []*crashingEndpoint
 	routers   []*Hosted
 	lastID    atomic.Int64
 }
 
+// crashOptions configures the endpoints of a crashFleet.
+type crashOptions struct {
+	routers, endpoints, slots int
+	// downFor is the time after which a crashed endpoint starts again.
+	downFor time.Duration
+	// ran is called for each request that begins to run at an endpoint; nil to call
+	// nothing.
+	ran func(body string)
+}
+
 // crashingEndpoint is an endpoint that starts again under a new id at the same
 // address.
 type crashingEndpoint struct {
 	address netip.AddrPort
+	options *crashOptions
 	crashes atomic.Int64
 	stopped atomic.Bool
 
@@ -91,7 +107,7 @@
 	e.mu.Unlock()
 	e.crashes.Add(1)
 	_ = s.Close()
-	time.AfterFunc(crashRestartTime, func() {
+	time.AfterFunc(e.options.downFor, func() {
 		if e.stopped.Load() {
 			return
 		}
@@ -108,6 +124,9 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
+	if e.options.ran != nil {
+		e.options.ran(string(body))
+	}
 	events := 0
 	if strings.HasPrefix(r.URL.Path, "/stream/") {
 		events = streamEventCount
@@ -117,6 +136,16 @@
 	if string(body) == bodyCrashLate {
 		events = math.MaxInt
 	}
+	if strings.HasPrefix(string(body), bodyCrashPart) {
+		time.Sleep(streamEventPause)
+		if strings.HasPrefix(string(body), bodyCrashPartEvent) {
+			_, _ = fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(streamEventPause)
+		}
+		e.crash(start)
+		return
+	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := first + 1; n <= events; n++ {
 		if string(body) == bodyCrash && n == first+3 {
@@ -191,7 +220,7 @@
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, view.Endpoint{ID: (&crashingEndpoint{address: a}).id(start), Pool: "s", Address: a, Slots: 6})
+		all = append(all, view.Endpoint{ID: (&crashingEndpoint{address: a}).id(start), Pool: "s", Address: a, Slots: p.fleet.options.slots})
 	}
 	return all, nil
 }
@@ -227,12 +256,16 @@
 // startCrashFleet starts endpoints, and routers that know each other and the
 // endpoints.
 func startCrashFleet(t *testing.T, routers, endpoints int) *crashFleet {
+	return startCrashFleetWith(t, crashOptions{routers: routers, endpoints: endpoints, slots: 6, downFor: crashRestartTime})
+}
+
+func startCrashFleetWith(t *testing.T, o crashOptions) *crashFleet {
 	is := is.New(t)
-	f := &crashFleet{t: t}
-	for range endpoints {
+	f := &crashFleet{t: t, options: o}
+	for range o.endpoints {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
-		e := &crashingEndpoint{address: netip.MustParseAddrPort(l.Addr().String())}
+		e := &crashingEndpoint{address: netip.MustParseAddrPort(l.Addr().String()), options: &f.options}
 		e.start(l)
 		f.endpoints = append(f.endpoints, e)
 		t.Cleanup(func() {
@@ -245,13 +278,13 @@
 		})
 	}
 	var first netip.AddrPort
-	for i := range routers {
+	for i := range o.routers {
 		f.startRouter(i, first)
 		first = f.routers[0].self.PeerAddress
 	}
 	for _, r := range f.routers {
 		waitFor(t, "the fleet is known", func() bool {
-			return len(r.fleet.View().Routers) == routers && r.core.Ready()
+			return len(r.fleet.View().Routers) == o.routers && r.core.Ready()
 		})
 	}
 	return f
@@ -294,8 +327,12 @@
 
 // send sends a request through a router and reports whether it was served.
 func (f *crashFleet) send(router int, path, body string) bool {
+	return f.sendAs(f.routers[router%len(f.routers)].core, "", path, body, nil)
+}
+
+// sendAs sends a request of an organisation, whose prompt has the given parts.
+func (f *crashFleet) sendAs(core *Core, organisation, path, body string, parts []schedule.PromptPart) bool {
 	now := time.Now()
-	core := f.routers[router%len(f.routers)].core
 	call, problem := core.Admit(&IncomingRequest{
 		ID: fmt.Sprint("q", f.lastID.Add(1)), Host: "h", Method: http.MethodPost, Target: path, Path: path,
 		Header: http.Header{}, Deadline: now.Add(10 * time.Second),
@@ -304,6 +341,10 @@
 		return false
 	}
 	call.Body = []byte(body)
+	if organisation != "" {
+		call.Organisation = &text.Organisation{Name: organisation}
+		call.Prompt = &schedule.Prompt{Parts: parts, InputTokens: 300, OutputTokens: streamEventCount}
+	}
 	sink := &discardingSink{}
 	err := core.Run(f.t.Context(), call, sink)
 	return err == nil && sink.complete && sink.status == http.StatusOK
