Hold back parts of prompts that crash endpoints

No two of these requests are alike, and evidence was kept by the whole request, so that each was at its first crash.

The table of suspects now keeps evidence by each part of a prompt but the last, beside that by request, under fingerprints with the top bit. Answers speak for parts: each outweighs one crash, at the router that reports it and at those that receive the report, so that parts which many requests share are neither reported nor convicted. Three crashes convict the part that explains most of them; its crashes then count neither against other parts nor against whole requests without it. Parts that were always at the same crashes are rejected together until one is seen alone. After a rejection, one request at a time is tried in the whole fleet, by turns. A stream counts as begun with its first event, not with the head of its answer. Evidence from routers with another clock is moved to the receiver's.

--- a/internal/coordination/suspect/broadcast.go
+++ b/internal/coordination/suspect/broadcast.go
@@ -17,7 +17,7 @@
 // yet.
 type broadcast struct {
 	EndpointFailed
-	evidence    Evidence
+	evidence    []Evidence
 	unconfirmed []view.RouterID
 	resendAt    time.Time
 	until       time.Time
@@ -25,8 +25,8 @@
 
 // startBroadcast sends evidence to all routers that are not suspected to be
 // down. The EndpointFailed is answered once they have confirmed it.
-func (t *Table) startBroadcast(now time.Time, in EndpointFailed, e Evidence) {
-	b := &broadcast{EndpointFailed: in, evidence: e, resendAt: now.Add(resendInterval), until: now.Add(t.options.ConfirmTimeout)}
+func (t *Table) startBroadcast(now time.Time, in EndpointFailed, evidence []Evidence) {
+	b := &broadcast{EndpointFailed: in, evidence: evidence, resendAt: now.Add(resendInterval), until: now.Add(t.options.ConfirmTimeout)}
 	for i := range t.view.Routers {
 		if r := &t.view.Routers[i]; r.ID != t.self && !r.Suspected {
 			b.unconfirmed = append(b.unconfirmed, r.ID)
@@ -38,7 +38,7 @@
 
 func (t *Table) sendUnconfirmed(b *broadcast) {
 	for _, id := range b.unconfirmed {
-		t.emit(Send{id, EvidenceUpdate{Evidence: []Evidence{b.evidence}, Reply: true}})
+		t.emit(Send{id, EvidenceUpdate{Evidence: b.evidence, Reply: true}})
 	}
 }
 
--- a/internal/coordination/suspect/conviction.go
+++ b/internal/coordination/suspect/conviction.go
@@ -32,42 +32,42 @@
 
 // undecidedUntil returns the instant at which to judge a request with failures of
 // two endpoints, and false if it can be judged now.
-func (t *Table) undecidedUntil(now time.Time, f Fingerprint, rejected bool) (time.Time, bool) {
-	if t.options.Isolate || t.failedEndpoints(now, f) != rejectThreshold {
+func (t *Table) undecidedUntil(now time.Time, in CheckRequest, rejected bool) (time.Time, bool) {
+	if t.options.Isolate || t.unexplained(now, in) != rejectThreshold {
 		return time.Time{}, false
 	}
-	at := t.records[f].changedAt.Add(settleTime)
+	at := t.records[in.Fingerprint].changedAt.Add(settleTime)
 	if rejected && !now.Before(at) {
-		at = t.records[f].changedAt.Add(convictionDelay)
+		at = t.records[in.Fingerprint].changedAt.Add(convictionDelay)
 	}
 	return at, now.Before(at)
 }
 
 // logRejection logs the first rejection after each failure.
-func (t *Table) logRejection(now time.Time, f Fingerprint, until time.Time) {
-	n := t.failedEndpoints(now, f)
-	if c := t.records[f]; c.loggedRejection != n {
+func (t *Table) logRejection(now time.Time, in CheckRequest, until time.Time) {
+	n := t.unexplained(now, in)
+	if c := t.records[in.Fingerprint]; c.loggedRejection != n {
 		c.loggedRejection = n
 		t.emit(Decision{"RequestConvicted", []string{
-			"Fingerprint", strconv.FormatUint(uint64(f), 16), "FailedEndpoints", strconv.Itoa(n), "Until", until.UTC().Format(time.RFC3339Nano),
+			"Fingerprint", strconv.FormatUint(uint64(in.Fingerprint), 16), "FailedEndpoints", strconv.Itoa(n), "Until", until.UTC().Format(time.RFC3339Nano),
 		}})
 	}
 }
 
 // rejection returns the instant until which a request is rejected, and false if
 // it is not rejected now.
-func (t *Table) rejection(now time.Time, f Fingerprint) (time.Time, bool) {
-	n := t.failedEndpoints(now, f)
+func (t *Table) rejection(now time.Time, in CheckRequest) (time.Time, bool) {
+	n := t.unexplained(now, in)
 	if n < rejectThreshold {
 		return time.Time{}, false
 	}
 	if t.options.Isolate {
-		return t.records[f].until, true
+		return t.records[in.Fingerprint].until, true
 	}
-	if n < certainThreshold && (t.finishedRecently(now, f) || !t.isOnlyRepeated(now, f) && !t.failsAlike(now, f)) {
+	if n < certainThreshold && (t.finishedRecently(now, in.Fingerprint) || !t.isOnlyRepeated(now, in) && !t.failsAlike(now, in)) {
 		return time.Time{}, false
 	}
-	until := t.lastFailure(now, f).Add(min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime))
+	until := t.lastFailure(now, in).Add(min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime))
 	return until, now.Before(until)
 }
 
@@ -82,9 +82,9 @@
 // request was the only one that had been at another failed endpoint too. Requests
 // that ran beside one that crashes endpoints are sent elsewhere, and may meet it
 // there again.
-func (t *Table) isOnlyRepeated(now time.Time, f Fingerprint) bool {
-	for id, e := range t.records[f].evidence {
-		if !e.Cleared && now.Before(e.Until) && !t.hasOtherRepeated(now, f, id) {
+func (t *Table) isOnlyRepeated(now time.Time, in CheckRequest) bool {
+	for id, e := range t.records[in.Fingerprint].evidence {
+		if t.counts(now, in, e) && !t.hasOtherRepeated(now, in.Fingerprint, id) {
 			return true
 		}
 	}
@@ -95,7 +95,7 @@
 // at another one as they failed.
 func (t *Table) hasOtherRepeated(now time.Time, f Fingerprint, id view.EndpointID) bool {
 	for other, c := range t.records {
-		if e := c.evidence[id]; other != f && e != nil && !e.Cleared && t.failedEndpoints(now, other) >= rejectThreshold {
+		if e := c.evidence[id]; other != f && !other.isPart() && e != nil && !e.Cleared && t.failedEndpoints(now, other) >= rejectThreshold {
 			return true
 		}
 	}
@@ -105,10 +105,10 @@
 // failsAlike reports whether the endpoints failed after the request had run there
 // for about the same time. Where several requests met at each of them, most of
 // those that did not cause it had begun earlier.
-func (t *Table) failsAlike(now time.Time, f Fingerprint) bool {
+func (t *Table) failsAlike(now time.Time, in CheckRequest) bool {
 	var shortest, longest time.Duration
-	for _, e := range t.records[f].evidence {
-		if e.Cleared || !now.Before(e.Until) {
+	for _, e := range t.records[in.Fingerprint].evidence {
+		if !t.counts(now, in, e) {
 			continue
 		}
 		d := e.lasted()
@@ -123,13 +123,32 @@
 	return longest-shortest <= alikeTolerance
 }
 
-// lastFailure returns the instant of the last failure that counts against f.
-func (t *Table) lastFailure(now time.Time, f Fingerprint) time.Time {
+// lastFailure returns the instant of the last failure that counts against a request.
+func (t *Table) lastFailure(now time.Time, in CheckRequest) time.Time {
 	var last time.Time
-	for _, e := range t.records[f].evidence {
-		if !e.Cleared && now.Before(e.Until) && e.At.After(last) {
+	for _, e := range t.records[in.Fingerprint].evidence {
+		if t.counts(now, in, e) && e.At.After(last) {
 			last = e.At
 		}
 	}
 	return last
 }
+
+// counts reports whether a failure counts against a request as a whole.
+func (t *Table) counts(now time.Time, in CheckRequest, e *Evidence) bool {
+	return !e.Cleared && now.Before(e.Until) && !t.isExplained(in, e.Endpoint)
+}
+
+// unexplained returns the number of endpoints whose failure counts against a request
+// as a whole.
+func (t *Table) unexplained(now time.Time, in CheckRequest) int {
+	n := 0
+	if c := t.records[in.Fingerprint]; c != nil {
+		for _, e := range c.evidence {
+			if t.counts(now, in, e) {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/coordination/suspect/message.go
+++ b/internal/coordination/suspect/message.go
@@ -15,6 +15,9 @@
 // of a request.
 const PartBit Fingerprint = 1 << 63
 
+// isPart reports whether f is the fingerprint of a part of a prompt.
+func (f Fingerprint) isPart() bool { return f&PartBit != 0 }
+
 // Evidence records that an endpoint failed while it ran a request.
 type Evidence struct {
 	Fingerprint Fingerprint
@@ -185,6 +188,9 @@
 	Verdict Verdict
 	// Until is when a rejection by VerdictRejected ends.
 	Until time.Time
+	// Part is the part for which the request is rejected; zero if it is rejected as a
+	// whole.
+	Part Fingerprint
 }
 
 // BroadcastDone answers an EndpointFailed: every reachable router has the
@@ -206,6 +212,9 @@
 // Wake requests an Alarm at the given instant and replaces any earlier Wake.
 type Wake struct{ At time.Time }
 
+// EventPartSuspected is the event of a Decision to report evidence against a part.
+const EventPartSuspected = "PartSuspected"
+
 // Decision requests a log line about a decision of the table.
 type Decision struct {
 	Event string
--- a/internal/coordination/suspect/permit.go
+++ b/internal/coordination/suspect/permit.go
@@ -72,8 +72,8 @@
 			continue
 		}
 		if !t.options.Isolate {
-			_, rejected := t.rejection(now, r.Fingerprint)
-			r.requestAt, _ = t.undecidedUntil(now, r.Fingerprint, rejected)
+			_, rejected := t.rejection(now, r.CheckRequest)
+			r.requestAt, _ = t.undecidedUntil(now, r.CheckRequest, rejected)
 			if r.requestAt.After(r.Deadline) {
 				r.requestAt = r.Deadline
 			}
--- a/internal/coordination/suspect/record.go
+++ b/internal/coordination/suspect/record.go
@@ -35,6 +35,15 @@
 	grantedBy   view.RouterID
 }
 
+// all returns the evidence in the order of the endpoints.
+func (c *record) all() []Evidence {
+	all := make([]Evidence, 0, len(c.evidence))
+	for _, id := range sortedKeys(c.evidence) {
+		all = append(all, *c.evidence[id])
+	}
+	return all
+}
+
 // lasted returns how long the longest run that failed had lasted; zero if that is
 // unknown.
 func (e *Evidence) lasted() time.Duration {
@@ -112,7 +121,11 @@
 	if !e.Cleared {
 		c.changedAt = now
 		if own {
-			t.emit(Decision{"RequestSuspected", fields(&e)})
+			event := "RequestSuspected"
+			if e.Fingerprint.isPart() {
+				event = EventPartSuspected
+			}
+			t.emit(Decision{event, fields(&e)})
 		}
 	}
 	return true
@@ -134,28 +147,30 @@
 
 // evictIfFull makes room if there are maxRecords. It removes evictedRecords at
 // once, so that a full table does not search all records for each new one: first
-// those that reject nothing, and of these the ones that expire first.
+// those that reject nothing, and of these the ones that expire first; those of
+// convicted parts last.
 func (t *Table) evictIfFull(now time.Time) {
 	if len(t.records) < maxRecords {
 		return
 	}
 	type candidate struct {
 		fingerprint Fingerprint
-		rejects     bool
+		importance  int
 		until       time.Time
 	}
 	all := make([]candidate, 0, len(t.records))
 	for f, c := range t.records {
-		all = append(all, candidate{f, t.failedEndpoints(now, f) >= rejectThreshold, c.until})
+		importance := 0
+		switch {
+		case t.isConvictedPart(f):
+			importance = 2
+		case t.failedEndpoints(now, f) >= rejectThreshold:
+			importance = 1
+		}
+		all = append(all, candidate{f, importance, c.until})
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		if a.rejects != b.rejects {
-			if b.rejects {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.fingerprint, b.fingerprint))
+		return cmp.Or(cmp.Compare(a.importance, b.importance), a.until.Compare(b.until), cmp.Compare(a.fingerprint, b.fingerprint))
 	})
 	for _, c := range all[:evictedRecords] {
 		delete(t.records, c.fingerprint)
@@ -187,6 +202,9 @@
 	for _, f := range due {
 		t.resendEvidence(now, f)
 	}
+	if len(t.convictions) > 0 {
+		t.judgeParts(now)
+	}
 }
 
 // resendEvidence sends the evidence against a request to all routers again.
@@ -201,11 +219,7 @@
 	c.resendDelay *= 2
 	c.resendAt = now.Add(c.resendDelay)
 	t.recordDueAt(c.resendAt)
-	var toSend []Evidence
-	for _, id := range sortedKeys(c.evidence) {
-		toSend = append(toSend, *c.evidence[id])
-	}
-	t.sendToAll(toSend)
+	t.sendToAll(c.all())
 }
 
 // failedEndpoints returns the number of endpoints whose failure counts against
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -75,6 +75,17 @@
 	// broadcasts are the failures that are not yet reported to their callers
 	// because some routers have not confirmed the evidence.
 	broadcasts []*broadcast
+	served     servedParts
+	// repeated holds the parts with evidence from partThreshold endpoints or more.
+	repeated map[Fingerprint]struct{}
+	// convictions are the parts for which requests are rejected; see judgeParts.
+	convictions []*partConviction
+	// judgeAt is the next instant at which evidence against a part has settled; zero if
+	// there is none.
+	judgeAt time.Time
+	// trials holds, by the first part of a conviction, the deadline of the request that
+	// is being tried.
+	trials map[Fingerprint]time.Time
 	// recordsDueAt is no later than the next instant at which a record or a late
 	// failure expires or evidence is sent again; zero if there is none.
 	recordsDueAt time.Time
@@ -84,7 +95,11 @@
 
 // New returns an empty table.
 func New(o Options) *Table {
-	return &Table{options: o, self: o.Self, view: &view.Snapshot{Self: o.Self}, records: map[Fingerprint]*record{}, late: map[Fingerprint]*late{}}
+	return &Table{
+		options: o, self: o.Self, view: &view.Snapshot{Self: o.Self},
+		records: map[Fingerprint]*record{}, late: map[Fingerprint]*late{}, trials: map[Fingerprint]time.Time{},
+		repeated: map[Fingerprint]struct{}{},
+	}
 }
 
 // Step processes one input at the given instant and returns the outputs to
@@ -107,6 +122,8 @@
 		t.emit(EvidenceList{in.ID, t.rejecting(now)})
 	case RunEnded:
 		t.runEnded(now, in)
+	case PartsServed:
+		t.partsServed(now, in.Parts)
 	case EndpointAlive:
 		t.endpointAlive(now, in)
 	case Delivery:
@@ -126,7 +143,7 @@
 func (t *Table) stepWithoutEvidence(now time.Time, in Input) bool {
 	switch in := in.(type) {
 	case CheckRequest:
-		if t.records[in.Fingerprint] == nil {
+		if t.records[in.Fingerprint] == nil && len(t.convictions) == 0 {
 			t.emit(CheckResult{ID: in.ID, Verdict: VerdictFree})
 			return true
 		}
@@ -134,13 +151,29 @@
 		if in.Finished {
 			delete(t.late, in.Fingerprint)
 		}
-		return t.records[in.Fingerprint] == nil
+		if t.records[in.Fingerprint] != nil || len(t.trials) > 0 || in.Served && t.hasRecord(in.Parts) {
+			return false
+		}
+		if in.Served {
+			t.served.add(now, in.Parts)
+		}
+		return true
+	case PartsServed:
+		if t.hasRecord(in.Parts) {
+			return false
+		}
+		t.served.add(now, in.Parts)
+		return true
 	case EndpointAlive:
 		return len(t.records) == 0
 	}
 	return false
 }
 
+func (t *Table) hasRecord(parts []Fingerprint) bool {
+	return slices.ContainsFunc(parts, func(p Fingerprint) bool { return t.records[p] != nil })
+}
+
 // Len returns the number of fingerprints with evidence.
 func (t *Table) Len() int { return len(t.records) }
 
@@ -156,15 +189,19 @@
 
 // decide answers a CheckRequest that needs no permit and reports whether it did.
 func (t *Table) decide(now time.Time, in CheckRequest) bool {
-	until, rejected := t.rejection(now, in.Fingerprint)
-	_, undecided := t.undecidedUntil(now, in.Fingerprint, rejected)
+	until, rejected := t.rejection(now, in)
+	_, undecided := t.undecidedUntil(now, in, rejected)
+	byPart, partUntil := t.partRejection(now, in)
 	switch {
+	case byPart != nil:
+		t.emit(CheckResult{ID: in.ID, Verdict: VerdictRejected, Until: partUntil, Part: byPart.parts[0]})
 	case undecided:
 		return false
 	case rejected:
-		t.logRejection(now, in.Fingerprint, until)
+		t.logRejection(now, in, until)
 		t.emit(CheckResult{ID: in.ID, Verdict: VerdictRejected, Until: until})
 	case !t.options.Isolate || t.failedEndpoints(now, in.Fingerprint) == 0:
+		t.beginTrials(in)
 		t.emit(CheckResult{ID: in.ID, Verdict: VerdictFree})
 	default:
 		return false
@@ -183,12 +220,16 @@
 	// The evidence is broadcast even if it is not new at this router: another
 	// router may have found it first, and its own broadcast may not have reached
 	// all routers yet.
-	t.startBroadcast(now, in, e)
+	t.startBroadcast(now, in, append([]Evidence{e}, t.addPartEvidence(now, in, e)...))
 }
 
 // runEnded releases the permit and, after a complete answer, clears the
 // evidence against the request.
 func (t *Table) runEnded(now time.Time, in RunEnded) {
+	t.endTrials(in.Parts)
+	if in.Served {
+		t.partsServed(now, in.Parts)
+	}
 	c := t.records[in.Fingerprint]
 	if c == nil {
 		return
@@ -224,12 +265,7 @@
 func (t *Table) deliver(now time.Time, in Delivery) {
 	switch m := in.Message.(type) {
 	case EvidenceUpdate:
-		for _, e := range m.Evidence {
-			t.addEvidence(now, e, false)
-			if m.Reply {
-				t.send(now, in.From, EvidenceAck{e.Fingerprint, e.Endpoint})
-			}
-		}
+		t.receiveEvidence(now, in.From, m)
 	case EvidenceAck:
 		t.evidenceConfirmed(in.From, m)
 	case PermitRequest:
@@ -243,6 +279,43 @@
 	}
 }
 
+// receiveEvidence adds evidence from another router. Only evidence against requests is
+// confirmed; that against the parts of their prompts is in the same message.
+func (t *Table) receiveEvidence(now time.Time, from view.RouterID, m EvidenceUpdate) {
+	var cleared []Evidence
+	for _, e := range m.Evidence {
+		e = t.adjustClock(now, e, m.Reply)
+		if e.Fingerprint.isPart() {
+			if c, objects := t.receivePartEvidence(now, e); objects && m.Reply {
+				cleared = append(cleared, c)
+			}
+			continue
+		}
+		t.addEvidence(now, e, false)
+		if m.Reply {
+			t.send(now, from, EvidenceAck{e.Fingerprint, e.Endpoint})
+		}
+	}
+	if len(cleared) > 0 {
+		t.send(now, from, EvidenceUpdate{Evidence: cleared})
+	}
+}
+
+// adjustClock moves the instants of evidence that a router with another clock has
+// sent: no failure lies in the future, and one that is reported right away has just
+// happened.
+func (t *Table) adjustClock(now time.Time, e Evidence, fresh bool) Evidence {
+	ahead := e.At.Sub(now)
+	if t.options.Isolate || ahead <= 0 && (!fresh || ahead >= -maxClockSkew) {
+		return e
+	}
+	e.At, e.Until = now, e.Until.Add(-ahead)
+	if !e.BeganAt.IsZero() {
+		e.BeganAt = e.BeganAt.Add(-ahead)
+	}
+	return e
+}
+
 // viewChanged sends the evidence against the fingerprints that this router owns
 // to the routers that have joined or restarted.
 func (t *Table) viewChanged(v *view.Snapshot) {
@@ -255,10 +328,7 @@
 	var toSend []Evidence
 	for _, f := range sortedKeys(t.records) {
 		if slices.Contains(t.owners(f), t.self) {
-			c := t.records[f]
-			for _, id := range sortedKeys(c.evidence) {
-				toSend = append(toSend, *c.evidence[id])
-			}
+			toSend = append(toSend, t.records[f].all()...)
 		}
 	}
 	for i := range v.Routers {
@@ -269,16 +339,16 @@
 	}
 }
 
-// rejecting returns the evidence against the requests with failures of at least
-// rejectThreshold endpoints, up to maxEvidencePerMessage pieces.
+// rejecting returns the evidence against the parts that are convicted, and against the
+// requests and parts with failures of at least rejectThreshold endpoints, up to
+// maxEvidencePerMessage pieces.
 func (t *Table) rejecting(now time.Time) []Evidence {
 	var all []Evidence
-	for f, c := range t.records {
-		if t.failedEndpoints(now, f) < rejectThreshold || len(all)+len(c.evidence) > maxEvidencePerMessage {
-			continue
-		}
-		for _, id := range sortedKeys(c.evidence) {
-			all = append(all, *c.evidence[id])
+	for _, isPart := range []bool{true, false} {
+		for f, c := range t.records {
+			if t.isConvictedPart(f) == isPart && t.failedEndpoints(now, f) >= rejectThreshold && len(all)+len(c.evidence) <= maxEvidencePerMessage {
+				all = append(all, c.all()...)
+			}
 		}
 	}
 	return all
@@ -320,8 +390,11 @@
 // removes expired records, and requests a Wake for the next instant at which
 // something is due.
 func (t *Table) advance(now time.Time) {
-	t.requestPermits(now)
 	t.advanceRecords(now)
+	if !t.judgeAt.IsZero() && !now.Before(t.judgeAt) {
+		t.judgeParts(now)
+	}
+	t.requestPermits(now)
 	at := t.recordsDueAt
 	scheduleAt := func(i time.Time) {
 		if at.IsZero() || i.Before(at) {
@@ -331,6 +404,9 @@
 	for _, r := range t.waiters {
 		scheduleAt(r.requestAt)
 	}
+	if !t.judgeAt.IsZero() {
+		scheduleAt(t.judgeAt)
+	}
 	if next := t.advanceBroadcasts(now); !next.IsZero() {
 		scheduleAt(next)
 	}
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -126,6 +127,15 @@
 	return all
 }
 
+// SharedPart returns the ID of the part of the prompt with the given fingerprint; zero if
+// there is none.
+func (c *Call) SharedPart(f suspect.Fingerprint) uint64 {
+	if i := slices.Index(c.PartFingerprints(), f); i >= 0 {
+		return c.Prompt.Parts[i].ID
+	}
+	return 0
+}
+
 // FieldInputTokens is the field of log lines with the length of a prompt.
 const FieldInputTokens = "InputTokens"
 
--- a/internal/transport/execution/crash.go
+++ b/internal/transport/execution/crash.go
@@ -11,8 +11,13 @@
 	"hyssopreach/internal/coordination/schedule"
 )
 
-// maxLoggedParts bounds the parts of a prompt in a log line.
-const maxLoggedParts = 16
+const (
+	// SurvivalTime is the time after the first event of a stream after which its
+	// endpoint has survived it. Pauses of the endpoint do not count.
+	SurvivalTime = time.Second
+	// maxLoggedParts bounds the parts of a prompt in a log line.
+	maxLoggedParts = 16
+)
 
 // examineBreak reports whether the endpoint crashed under an attempt that broke
 // off there, and logs it. The fingerprint in the log shows which attempts were
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -162,6 +162,10 @@
 	reportedEvents int
 	// late is Runner.Late.
 	late func() bool
+	// survived is called once the endpoint has sent events for SurvivalTime, not counting
+	// the longest pause since the first event; nil to call nothing.
+	survived   func()
+	worstPause time.Duration
 }
 
 func newStreamReporter(begin time.Time, s *Scheduling, id schedule.RequestID, late func() bool) *streamReporter {
@@ -173,6 +177,9 @@
 	if !c.lastReceived.IsZero() {
 		c.longestPause = max(c.longestPause, now.Sub(c.lastReceived))
 	}
+	if !c.firstEventAt.IsZero() {
+		c.worstPause = max(c.worstPause, now.Sub(c.lastReceived))
+	}
 	c.lastReceived = now
 }
 
@@ -183,6 +190,10 @@
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = c.lastReceived
 	}
+	if c.survived != nil && c.lastReceived.Sub(c.firstEventAt)-c.worstPause >= SurvivalTime {
+		c.survived()
+		c.survived = nil
+	}
 	if !first && c.lastReceived.Sub(c.reportedAt) < reportInterval {
 		return
 	}
--- a/internal/transport/execution/events_test.go
+++ b/internal/transport/execution/events_test.go
@@ -3,13 +3,20 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"hyssopreach/internal/coordination/baseline"
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/coordination/suspect"
 	"hyssopreach/internal/protocol/caller"
+	"hyssopreach/internal/state/text"
 )
 
 // rejectableAnswer is an answer whose endpoint may state that it has not run
@@ -180,3 +187,55 @@
 	is.Equal(sink.status, http.StatusInternalServerError)
 	is.Equal(backend.attempts, 2)
 }
+
+// TestSurvivedStreamIsReportedOnce guards against taking a part of a prompt for harmless
+// because its endpoint paused before it crashed.
+func TestSurvivedStreamIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	logger := &log.Logger{Handler: discard.Default}
+	scheduling := NewScheduling(baseline.New(baseline.Options{Source: rand.NewPCG(1, 2)}), noPeers{}, logger)
+	defer scheduling.Close()
+	now := time.Unix(1e9, 0)
+	reporter := newStreamReporter(now, scheduling, 1, nil)
+	survived, count := 0, 0
+	reporter.survived = func() { survived++ }
+	event := func(after time.Duration) {
+		now = now.Add(after)
+		count++
+		reporter.dataReceived(now)
+		reporter.eventsForwarded(count)
+	}
+	event(3 * time.Second) // the prompt is read
+	event(2 * time.Second) // the endpoint pauses
+	is.Equal(survived, 0)
+	for range 9 {
+		event(100 * time.Millisecond)
+	}
+	is.Equal(survived, 0)
+	for range 5 {
+		event(100 * time.Millisecond)
+	}
+	is.Equal(survived, 1)
+}
+
+// TestPartFingerprints guards against suspecting the part that is a request's own, and
+// against taking a part for that of another service or for a request.
+func TestPartFingerprints(t *testing.T) {
+	is := is.New(t)
+	call := &Call{
+		Organisation: &text.Organisation{Name: "o"}, Service: &text.Service{Name: "s"},
+		Prompt: &schedule.Prompt{Parts: []schedule.PromptPart{{ID: 1}, {ID: 2}, {ID: 3}}},
+	}
+	parts := call.PartFingerprints()
+	is.Equal(len(parts), 2)
+	is.True(parts[0] != parts[1])
+	is.True(parts[0]&suspect.PartBit != 0)
+	is.Equal(call.SharedPart(parts[1]), uint64(2))
+	is.Equal(suspect.Fingerprint(call.Fingerprint())&suspect.PartBit, suspect.Fingerprint(0))
+	other := *call
+	other.Service = &text.Service{Name: "t"}
+	is.True(other.PartFingerprints()[0] != parts[0])
+	is.Equal(len((&Call{}).PartFingerprints()), 0)
+	call.Prompt.Parts = make([]schedule.PromptPart, 1000)
+	is.Equal(len(call.PartFingerprints()), maxPartFingerprints)
+}
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -104,6 +104,9 @@
 	Late func() bool
 	// Prober examines endpoints at which attempts broke off; nil to examine none.
 	Prober Prober
+	// Survived is called for a stream whose endpoint has sent events for SurvivalTime;
+	// nil to call nothing.
+	Survived func(*Call)
 }
 
 // NewRunner returns a Runner. The gate and the budget have no defaults, so that a
@@ -354,6 +357,9 @@
 	switch {
 	case a.Call.Events && answer.Status() < http.StatusMultipleChoices:
 		reporter := newStreamReporter(m.begin, r.Scheduling, id, r.Late)
+		if r.Survived != nil {
+			reporter.survived = func() { r.Survived(a.Call) }
+		}
 		err = r.copyEvents(ctx, answer, reporter, watch, out, p)
 		a.FirstEventAt = reporter.firstEventAt
 	case out.started:
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -27,17 +27,23 @@
 	// counts as unreachable. Where suspects run isolated, retries wait too.
 	isolatedEvidenceTimeout = 500 * time.Millisecond
 	evidenceTimeout         = 100 * time.Millisecond
-	// crashDelay is the time since its answer began within which a request is
-	// taken to have crashed its endpoint. Streams that have run for longer are not
-	// suspected for a single crash: the endpoint has survived them, and when it
-	// crashes there are many.
-	crashDelay = time.Second
+	// crashDelay is the time since its answer began, that is its first event if it is
+	// a stream, within which a request is taken to have crashed its endpoint. Streams
+	// that have run for longer are not suspected for a single crash: the endpoint has
+	// survived them, and when it crashes there are many.
+	crashDelay = execution.SurvivalTime
 	// MetricCrashEvidence counts the attempts that are evidence against their
 	// requests.
 	MetricCrashEvidence = "CrashEvidence"
 	// MetricCrashRejections counts the requests that were rejected because they
 	// crash endpoints.
 	MetricCrashRejections = "CrashRejections"
+	// MetricPartRejections counts those of them that were rejected for a part of their
+	// prompts.
+	MetricPartRejections = "CrashPartRejections"
+	// MetricPartEvidence counts the crashes that this router has reported as evidence
+	// against parts of prompts, once for each part.
+	MetricPartEvidence = "CrashPartEvidence"
 )
 
 // suspects limits the endpoints that a request can crash. It runs the state
@@ -50,6 +56,8 @@
 	// isolates is suspect.Options.Isolate.
 	isolates             bool
 	evidence, rejections metrics.Counter
+	// partEvidence and partRejections count the same for parts of prompts.
+	partEvidence, partRejections metrics.Counter
 	// stopped is closed by Close.
 	stopped chan struct{}
 	// hasEvidence is set while the table holds evidence. While it is not set,
@@ -66,9 +74,11 @@
 func startSuspects(o suspect.Options, f *fleet, p *peers, logger log.Interface, registry metrics.Registry) *suspects {
 	s := &suspects{
 		table: suspect.New(o), isolates: o.Isolate, peers: p, logger: logger,
-		evidence:   metrics.GetOrRegisterCounter(MetricCrashEvidence, registry),
-		rejections: metrics.GetOrRegisterCounter(MetricCrashRejections, registry),
-		waiting:    map[uint64]chan suspect.CheckResult{}, reports: map[uint64]chan struct{}{},
+		evidence:       metrics.GetOrRegisterCounter(MetricCrashEvidence, registry),
+		rejections:     metrics.GetOrRegisterCounter(MetricCrashRejections, registry),
+		partEvidence:   metrics.GetOrRegisterCounter(MetricPartEvidence, registry),
+		partRejections: metrics.GetOrRegisterCounter(MetricPartRejections, registry),
+		waiting:        map[uint64]chan suspect.CheckResult{}, reports: map[uint64]chan struct{}{},
 		lists: map[uint64]chan []suspect.Evidence{}, stopped: make(chan struct{}),
 	}
 	s.driver = driver.New(s.step, suspect.Input(suspect.Alarm{}), s.apply)
@@ -126,6 +136,9 @@
 	case suspect.Wake:
 		s.driver.WakeAt(o.At)
 	case suspect.Decision:
+		if o.Event == suspect.EventPartSuspected {
+			s.partEvidence.Inc(1)
+		}
 		driver.LogDecision(s.logger, o.Event, o.Fields)
 	}
 }
@@ -224,7 +237,10 @@
 		return true, nil
 	case suspect.VerdictRejected:
 		s.rejections.Inc(1)
-		return false, s.rejection(c, j.Until)
+		if j.Part != 0 {
+			s.partRejections.Inc(1)
+		}
+		return false, s.rejection(c, j)
 	default:
 		return false, s.undecided(c)
 	}
@@ -249,16 +265,20 @@
 // suspects run isolated, a request is the same each time that its caller sends it,
 // so it has run. A hosted router answers for this send alone, which has not run;
 // the runner corrects that for the retry of one that has.
-func (s *suspects) rejection(c *execution.Call, until time.Time) *caller.Problem {
+func (s *suspects) rejection(c *execution.Call, j suspect.CheckResult) *caller.Problem {
 	p := &caller.Problem{
 		Title: "The request crashes endpoints", Status: http.StatusUnprocessableEntity,
 		Detail: "two endpoints failed while they ran this request; it is not run again before the stated instant",
-		NotRun: caller.NotRunFalse, Step: "Admit", RequestID: c.RequestID, RetryAt: until,
+		NotRun: caller.NotRunFalse, Step: "Admit", RequestID: c.RequestID, RetryAt: j.Until,
 	}
 	if !s.isolates {
 		p.Status, p.NotRun = http.StatusServiceUnavailable, caller.NotRunTrue
 		p.Detail = fmt.Sprintf("endpoints crashed while they ran this request (fingerprint %x); it is not run again before the stated instant", c.Fingerprint())
 	}
+	if j.Part != 0 {
+		p.Detail = fmt.Sprintf("endpoints crashed while they ran requests with the part %x of this prompt (fingerprint %x); it is not run before the stated instant",
+			c.SharedPart(j.Part), uint64(j.Part))
+	}
 	return p
 }
 
@@ -314,7 +334,7 @@
 // Done implements execution.Gate.
 func (s *suspects) Done(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
 	switch {
-	case s.isEvidence(time.Now(), o):
+	case s.isEvidence(time.Now(), c, o):
 		confirmed = s.reportFailure(c, o)
 	case o.Crashed:
 		s.driver.Input(suspect.LateFailure{Fingerprint: fingerprint(c), Endpoint: o.Endpoint})
@@ -333,13 +353,25 @@
 	return confirmed
 }
 
+// Survived records that an endpoint has answered on the prompt of a call for
+// execution.SurvivalTime.
+func (s *suspects) Survived(c *execution.Call) {
+	if parts := s.parts(c); len(parts) > 0 {
+		s.driver.Input(suspect.PartsServed{Parts: parts})
+	}
+}
+
 // isEvidence reports whether the outcome of an attempt is evidence against its
 // request. Where endpoints are polled, each broken answer is, until a poll shows
 // that the endpoint did not restart. Otherwise the crash must be known, and recent
 // enough for the request to have caused it.
-func (s *suspects) isEvidence(now time.Time, o *execution.Outcome) bool {
+func (s *suspects) isEvidence(now time.Time, c *execution.Call, o *execution.Outcome) bool {
 	if s.isolates {
 		return o.Result == schedule.ResultBroken
 	}
-	return o.Crashed && (o.AnsweredAt.IsZero() || now.Sub(o.AnsweredAt) < crashDelay)
+	began := o.AnsweredAt
+	if c.Events && o.Status < http.StatusMultipleChoices {
+		began = o.FirstEventAt
+	}
+	return o.Crashed && (began.IsZero() || now.Sub(began) < crashDelay)
 }
