Continue a stream only with an answer that is a part of it

Callers found the text of an error, or a foreign head, in the middle of their stream, got events twice, or a stream that ended as complete before its last event: a stream had begun and broken off, and the endpoint at which it was to be continued answered with status 200 and something else.

The cause: of an answer that continues a stream only the status was checked. Any body was cut into events at its empty lines, and its end was the end of the stream, also if no event came.

Such an answer now needs the status, media type and encoding of the one that has begun. Its first event must have an ID other than the last one, above it if both are numbers, and the next one if all IDs so far rose by one; later IDs must rise. Nothing is forwarded before its first event, and its end ends the stream only after one. Otherwise the attempt counts as broken, and the next one continues after the last event that the caller has. A caller that resumes a stream itself still gets an empty stream as the endpoint's answer.

--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -44,48 +44,30 @@
 // discard removes the first n bytes from the buffer.
 func (b *eventBuffer) discard(n int) { b.buffered = b.buffered[:copy(b.buffered, b.buffered[n:])] }
 
-var idField = []byte("id:")
-
-// lastEventID returns the ID of the last event that has one, and the number of
-// events. Comments and empty lines alone are no event.
-func lastEventID(events []byte) (id string, count int) {
-	for event := range bytes.SplitSeq(events, eventEnd) {
-		if len(event) == 0 {
-			continue
-		}
-		isEvent := false
-		for line := range bytes.SplitSeq(event, []byte("\n")) {
-			isEvent = isEvent || len(line) > 0 && line[0] != ':'
-			if value, ok := bytes.CutPrefix(line, idField); ok {
-				id = string(bytes.TrimSpace(value))
-			}
-		}
-		if isEvent {
-			count++
-		}
-	}
-	return id, count
-}
-
 // copyEvents forwards whole events to the caller as they arrive. It sends the
 // head of the answer, and comments before the first event, only with that event,
 // so that a stream that breaks off earlier can still be retried at another endpoint. A stream that is
-// resumed at another endpoint retains the head that was sent first.
+// resumed at another endpoint retains the head that was sent first; see continuation.
 func (r *Runner) copyEvents(ctx context.Context, answer Answer, reporter *streamReporter, watch *silenceWatch, out *sinkTracker, p *progress) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(pooled)
 	var buffer eventBuffer
+	joint, err := newContinuation(out, answer, p)
+	if err != nil {
+		return err
+	}
 	for {
 		n, readErr := answer.Read(pooled[:])
 		if n > 0 {
 			reporter.dataReceived(time.Now())
 		}
-		events, err := buffer.add(pooled[:n])
+		whole, err := buffer.add(pooled[:n])
 		if err != nil {
 			return err
 		}
-		last, count := lastEventID(events)
-		if count > 0 {
+		events, invalid := joint.valid(whole)
+		ids := readEventIDs(events)
+		if ids.count > 0 {
 			// Bytes that complete no event are of no use to callers, who give up a
 			// stream after a time without events.
 			if err := watch.checkGivenUp(); err != nil && !errors.Is(readErr, io.EOF) {
@@ -93,21 +75,26 @@
 			}
 		}
 		switch {
-		case len(events) > 0 && (out.started || count > 0 || errors.Is(readErr, io.EOF)):
+		case len(events) > 0 && (joint.mayForward(out.started) || ids.count > 0 || errors.Is(readErr, io.EOF) && joint == nil):
 			if err := forwardEvents(out, answer, events); err != nil {
 				return err
 			}
-			p.received(last, count)
+			p.received(ids)
 			reporter.eventsForwarded(p.events)
 			buffer.discard(len(events))
-			if count > 0 && readErr == nil {
+			if ids.count > 0 && readErr == nil {
 				watch.resume(p, out.started)
 			}
 		case len(buffer.buffered) > maxEventBytes:
 			return errEventTooLong
 		}
 		switch {
+		case invalid != nil:
+			return invalid
 		case errors.Is(readErr, io.EOF):
+			if err := joint.end(); err != nil {
+				return err
+			}
 			return endEvents(out, answer, &buffer)
 		case readErr != nil:
 			return readErr
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -37,8 +37,10 @@
 	// lastEventAt is when the caller received the last event; it is when the call
 	// began if the caller has received none.
 	lastEventAt time.Time
-	// events is the number of events forwarded to the caller.
+	// events is the number of events forwarded to the caller, and steps what is known
+	// of the differences between their IDs.
 	events int
+	steps  idSteps
 	// retryReserved is set if the next retry has already been allowed and taken
 	// from the budget.
 	retryReserved bool
@@ -89,16 +91,16 @@
 	return &next
 }
 
-// received records that the caller has received events, the last one with the
-// given ID, if that is not empty.
-func (p *progress) received(last string, count int) {
-	if last != "" {
-		p.lastEvent = last
+// received records that the caller has received the events.
+func (p *progress) received(e eventIDs) {
+	p.steps.add(p.lastEvent, e)
+	if e.last != "" {
+		p.lastEvent = e.last
 	}
-	if count > 0 {
+	if e.count > 0 {
 		p.lastEventAt = time.Now()
 	}
-	p.events += count
+	p.events += e.count
 }
 
 // canResume reports whether an answer that has begun can be continued at
--- a/internal/transport/execution/sink.go
+++ b/internal/transport/execution/sink.go
@@ -16,10 +16,12 @@
 type sinkTracker struct {
 	Sink
 	started bool
+	// form is that of the answer that has begun.
+	form answerForm
 }
 
 // Begin records that the answer has begun and forwards its head.
 func (b *sinkTracker) Begin(status int, header http.Header) error {
-	b.started = true
+	b.started, b.form = true, formOf(status, header)
 	return b.Sink.Begin(status, header)
 }
