Write no attempt where an attempt of the same ID was refused before

Callers could be told "not run, try again" for a request that an endpoint ran, and requests that are not idempotent ran up to three times. An endpoint refused an attempt and repeated that refusal later on the same connection. Answers are matched by the ID of the attempt, which callers choose: if a caller sent the refused request again with its ID and the router used the same connection, the repeated refusal was taken for the answer. The caller got it, or the router sent the request to the next endpoint.

A connection now retains hashes of the last 32 IDs that its endpoint answered with a failure. An attempt with one of them is not written there; if nothing was written for that reason, it is sent on a connection of its own. Refusals without an ID, or with another one, already failed the attempt as one that may have run.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -13,6 +13,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssopreach/internal/protocol/platform"
 )
 
@@ -110,6 +112,8 @@
 type Client struct {
 	options   Options
 	transport *http.Transport
+	// unpooled opens a connection for each attempt.
+	unpooled *http.Transport
 }
 
 // NewClient returns a Client with the default options that opens its connections
@@ -121,7 +125,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Client{options: o, transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -138,7 +142,10 @@
 		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		WriteBufferSize:        writeBufferBytes,
-	}}
+	}
+	unpooled := transport.Clone()
+	unpooled.DisableKeepAlives = true
+	return &Client{options: o, transport: transport, unpooled: unpooled}
 }
 
 // Close closes the connections that no attempt uses.
@@ -150,22 +157,37 @@
 // Do sends the attempt and returns once the head of the answer has arrived.
 // Every error is an *Error. The caller must close the answer.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, a *Attempt) (*Answer, error) {
-	d := &writeTracker{singleConn: !a.Idempotent, mayWrite: a.MayWrite}
-	request, err := c.newRequest(address, a)
-	if err != nil {
-		return nil, &Error{Step: "build request", Endpoint: address, Err: err}
+	response, d, err := c.roundTrip(ctx, c.transport, address, a)
+	if err != nil && d.mustAvoidPool() {
+		response, d, err = c.roundTrip(ctx, c.unpooled, address, a)
 	}
-	response, err := c.transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
-		return nil, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
+		return nil, err
 	}
 	if err := c.checkHead(response, a); err != nil {
 		_ = response.Body.Close()
 		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: err}
 	}
+	if response.StatusCode >= http.StatusBadRequest {
+		d.recordRefusal()
+	}
 	return newAnswer(address, response, a.Model, c.options.AllowCloseDelimited), nil
 }
 
+// roundTrip sends the attempt and returns once the head of an answer has arrived.
+func (c *Client) roundTrip(ctx context.Context, transport *http.Transport, address netip.AddrPort, a *Attempt) (*http.Response, *writeTracker, error) {
+	d := &writeTracker{id: xxhash.Sum64String(a.ID), singleConn: !a.Idempotent, mayWrite: a.MayWrite}
+	request, err := c.newRequest(address, a)
+	if err != nil {
+		return nil, d, &Error{Step: "build request", Endpoint: address, Err: err}
+	}
+	response, err := transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
+	if err != nil {
+		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
+	}
+	return response, d, nil
+}
+
 // checkHead returns an error if the head is no answer to the attempt.
 func (c *Client) checkHead(response *http.Response, a *Attempt) error {
 	if err := checkStatus(response); err != nil {
--- a/internal/transport/endpoint/conn.go
+++ b/internal/transport/endpoint/conn.go
@@ -5,10 +5,14 @@
 	"errors"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 )
 
+// maxRefusals bounds the hashes that a connection retains.
+const maxRefusals = 32
+
 // errWriteRefused is returned to net/http when it tries to write an attempt on a
 // connection that must not be used for the attempt.
 var errWriteRefused = errors.New("the attempt may not be written on this connection")
@@ -25,11 +29,16 @@
 	// checked is set once the owner's check of its attempt has passed on this
 	// connection. Guarded by mu.
 	checked bool
+	// refusals are hashes of the IDs of the last attempts that the endpoint answered
+	// with a failure on this connection, the oldest first. Guarded by mu.
+	refusals []uint64
 }
 
 // writeTracker records whether an attempt has been written, and controls on
 // which connections it may be written.
 type writeTracker struct {
+	// id is a hash of the ID of the attempt.
+	id uint64
 	// singleConn is set for an attempt that may be written on one connection
 	// only.
 	singleConn bool
@@ -42,6 +51,9 @@
 	// The fields below are guarded by mu.
 	conns  []*trackedConn
 	sealed bool
+	// avoided is set if the attempt got a connection on which its ID has been
+	// answered with a failure before.
+	avoided bool
 }
 
 // Write writes on behalf of the owner; it fails if there is none, or if the owner
@@ -108,10 +120,49 @@
 		c.setOwner(nil)
 		return
 	}
+	if c.refused(d.id) {
+		d.avoided = true
+		c.setOwner(nil)
+		return
+	}
 	d.conns = append(d.conns, c)
 	c.setOwner(d)
 }
 
+// recordRefusal records that the endpoint answered the attempt with a failure. If it
+// repeats that answer, another attempt of the same ID could not distinguish it from its
+// own.
+func (d *writeTracker) recordRefusal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.addRefusal(d.id)
+	}
+}
+
+func (c *trackedConn) addRefusal(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.refusals) == maxRefusals {
+		c.refusals = slices.Delete(c.refusals, 0, 1)
+	}
+	c.refusals = append(c.refusals, id)
+}
+
+func (c *trackedConn) refused(id uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refusals, id)
+}
+
+// mustAvoidPool reports whether nothing was written because the attempt may not use a
+// connection of the pool.
+func (d *writeTracker) mustAvoidPool() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.avoided && !d.sent.Load()
+}
+
 // seal ends the attempt after an error: no part of the attempt can be written
 // from now on. It reports whether any part may have been written before.
 func (d *writeTracker) seal() bool {
