Close the connection on which the answer to another attempt came

A request that an endpoint had run was answered 502 because of the request before it: an endpoint wrote an earlier answer without a body once more, and then the answer that was due. The attempt failed with the first one, but net/http took the connection, on which nothing was left to read, for idle. The next attempt found the answer that was due to the attempt before it, and so on.

The connection is now closed once an answer has failed to name its attempt, and attempts that net/http still assigns to it are written elsewhere.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -166,6 +166,9 @@
 	}
 	if err := c.checkHead(response, a); err != nil {
 		_ = response.Body.Close()
+		// The attempt's own answer may still come, on a connection that net/http takes
+		// for idle.
+		d.seal()
 		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: err}
 	}
 	if response.StatusCode >= http.StatusBadRequest {
--- a/internal/transport/endpoint/conn.go
+++ b/internal/transport/endpoint/conn.go
@@ -32,6 +32,8 @@
 	// refusals are hashes of the IDs of the last attempts that the endpoint answered
 	// with a failure on this connection, the oldest first. Guarded by mu.
 	refusals []uint64
+	// retired is set once no further attempt may use the connection. Guarded by mu.
+	retired bool
 }
 
 // writeTracker records whether an attempt has been written, and controls on
@@ -51,8 +53,8 @@
 	// The fields below are guarded by mu.
 	conns  []*trackedConn
 	sealed bool
-	// avoided is set if the attempt got a connection on which its ID has been
-	// answered with a failure before.
+	// avoided is set if the attempt got a connection that is about to close, or on
+	// which its ID has been answered with a failure before.
 	avoided bool
 }
 
@@ -93,7 +95,7 @@
 	c.mu.Lock()
 	owned := c.owner == d
 	if owned {
-		c.owner = nil
+		c.owner, c.retired = nil, true
 	}
 	c.mu.Unlock()
 	if owned {
@@ -120,7 +122,7 @@
 		c.setOwner(nil)
 		return
 	}
-	if c.refused(d.id) {
+	if !c.accepts(d.id) {
 		d.avoided = true
 		c.setOwner(nil)
 		return
@@ -149,10 +151,11 @@
 	c.refusals = append(c.refusals, id)
 }
 
-func (c *trackedConn) refused(id uint64) bool {
+// accepts reports whether an attempt with the ID may use the connection.
+func (c *trackedConn) accepts(id uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Contains(c.refusals, id)
+	return !c.retired && !slices.Contains(c.refusals, id)
 }
 
 // mustAvoidPool reports whether nothing was written because the attempt may not use a
--- a/internal/transport/endpoint/doc.go
+++ b/internal/transport/endpoint/doc.go
@@ -6,5 +6,7 @@
 // where net/http would resend it.
 //
 // An answer is returned only if it carries the ID of the attempt, and it ends
-// without an error only if it is complete.
+// without an error only if it is complete. Endpoints may repeat earlier answers, so
+// an attempt is not written to a connection on which one of the same ID failed, and
+// the connection of an answer with another ID is closed.
 package endpoint
--- a/internal/transport/endpoint/stale_test.go
+++ b/internal/transport/endpoint/stale_test.go
@@ -263,3 +263,36 @@
 	is.Equal(wrong.Load(), int64(0))
 	is.True(whole.Load() >= 28) // all that were answered after they had been read
 }
+
+// TestForeignAnswerClosesItsConnection guards against an attempt that loses its answer
+// because the attempt before it on its connection got a foreign one, and its own came
+// later.
+func TestForeignAnswerClosesItsConnection(t *testing.T) {
+	for _, foreign := range staleAnswers {
+		t.Run(foreign.name, func(t *testing.T) {
+			is := is.New(t)
+			address := serveRaw(t, func(conn net.Conn, r *http.Request, _ int) bool {
+				id := r.Header.Get(platform.HeaderRequestID)
+				if strings.HasPrefix(id, "odd") {
+					_, _ = io.WriteString(conn, strings.ReplaceAll(foreign.answer, "%s", "another"))
+					time.Sleep(3 * time.Millisecond)
+				}
+				_, _ = io.WriteString(conn, answerStart+id+"\r\n\r\nok")
+				return true
+			})
+			client := NewClient(nil)
+			defer client.Close()
+			for n := range 30 {
+				id := fmt.Sprint([]string{"even", "odd"}[n%2], n)
+				answer, err := client.Do(t.Context(), address, &Attempt{ID: id, Method: http.MethodPost, Path: "/", Body: []byte("x")})
+				if n%2 == 1 {
+					is.True(errors.Is(err, errAnswerMismatch))
+					continue
+				}
+				is.NoErr(err)
+				_, err = readAll(t, answer)
+				is.NoErr(err)
+			}
+		})
+	}
+}
