--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -67,41 +67,48 @@
 		}
 		events, invalid := joint.valid(whole)
 		ids := readEventIDs(events)
-		if ids.count > 0 {
-			// Bytes that complete no event are of no use to callers, who give up a
-			// stream after a time without events.
-			if err := watch.checkGivenUp(); err != nil && !errors.Is(readErr, io.EOF) {
-				return err
-			}
+		if err := watch.eventsArrived(ids.count, errors.Is(readErr, io.EOF)); err != nil {
+			return err
 		}
+		forward := len(events) > 0 && (joint.mayForward(out.started) || ids.count > 0 || errors.Is(readErr, io.EOF) && joint == nil)
 		switch {
-		case len(events) > 0 && (joint.mayForward(out.started) || ids.count > 0 || errors.Is(readErr, io.EOF) && joint == nil):
+		case forward:
 			if err := forwardEvents(out, answer, events); err != nil {
 				return err
 			}
+			buffer.discard(len(events))
 			p.received(ids)
 			reporter.eventsForwarded(p.events)
-			buffer.discard(len(events))
 			if ids.count > 0 && readErr == nil {
 				watch.resume(p, out.started)
 			}
 		case len(buffer.buffered) > maxEventBytes:
 			return errEventTooLong
 		}
-		switch {
-		case invalid != nil:
+		if invalid != nil {
 			return invalid
-		case errors.Is(readErr, io.EOF):
-			if err := joint.end(); err != nil {
-				return err
-			}
-			return endEvents(out, answer, &buffer)
-		case readErr != nil:
-			return readErr
-		case ctx.Err() != nil:
-			return context.Cause(ctx)
 		}
+		if ended, err := endStream(ctx, out, answer, &buffer, joint, readErr); ended {
+			return err
+		}
+	}
+}
+
+// endStream ends the answer if the last read has ended the stream, or the call has
+// ended, and reports whether that is so.
+func endStream(ctx context.Context, out *sinkTracker, answer Answer, buffer *eventBuffer, joint *continuation, readErr error) (ended bool, err error) {
+	switch {
+	case errors.Is(readErr, io.EOF):
+		if err := joint.end(); err != nil {
+			return true, err
+		}
+		return true, endEvents(out, answer, buffer)
+	case readErr != nil:
+		return true, readErr
+	case ctx.Err() != nil:
+		return true, context.Cause(ctx)
 	}
+	return false, nil
 }
 
 func forwardEvents(out *sinkTracker, answer Answer, events []byte) error {
--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -289,3 +289,16 @@
 	}
 	return fmt.Errorf("read answer: %w", errSilent)
 }
+
+// eventsArrived ends the search if whole events have arrived: bytes that complete no
+// event are of no use to callers, who give up a stream after a time without events. It
+// returns an error if the attempt has been given up, unless the answer is complete.
+func (w *silenceWatch) eventsArrived(count int, complete bool) error {
+	if count == 0 {
+		return nil
+	}
+	if err := w.checkGivenUp(); err != nil && !complete {
+		return err
+	}
+	return nil
+}
--- a/internal/transport/router/hosted_crashpart_test.go
+++ b/internal/transport/router/hosted_crashpart_test.go
@@ -221,7 +221,7 @@
 				len(l.runs), late, l.fleet.crashes(), before, later)
 			is.True(late <= partCrashRuns)
 			is.True(before >= 0.9) // the load fits the fleet
-			is.True(later >= 0.5) // of all that were sent, which is stricter than of those served before
+			is.True(later >= 0.5)  // of all that were sent, which is stricter than of those served before
 			var refusal *caller.Problem
 			is.True(errors.As(l.send(0, "same", "/stream/x", "another one", l.part), &refusal))
 			is.Equal(refusal.Status, http.StatusServiceUnavailable)
