Send nothing to an endpoint that has said in an answer that it leaves

What callers saw: requests were sent to endpoints that were about to end, for as long as the store listed them as ready, and while it could not be read.

Cause: only the list said that an endpoint leaves. The header Server-Leaving of its answers was passed on and not read.

What runs at the endpoint continues.

Each router learns it from its own answers. Only one that starts is told by others, with the history of endpoints.

--- /dev/null
+++ b/internal/coordination/listing/leaving.go
@@ -0,0 +1,33 @@
+package listing
+
+import (
+	"time"
+
+	"hyssopreach/internal/state/view"
+)
+
+// RecordLeaving records that an endpoint has stated to this router that it leaves. This
+// holds for the rest of its start, whatever a list states.
+func (t *Table) RecordLeaving(now time.Time, id view.EndpointID) {
+	t.leaving[id] = now
+	if e, known := t.known[id]; known {
+		e.Leaving = true
+		t.known[id] = e
+	}
+}
+
+// applyLeaving marks the current endpoints that have stated that they leave. It
+// forgets statements of endpoints that went long ago.
+func (t *Table) applyLeaving(now time.Time, current map[view.EndpointID]view.Endpoint) {
+	for id, at := range t.leaving {
+		e, listed := current[id]
+		switch {
+		case listed:
+			e.Leaving = true
+			current[id] = e
+			t.leaving[id] = now
+		case now.Sub(at) > goneLifetime:
+			delete(t.leaving, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/listing/leaving_test.go
@@ -0,0 +1,81 @@
+package listing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/state/view"
+)
+
+// TestStatementThatEndpointLeavesOutweighsLists guards against an endpoint that has said
+// that it leaves and gets requests again, since a list states that it is ready or lacks
+// it for a time.
+func TestStatementThatEndpointLeavesOutweighsLists(t *testing.T) {
+	is := is.New(t)
+	table := New(Limits{LapseTime: time.Second, RelistTime: 2 * time.Second})
+	a, b := endpoint("a#0", "10.0.0.1:80"), endpoint("b#0", "10.0.0.2:80")
+	leaving := func(all []view.Endpoint) (ids string) {
+		for i := range all {
+			if all[i].Leaving {
+				ids += string(all[i].ID) + " "
+			}
+		}
+		return ids
+	}
+	now := time.Unix(100, 0)
+	is.Equal(leaving(table.Update(now, []view.Endpoint{a, b})), "")
+	table.RecordLeaving(now, a.ID)
+	is.Equal(len(table.History(now).Known), 2)
+	for _, known := range table.History(now).Known {
+		is.Equal(known.Leaving, known.ID == a.ID) // routers that start learn it
+	}
+
+	// A list that is read later states that it is ready.
+	for range 200 {
+		now = now.Add(500 * time.Millisecond)
+		a.Sequence++
+		is.Equal(leaving(table.Update(now, []view.Endpoint{a, b})), "a#0 ")
+	}
+	// The endpoint is missing from lists and listed again as the same start.
+	for range 5 {
+		now = now.Add(500 * time.Millisecond)
+		is.Equal(leaving(table.Update(now, []view.Endpoint{b})), "")
+	}
+	is.Equal(leaving(table.Update(now, []view.Endpoint{a, b})), "a#0 ")
+	// After an outage, it is retained without an entry.
+	now = now.Add(5 * time.Second)
+	is.Equal(leaving(table.Update(now, []view.Endpoint{b})), "a#0 ")
+	// The store comes back from an older copy.
+	table.Restored(now)
+	now = now.Add(500 * time.Millisecond)
+	a.Sequence -= 10
+	is.Equal(leaving(table.Update(now, []view.Endpoint{a, b})), "a#0 ")
+	// Another router knows a newer entry of it.
+	a.Sequence += 20
+	table.Learn(History{Known: []view.Endpoint{a}})
+	is.Equal(leaving(table.Update(now, []view.Endpoint{a, b})), "a#0 ")
+
+	// Another start of the endpoint is sound.
+	next := endpoint("a#1", "10.0.0.1:80")
+	now = now.Add(500 * time.Millisecond)
+	is.Equal(leaving(table.Update(now, []view.Endpoint{next, b})), "")
+	// The statement is forgotten once its start has been missing for long.
+	is.Equal(len(table.leaving), 1)
+	now = now.Add(goneLifetime + time.Second)
+	is.Equal(leaving(table.Update(now, []view.Endpoint{next, b})), "")
+	is.Equal(len(table.leaving), 0)
+}
+
+// TestStatementOfUnlistedEndpointIsRetained guards against an endpoint that says that it
+// leaves while a list lacks it, and gets requests once it is listed again.
+func TestStatementOfUnlistedEndpointIsRetained(t *testing.T) {
+	is := is.New(t)
+	table := New(Limits{LapseTime: time.Second, RelistTime: 2 * time.Second})
+	a := endpoint("a#0", "10.0.0.1:80")
+	now := time.Unix(100, 0)
+	table.RecordLeaving(now, a.ID)
+	now = now.Add(500 * time.Millisecond)
+	is.True(table.Update(now, []view.Endpoint{a})[0].Leaving)
+}
--- a/internal/coordination/listing/table.go
+++ b/internal/coordination/listing/table.go
@@ -19,6 +19,9 @@
 	retainUntil time.Time
 	// gone holds the endpoints that went within the last goneLifetime.
 	gone map[view.EndpointID]Departure
+	// leaving holds the endpoints that have stated to this router that they leave,
+	// with the instant of that or at which they were last listed.
+	leaving map[view.EndpointID]time.Time
 	// distrustUntil is the instant until which entries of a restored store may be
 	// older than what is known. Departures from before restoredAt count against
 	// them.
@@ -41,7 +44,7 @@
 
 // New returns an empty table.
 func New(l Limits) *Table {
-	return &Table{limits: l, known: map[view.EndpointID]view.Endpoint{}, gone: map[view.EndpointID]Departure{}}
+	return &Table{limits: l, known: map[view.EndpointID]view.Endpoint{}, gone: map[view.EndpointID]Departure{}, leaving: map[view.EndpointID]time.Time{}}
 }
 
 // Restored tells the table that lists read from the given instant on are from a
@@ -72,6 +75,7 @@
 		t.retainMissing(current)
 	}
 	t.recordGone(now, current)
+	t.applyLeaving(now, current)
 	t.known = current
 	all := make([]view.Endpoint, 0, len(current))
 	for id := range current {
--- a/internal/transport/router/hosted_fleet.go
+++ b/internal/transport/router/hosted_fleet.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// setLeaving marks an endpoint as leaving. It returns false if the endpoint is not
+// listed, or known to leave.
+func (f *fleet) setLeaving(id view.EndpointID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := slices.IndexFunc(f.endpoints, func(e view.Endpoint) bool { return e.ID == id })
+	if at < 0 || f.endpoints[at].Leaving {
+		return false
+	}
+	// Snapshots refer to the present slice.
+	f.endpoints = slices.Clone(f.endpoints)
+	f.endpoints[at].Leaving = true
+	f.publish()
+	return true
+}
+
 func sameEndpoint(a, b view.Endpoint) bool {
 	return a.ID == b.ID && a.Pool == b.Pool && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
 		a.Leaving == b.Leaving
