Send nothing to an endpoint for the time that it has asked for

What callers saw: an endpoint that was full, turned requests away with status 503 and stated when to return got further requests all the while; each of them came back as an attempt spent, and as a retry out of the budget.

Cause: Retry-After of an endpoint's 503 was not read. A rejection is followed by a backoff of 0.1 s, and an endpoint in backoff gets requests all the same where all others are avoided as well.

The core stores the deadline, so MaySend withholds what has waited for a connection, and passes it to admission as schedule.Pause. Such an endpoint is left out in both passes of the choice, and requests that wait for it are judged anew at once. A request is refused at once, with the earliest of the deadlines and a random part as its time to return, if all endpoints that it has not tried have asked for time; one that resumes an answer waits. An attempt that is withheld does not count against the endpoint's health, or the endpoint would be avoided for up to 3 s after its pause. One log line (EndpointPaused), one counter (EndpointPauses).

Each router keeps to what it was asked for; others are not told.

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -54,10 +54,10 @@
 	score time.Duration
 }
 
-// usable reports whether the endpoint should receive requests: it is neither
-// leaving nor ejected nor being avoided.
+// usable reports whether the endpoint should receive requests: it takes requests and
+// is neither ejected nor being avoided.
 func (p *Policy) usable(now time.Time, e *endpoint) bool {
-	return !e.Leaving && !now.Before(e.EjectedUntil) && !now.Before(e.health.avoidUntil)
+	return e.takesRequests(now) && !now.Before(e.EjectedUntil) && !now.Before(e.health.avoidUntil)
 }
 
 // endpointState is the state of an endpoint on which all requests of a scan are
@@ -99,13 +99,13 @@
 // eligible reports whether the request may start at the endpoint, if that has room.
 // Endpoints that are being avoided are admitted if avoided is set, and for a
 // request without a model, ejected ones, since one of these is better than none;
-// Accepts excludes ejected endpoints for a model. Endpoints that the request has
-// already tried stay excluded, and so do those that are no better than the silent
-// one that still runs it.
+// Accepts excludes ejected endpoints for a model. Endpoints that leave or have asked
+// for time, and those that the request has already tried, stay excluded, and so do
+// those that are no better than the silent one that still runs it.
 func (p *Policy) eligible(now time.Time, w *queuedRequest, e *endpoint, avoided bool) bool {
 	r := &w.request
 	switch {
-	case e.Leaving, slices.Contains(r.Tried, e.ID):
+	case !e.takesRequests(now), slices.Contains(r.Tried, e.ID):
 		return false
 	case r.StillRuns && (e.inactive(now) || !p.usable(now, e)), !avoided && !p.usable(now, e):
 		return false
--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -104,6 +104,8 @@
 	// lastActivityAt is the instant of the last activity of the endpoint, or of
 	// the first request sent to it after a time without requests.
 	lastActivityAt time.Time
+	// pausedUntil is the instant until which the endpoint has asked to get nothing.
+	pausedUntil time.Time
 	// exclusive is the number of exclusive requests in flight.
 	exclusive int
 }
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -56,6 +56,9 @@
 	nextCheckAt      time.Time
 	nextPeerExpiryAt time.Time
 	out              []schedule.Output
+	// pauses holds the instants until which endpoints have asked to get nothing,
+	// listed or not.
+	pauses map[view.EndpointID]time.Time
 }
 
 // pool is a set of interchangeable endpoints with the queue of requests that
@@ -104,7 +107,7 @@
 func New(o Options) *Policy {
 	return &Policy{
 		random: rand.New(o.Source), view: &view.Snapshot{}, pools: map[string]*pool{},
-		endpoints: map[view.EndpointID]*endpoint{}, running: map[schedule.RequestID]*running{}, usage: newUsage(),
+		endpoints: map[view.EndpointID]*endpoint{}, running: map[schedule.RequestID]*running{}, pauses: map[view.EndpointID]time.Time{}, usage: newUsage(),
 	}
 }
 
@@ -132,6 +135,8 @@
 			}
 		}
 		p.emitRates(now)
+	case schedule.Pause:
+		p.pause(now, in)
 	case schedule.Change:
 		p.change(now, in.View)
 	case schedule.Alarm:
@@ -241,6 +246,12 @@
 		p.usage.subtractReceived(now, r.request.Organisation, r.cost())
 		e.promptCache.remove(r.request.Prompt)
 	}
+	if in.Result == schedule.ResultNotSent && !e.takesRequests(now) {
+		// The endpoint began to leave, or asked for time, before the attempt was
+		// written, which says nothing about its health.
+		p.scan(now, p.pools[e.Pool])
+		return
+	}
 	if until := e.health.record(now, in.Result); !until.IsZero() {
 		p.emit(schedule.Decision{Event: "EndpointAvoided", Fields: []string{
 			"Endpoint", string(e.ID), "Result", in.Result.String(), "Until", until.Format(time.RFC3339Nano),
@@ -289,6 +300,7 @@
 		e := previous[listed.ID]
 		if e == nil {
 			e = newEndpoint(now)
+			e.pausedUntil = p.pauses[listed.ID]
 		}
 		e.Endpoint = *listed
 		p.endpoints[listed.ID] = e
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -77,6 +77,9 @@
 		}
 		capacityShare := shares.capacityShare(&w.request)
 		best, found := p.choose(now, l, w, states, capacityShare)
+		if !found && p.refusePaused(now, l, w) {
+			continue
+		}
 		if found && !w.judged && w.request.Prompt != nil {
 			w.judged = true
 			w.class.add(best.work.prefill)
--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -210,6 +210,13 @@
 // Change replaces the view of routers, endpoints and organisations.
 type Change struct{ View *view.Snapshot }
 
+// Pause reports that an endpoint has asked this router to send it nothing until the
+// given instant. Of several, the latest instant counts.
+type Pause struct {
+	Endpoint view.EndpointID
+	Until    time.Time
+}
+
 // Rejections reports requests that the router has rejected before they reached
 // the scheduler, because it has no processor time for them. The scheduler answers
 // with Rates.
@@ -237,6 +244,7 @@
 func (Delivery) schedulerInput()   {}
 func (Change) schedulerInput()     {}
 func (Rejections) schedulerInput() {}
+func (Pause) schedulerInput()      {}
 func (Alarm) schedulerInput()      {}
 
 // Output is an action that a scheduler requests from its router.
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -86,10 +86,10 @@
 
 // MaySend reports whether an attempt for the organisation may still be sent to the
 // endpoint: the list of endpoints is usable and names the endpoint as one that
-// does not leave, and the request needs no key or the configuration that holds the
-// key was confirmed recently enough.
+// does not leave, the endpoint has not asked for time, and the request needs no key or
+// the configuration that holds the key was confirmed recently enough.
 func (c *Core) MaySend(o *text.Organisation, id view.EndpointID) bool {
-	if e, ok := c.fleet.View().Endpoint(id); !ok || e.Leaving {
+	if e, ok := c.fleet.View().Endpoint(id); !ok || e.Leaving || c.pauses.paused(id, time.Now()) {
 		return false
 	}
 	now := clock.Now()
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -158,6 +158,8 @@
 	started     time.Time
 	stopStarted atomic.Pointer[time.Time]
 	options     *HostedOptions
+	// pauses are the times that endpoints have asked for.
+	pauses pauses
 	// overload decides which connections this router rejects.
 	overload *overloadController
 	// inFlight is the number of requests in the router.
--- a/internal/transport/router/statements.go
+++ b/internal/transport/router/statements.go
@@ -1,15 +1,24 @@
 package router
 
 import (
+	"maps"
+	"sync"
+	"time"
+
 	"github.com/apex/log"
 	"github.com/rcrowley/go-metrics"
 
+	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/view"
 )
 
-// MetricLeavingStatements counts the endpoints of which this router first learnt from
-// an answer that they leave.
-const MetricLeavingStatements = "LeavingStatements"
+const (
+	// MetricLeavingStatements counts the endpoints of which this router first learnt
+	// from an answer that they leave.
+	MetricLeavingStatements = "LeavingStatements"
+	// MetricPauses counts the answers by which endpoints have asked for time.
+	MetricPauses = "EndpointPauses"
+)
 
 // EndpointLeaves records that an endpoint has stated, in the answer to the given
 // request, that it leaves. When it returns, no attempt is sent to the endpoint any
@@ -26,3 +35,45 @@
 		"Endpoint": id, "Source": "Answer", "RequestID": requestID, "EndpointsAge": c.sources.listAge(),
 	}).Info("EndpointLeaving")
 }
+
+// PauseEndpoint records that an endpoint has asked, in the answer to the given request,
+// to get no requests until the given instant. When it returns, no attempt is sent to
+// the endpoint before that instant.
+func (c *Core) PauseEndpoint(id view.EndpointID, until time.Time, requestID string) {
+	metrics.GetOrRegisterCounter(MetricPauses, c.options.Registry).Inc(1)
+	if !c.pauses.add(time.Now(), id, until) {
+		return
+	}
+	c.scheduling.Input(schedule.Pause{Endpoint: id, Until: until})
+	c.logger.WithFields(log.Fields{
+		"Endpoint": id, "Source": "Answer", "RequestID": requestID, "Until": until.Format(time.RFC3339Nano),
+	}).Info("EndpointPaused")
+}
+
+// pauses are the times during which endpoints have asked to get no requests.
+type pauses struct {
+	mu    sync.Mutex
+	until map[view.EndpointID]time.Time // guarded by mu
+}
+
+// add records a pause. It returns false if the endpoint has asked for as much before.
+func (p *pauses) add(now time.Time, id view.EndpointID, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.until, func(_ view.EndpointID, at time.Time) bool { return !now.Before(at) })
+	if !until.After(p.until[id]) {
+		return false
+	}
+	if p.until == nil {
+		p.until = map[view.EndpointID]time.Time{}
+	}
+	p.until[id] = until
+	return true
+}
+
+// paused reports whether the endpoint has asked to get no requests at present.
+func (p *pauses) paused(id view.EndpointID, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.until[id])
+}
--- /dev/null
+++ b/internal/transport/router/statements_test.go
@@ -0,0 +1,49 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/state/view"
+)
+
+// TestStatementsOutlastReadsOfStore guards against an endpoint that gets requests again
+// once the list of endpoints has been read, although it said that it leaves or asked for
+// time, and against a pause that a later answer shortens.
+func TestStatementsOutlastReadsOfStore(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	r := startHostedFleet(t, s, 1)[0]
+	open := &text.Organisation{}
+	is.True(r.core.MaySend(open, "e#0"))
+	// reread waits until the list has been read twice and has changed.
+	reread := func() {
+		s.mu.Lock()
+		s.version++
+		version := s.version
+		s.mu.Unlock()
+		waitFor(t, "the store is read", func() bool { return r.core.Table().Version == version })
+		at := r.sources.current.Load().list.at
+		waitFor(t, "the list is read", func() bool { return r.sources.current.Load().list.at.After(at) })
+	}
+	until := time.Now().Add(3 * time.Second)
+	r.core.PauseEndpoint("e#0", until, "1")
+	r.core.PauseEndpoint("e#0", until.Add(-time.Second), "2")
+	is.True(!r.core.MaySend(open, "e#0"))
+	reread()
+	is.True(!r.core.MaySend(open, "e#0") || !time.Now().Before(until))
+	waitFor(t, "the end of the pause", func() bool { return r.core.MaySend(open, "e#0") })
+	is.True(!time.Now().Before(until))
+	r.core.EndpointLeaves("e#0", "3")
+	is.True(!r.core.MaySend(open, "e#0"))
+	is.True(r.Fleet().Endpoints[0].Leaving)
+	reread()
+	is.True(!r.core.MaySend(open, "e#0"))
+	r.core.PauseEndpoint("missing#0", time.Now().Add(time.Second), "4")
+	r.core.EndpointLeaves("missing#0", "5")
+	is.Equal(len(r.core.pauses.until), 1) // the first one has ended
+	is.Equal(len(r.Fleet().Endpoints), 1)
+}
