Let the soak's endpoints ask for time and say that they leave, and check both

The soak's endpoints state in their answers that they leave from the moment at which they announce it, and turn one request in a hundred away with a time between 0.7 and 2 s for which they want none. From outside, the soak checks that no request runs at an endpoint that its caller sent later than the bound after the same router had passed on such an answer (only a restart of the router excuses it), and that not more than two requests of a router arrive from half a second after a 503 with Retry-After to the end of that time (unless a fault of the router or of the connections to the endpoint may have lost the answer). The plans of faults are the same as before.

--- a/internal/tool/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -156,6 +156,9 @@
 		return 0, c.classifyFailure(ctx, req, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.Header.Get(names.Leaving) != "" {
+		c.soak.recordLeavingAnswer(response.Header.Get(names.Stamp), req.Router, time.Now())
+	}
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return response.StatusCode, c.classifyFailure(ctx, req, err)
--- a/internal/tool/soak/checker.go
+++ b/internal/tool/soak/checker.go
@@ -56,6 +56,13 @@
 	c.requests[req.ID] = req
 }
 
+// request returns the request with the id, or nil if no caller has sent it.
+func (c *Checker) request(id string) *sentRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.requests[id]
+}
+
 // recordRun records that an endpoint begins to run a request and returns the
 // request, or nil if no caller has sent it.
 func (c *Checker) recordRun(now time.Time, endpoint, id string, r *http.Request, body string) *sentRequest {
--- a/internal/tool/soak/dialect.go
+++ b/internal/tool/soak/dialect.go
@@ -45,6 +45,9 @@
 	// any other one refuses it. NotRun states that the endpoint has not run the
 	// request.
 	Instance, NotRun string
+	// Leaving marks the answers of an endpoint that leaves. RetryAfter is the number
+	// of seconds for which an endpoint that turns a request away wants none.
+	Leaving, RetryAfter string
 }
 
 // RouterSettings holds the values of a router's settings file.
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,6 +46,8 @@
 	checkRun func(e *endpoint, instance string, leavingSince time.Time, req *sentRequest)
 	// crashed is called when a request has crashed the endpoint.
 	crashed func(e *endpoint, req *sentRequest)
+	// steadySince reports whether a router has been free of faults since an instant.
+	steadySince func(router int, at time.Time) bool
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -55,6 +58,7 @@
 	// present, and linkFaultEnd when the last one ended.
 	linkFaults   int
 	linkFaultEnd time.Time
+	random       *rand.Rand
 }
 
 // instance is one instance of an endpoint, from a start to the next stop.
@@ -64,6 +68,9 @@
 	// leavingSince is when the endpoint announced that it leaves, or zero. It is
 	// guarded by the endpoint's mu.
 	leavingSince time.Time
+	// pauses are the times that the instance has asked each router for. They are
+	// guarded by the endpoint's mu.
+	pauses map[int][]pausePeriod
 }
 
 func newEndpoint(number int, s *Soak) (*endpoint, error) {
@@ -71,7 +78,10 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &endpoint{number: number, proxy: p, dialect: s.options.Dialect, checker: s.Checker, checkRun: s.checkRun, crashed: s.recordCrash}
+	e := &endpoint{
+		number: number, proxy: p, dialect: s.options.Dialect, checker: s.Checker, checkRun: s.checkRun, crashed: s.recordCrash, steadySince: s.steadySince,
+		random: rand.New(rand.NewPCG(s.options.Seed, uint64(number)+endpointStream)),
+	}
 	return e, e.startInstance()
 }
 
@@ -85,7 +95,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.instances++
-	s := &instance{id: fmt.Sprintf("e%d-%d", e.number, e.instances)}
+	s := &instance{id: fmt.Sprintf("e%d-%d", e.number, e.instances), pauses: map[int][]pausePeriod{}}
 	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(s, w, r) }), ReadHeaderTimeout: time.Minute}
 	e.current = s
 	e.proxy.Retarget(netip.MustParseAddrPort(l.Addr().String()))
@@ -178,10 +188,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.leaving(s) {
+		w.Header().Set(names.Leaving, "1")
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // The router has closed the connection; nothing runs.
 	}
+	if e.turnsAway(s, w, e.checker.request(id)) {
+		return
+	}
 	req := e.checker.recordRun(time.Now(), s.id, id, r, string(body))
 	if req == nil {
 		return
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -106,6 +106,9 @@
 	endpointFaultEnd time.Time           // when the last fault of an endpoint ends or ended
 	crashes          map[string]*crashes // by body
 	closed           bool
+	// leavingAnswers holds when a router first passed on an answer in which an
+	// endpoint states that it leaves.
+	leavingAnswers map[statement]time.Time
 }
 
 // keyPeriod holds when a key of the callers' organisation was added to the
@@ -122,6 +125,7 @@
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	faultEnd      time.Time // when the last fault of the router ends or ended
+	startedAt     time.Time // when the process was last started again
 	stopRequested time.Time // when the router was last asked to stop
 	pausedAt      time.Time // when the router was paused; zero while it is not
 	kills         int       // how many times the router is being killed
@@ -130,7 +134,7 @@
 // Run runs a soak and returns its report. Violated guarantees are in the report;
 // an error means that the soak could not run.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &Soak{options: o, Checker: newChecker(), keys: map[string]keyPeriod{}, crashes: map[string]*crashes{}}
+	s := &Soak{options: o, Checker: newChecker(), keys: map[string]keyPeriod{}, crashes: map[string]*crashes{}, leavingAnswers: map[statement]time.Time{}}
 	defer s.close()
 	loadCtx, stop := context.WithCancel(ctx)
 	var workers sync.WaitGroup
@@ -274,7 +278,7 @@
 			now := time.Now()
 			r.mu.Lock()
 			unexpected := now.After(r.faultEnd.Add(time.Second)) && now.After(r.stopRequested.Add(stopTimeout+time.Second))
-			r.faultEnd = now
+			r.faultEnd, r.startedAt = now, now
 			r.mu.Unlock()
 			if unexpected {
 				s.Checker.recordViolation("process", "router %d exited without a fault or a request to stop", i)
@@ -359,6 +363,7 @@
 	if req.Crashes {
 		s.checkCrashingRun(now, req)
 	}
+	s.checkLeavingAnswer(instance, req)
 	if !leavingSince.IsZero() && now.After(leavingSince.Add(drainTime+toolSlack)) && s.undisturbedSince(s.routers[req.Router], leavingSince) &&
 		!e.linkDisturbedSince(leavingSince) {
 		s.Checker.recordViolation("leaving", "%s began to run at endpoint %s %v after the endpoint announced that it leaves", req.ID, instance, now.Sub(leavingSince))
