Do not count a 503 that a fault has lost as one that a router has read

The router's log has no such answer: the endpoint had been silent until 0.06 s before, the request that it turned away had been held up meanwhile, and the router had given up the attempt and closed its connection. An answer can be lost after the end of such a fault.

The connections to the endpoint must now have been free of faults for the quiet period before the answer, as for the other bounds, and a reset of these connections, after which nothing was excused, counts as a fault for this check. TestRequestsDuringPauseAreCounted has these cases.

--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -58,7 +58,9 @@
 	// present, and linkFaultEnd when the last one ended.
 	linkFaults   int
 	linkFaultEnd time.Time
-	random       *rand.Rand
+	// linkReset is when the connections to the endpoint were last reset.
+	linkReset time.Time
+	random    *rand.Rand
 }
 
 // instance is one instance of an endpoint, from a start to the next stop.
@@ -147,6 +149,14 @@
 	e.linkFaultEnd = later(e.linkFaultEnd, now)
 }
 
+// resetLinks resets the connections to the endpoint.
+func (e *endpoint) resetLinks(now time.Time) {
+	e.mu.Lock()
+	e.linkReset = now
+	e.mu.Unlock()
+	e.proxy.Reset()
+}
+
 // linkDisturbedSince reports whether requests may have been held up on their way to
 // the endpoint after the instant.
 func (e *endpoint) linkDisturbedSince(at time.Time) bool {
--- a/internal/tool/soak/faults.go
+++ b/internal/tool/soak/faults.go
@@ -143,7 +143,7 @@
 	{disruption.Kind{Name: "endpoint silent", MinDuration: 500 * time.Millisecond, MaxDuration: 4 * time.Second}, groupEndpoint, setEndpointProxy(disruption.ModeSilent), setEndpointProxy(disruption.ModePass)},
 	{disruption.Kind{Name: "endpoint's answers lost", MinDuration: 500 * time.Millisecond, MaxDuration: 3 * time.Second}, groupEndpoint, setEndpointProxy(disruption.ModeOneWay), setEndpointProxy(disruption.ModePass)},
 	{disruption.Kind{Name: "endpoint delayed", MinDuration: time.Second, MaxDuration: 4 * time.Second}, groupEndpoint, setEndpointProxy(disruption.ModeDelay), setEndpointProxy(disruption.ModePass)},
-	{disruption.Kind{Name: "connections to the endpoint reset"}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].proxy.Reset() }, noAction},
+	{disruption.Kind{Name: "connections to the endpoint reset"}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].resetLinks(time.Now()) }, noAction},
 	{disruption.Kind{Name: "endpoint fails", MinDuration: time.Second, MaxDuration: 4 * time.Second}, groupEndpoint, func(s *Soak, i int) { s.endpoints[i].setFailing(true) }, func(s *Soak, i int) { s.endpoints[i].setFailing(false) }},
 	{disruption.Kind{Name: "key changed"}, groupEndpoint, changeKey, noAction},
 	{disruption.Kind{Name: "endpoint leaves", MinDuration: drainTime + time.Second, MaxDuration: drainTime + 3*time.Second}, groupEndpoint, announceLeaving, func(s *Soak, i int) {
--- a/internal/tool/soak/statements.go
+++ b/internal/tool/soak/statements.go
@@ -62,8 +62,10 @@
 }
 
 // countArrival counts a request against the times that the endpoint has asked its router
-// for. Too many are a violation, unless a fault of the router or of the connections to
-// the endpoint since then may have lost the answer. It requires that mu is held.
+// for. Too many are a violation, unless a fault of the router since then, or of the
+// connections to the endpoint, may have lost the answer. Such a fault may be over by
+// then: the answer to a request that was held up may find its connection closed. It
+// requires that mu is held.
 func (e *endpoint) countArrival(s *instance, req *sentRequest, now time.Time) {
 	pauses := s.pauses[req.Router]
 	for i := range pauses {
@@ -72,7 +74,9 @@
 			continue
 		}
 		p.arrivals++
-		if p.arrivals == maxDuringPause+1 && e.linkFaults == 0 && !e.linkFaultEnd.After(p.from) && e.steadySince(req.Router, p.from) {
+		quietFrom := p.from.Add(-quietPeriod)
+		linkQuiet := e.linkFaults == 0 && e.linkFaultEnd.Before(quietFrom) && e.linkReset.Before(quietFrom)
+		if p.arrivals == maxDuringPause+1 && linkQuiet && e.steadySince(req.Router, p.from) {
 			e.checker.recordViolation("pause", "%d requests of router %d reached endpoint %s within %v after it had asked for %v, the last one was %s",
 				p.arrivals, req.Router, s.id, now.Sub(p.from), p.until.Sub(p.from), req.ID)
 		}
--- a/internal/tool/soak/statements_test.go
+++ b/internal/tool/soak/statements_test.go
@@ -35,6 +35,17 @@
 	e.linkFaultBegins()
 	is.Equal(count(e, i, 0, time.Second, 9), 0) // the answer may have been lost
 	e, i = paused()
+	e.linkFaultBegins()
+	e.linkFaultEnds(now.Add(-50 * time.Millisecond))
+	is.Equal(count(e, i, 0, time.Second, 9), 0) // the request may have been held up
+	e, i = paused()
+	e.linkFaultBegins()
+	e.linkFaultEnds(now.Add(-quietPeriod - time.Millisecond))
+	is.Equal(count(e, i, 0, time.Second, 9), 1)
+	e, i = paused()
+	e.linkReset = now.Add(time.Millisecond)
+	is.Equal(count(e, i, 0, time.Second, 9), 0)
+	e, i = paused()
 	s.routers[0].faultEnd = now.Add(100 * time.Millisecond)
 	is.Equal(count(e, i, 0, time.Second, 9), 0)
 	is.True(!e.turnsAway(i, httptest.NewRecorder(), nil))
