Take the ports of the soak's proxies from outside the system's range

A proxy of the soak closes its listener while it is suspended, as the host of a crashed endpoint does, and opens it again at the same port. The port was one of the range from which Linux takes ports for outgoing connections, so a connection could take it in between; the proxy then can't resume, and the soak reports a violation of its own.

The proxy draws its address with loopback.FreeAddress, as routers in tests do.

--- a/internal/tool/disruption/disruption_test.go
+++ b/internal/tool/disruption/disruption_test.go
@@ -54,6 +54,23 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
+// TestSystemDoesNotTakePortOfSuspendedProxy guards against a proxy that can't resume,
+// since the system has taken its port for an outgoing connection meanwhile.
+func TestSystemDoesNotTakePortOfSuspendedProxy(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("/proc/sys/net/ipv4/ip_local_port_range")
+	is.NoErr(err)
+	var first int
+	_, err = fmt.Sscan(string(data), &first)
+	is.NoErr(err)
+	p, err := NewProxy(echo(t))
+	is.NoErr(err)
+	defer p.Close()
+	is.True(int(p.Address.Port()) < first)
+	p.Suspend()
+	is.NoErr(p.Resume())
+}
+
 // TestProxyModes sends a line through the proxy in each mode. It guards against
 // bytes that pass a blocked direction or are lost when the mode changes back,
 // and against delays and resets without an effect.
--- a/internal/tool/disruption/proxy.go
+++ b/internal/tool/disruption/proxy.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"hyssopreach/internal/standin/loopback"
 )
 
 // Mode determines what a proxy does with the bytes of its connections.
@@ -51,14 +53,19 @@
 	closed   bool
 }
 
-// NewProxy returns a proxy on a free port of 127.0.0.1.
+// NewProxy returns a proxy on a free loopback address. The system does not take the
+// port for a connection while the proxy is suspended; see loopback.FreeAddress.
 func NewProxy(target netip.AddrPort) (*Proxy, error) {
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		return nil, fmt.Errorf("open a proxy to %s: %w", target, err)
+	}
 	var config net.ListenConfig
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, fmt.Errorf("open a proxy to %s: %w", target, err)
 	}
-	p := &Proxy{Address: netip.MustParseAddrPort(l.Addr().String()), listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &Proxy{Address: address, listener: l, target: target, conns: map[net.Conn]bool{}}
 	p.working.Go(func() { p.accept(l) })
 	return p, nil
 }
