Let the soak send requests with a part that crashes endpoints

hyssopreach-soak -p N adds callers that send ever new requests of all kinds whose prompts share a part, under which each endpoint crashes. More than three runs of requests sent later than the quiet time after the fifth crash are a violation.

--- a/cmd/hyssopreach-soak/main.go
+++ b/cmd/hyssopreach-soak/main.go
@@ -35,6 +35,7 @@
 	flaggy.Int(&o.Endpoints, "e", "endpoints", "The number of endpoints.")
 	flaggy.Int(&o.Callers, "c", "callers", "The number of callers.")
 	flaggy.Int(&o.Crashing, "x", "crashing", "The number of further callers, each with one request that crashes endpoints.")
+	flaggy.Int(&o.CrashingParts, "p", "crashing-parts", "The number of further callers, each with requests that share a part which crashes endpoints.")
 	flaggy.String(&o.Binary, "b", "binary", "The routers' executable; built if it is not given.")
 	flaggy.String(&o.Directory, "l", "logs", "The directory for settings and logs, which is retained; a temporary one if it is not given.")
 	flaggy.Bool(&verbose, "v", "verbose", "Print every fault.")
--- a/internal/tool/soak/caller.go
+++ b/internal/tool/soak/caller.go
@@ -71,6 +71,9 @@
 		ID: id, Kind: kind, Method: http.MethodPost, Path: "/" + kind + "/x?n=" + id, Key: c.chooseKey(),
 		Body: strings.Repeat(id, 1+c.random.IntN(200)), Router: router, SentAt: time.Now(),
 	}
+	if c.soak.options.CrashingParts > 0 {
+		req.Part = fmt.Sprintf("%x", id)
+	}
 	return c.send(ctx, req)
 }
 
@@ -151,6 +154,7 @@
 	request.Header.Set(names.ID, req.ID)
 	request.Header.Set(names.Key, req.Key)
 	request.Header.Set(names.Deadline, fmt.Sprint(callerDeadline.Milliseconds()))
+	setPrompt(request.Header, names, req)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return 0, c.classifyFailure(ctx, req, err)
--- a/internal/tool/soak/checker.go
+++ b/internal/tool/soak/checker.go
@@ -15,8 +15,12 @@
 	Kind   string
 	Router int
 	SentAt time.Time
-	// Crashes is set for a request that crashes each endpoint that runs it.
-	Crashes bool
+	// Cause names what crashes each endpoint that runs the request, either its body or
+	// a part of its prompt; empty if nothing does.
+	Cause string
+	// Part is the part of the request's prompt that other requests may share; empty if
+	// the request declares no prompt.
+	Part string
 	// runs holds the instants at which endpoints began to run the request.
 	runs []time.Time
 	// notRun is set once the caller got a status that rules out a later run of
@@ -89,7 +93,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kind := req.Kind
-	if req.Crashes {
+	if req.Cause != "" {
 		kind = kindCrashing
 	}
 	c.outcomes[kind+" "+outcome]++
--- a/internal/tool/soak/dialect.go
+++ b/internal/tool/soak/dialect.go
@@ -37,6 +37,9 @@
 	// ID identifies a request and Key its caller's organisation. Deadline is
 	// how many milliseconds the caller waits.
 	ID, Key, Deadline string
+	// Tokens holds the lengths of a prompt and of its answer, and Parts the parts of
+	// the prompt.
+	Tokens, Parts string
 	// Stamp is set by the endpoint that produced an answer.
 	Stamp string
 	// LastEvent is the id of the last event that the caller has received.
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -216,7 +216,7 @@
 	leavingSince := s.leavingSince
 	e.mu.Unlock()
 	e.checkRun(e, s.id, leavingSince, req)
-	if req.Crashes {
+	if req.Cause != "" {
 		time.Sleep(crashTime)
 		e.crashed(e, req)
 		panic(http.ErrAbortHandler)
--- a/internal/tool/soak/soak.go
+++ b/internal/tool/soak/soak.go
@@ -72,6 +72,9 @@
 	// Crashing is the number of callers that send one request each, again and
 	// again, which crashes the endpoints that run it.
 	Crashing int
+	// CrashingParts is the number of callers that send ever new requests whose
+	// prompts share a part, which crashes the endpoints that run them.
+	CrashingParts int
 	// OnFault is called with the description of each fault as it begins; it may
 	// be nil.
 	OnFault func(line string)
@@ -104,7 +107,7 @@
 	removedKeys      []string
 	storeFaultEnd    time.Time           // when the last fault of the store ends or ended
 	endpointFaultEnd time.Time           // when the last fault of an endpoint ends or ended
-	crashes          map[string]*crashes // by body
+	crashes          map[string]*crashes // by sentRequest.Cause
 	closed           bool
 	// leavingAnswers holds when a router first passed on an answer in which an
 	// endpoint states that it leaves.
@@ -156,6 +159,9 @@
 	for i := range o.Crashing {
 		workers.Go(func() { newCaller(s, firstCrashingCaller+i, o.Seed).runCrashing(loadCtx) })
 	}
+	for i := range o.CrashingParts {
+		workers.Go(func() { newCaller(s, firstCrashingPartCaller+i, o.Seed).runCrashingPart(loadCtx) })
+	}
 	workers.Go(func() { s.superviseProcesses(loadCtx) })
 	s.runPlan(ctx, plan)
 	s.checkRecovery(ctx)
@@ -360,7 +366,7 @@
 	if !k.removed.IsZero() && now.After(k.removed.Add(revokeTime+toolSlack)) && req.SentAt.After(k.removed.Add(revokeTime)) {
 		s.Checker.recordViolation("revocation", "%s began to run %v after its key was removed", req.ID, now.Sub(k.removed))
 	}
-	if req.Crashes {
+	if req.Cause != "" {
 		s.checkCrashingRun(now, req)
 	}
 	s.checkLeavingAnswer(instance, req)
--- a/internal/tool/soak/soak_test.go
+++ b/internal/tool/soak/soak_test.go
@@ -21,6 +21,7 @@
 	options soak.Options
 }{
 	{"", soak.Options{Seed: 1, Duration: 8 * time.Second, Routers: 3, Endpoints: 4, Callers: 6, Crashing: 1}},
+	{"", soak.Options{Seed: 2, Duration: 8 * time.Second, Routers: 3, Endpoints: 8, Callers: 6, CrashingParts: 1}},
 	{
 		"a router that was asked to stop while it was paused was taken for one that exited by itself (see TestStopDuringPauseBeginsAtItsEnd; the kinds of faults have changed since)",
 		soak.Options{Seed: 27, Duration: 12 * time.Second, Routers: 4, Endpoints: 6, Callers: 10, Crashing: 2},
@@ -35,7 +36,7 @@
 // faults. It guards against requests that run twice, that run after a refusal or
 // with a removed key, against answers that are wrong or cut off by a planned
 // stop, against routers that don't serve again after the last fault, and against
-// a request that crashes every endpoint that runs it.
+// a request or a part of prompts that crashes every endpoint that runs it.
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
 	is := is.New(t)
 	binary := filepath.Join(t.TempDir(), "hyssopreach")
@@ -56,7 +57,7 @@
 				t.Error(violation)
 			}
 			is.True(r.Outcomes["once served"] > 0)
-			is.True(r.Crashes > 0 || o.Crashing == 0)
+			is.True(r.Crashes > 0 || o.Crashing+o.CrashingParts == 0)
 		})
 	}
 }
