End the trial of a part whose request is withdrawn at once

A request that may run although its part is convicted, and whose caller leaves as it is admitted, did not end its trial: until its deadline, no other request with the part was tried. Found by reading; the window is too short for a test.

--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -216,11 +216,11 @@
 	s.mu.Lock()
 	delete(s.waiting, id)
 	s.mu.Unlock()
-	// The verdict may have arrived before the withdrawal. A permit is then
-	// released, because the request does not run.
+	// The verdict may have arrived before the withdrawal. A permit or a trial of a
+	// part then ends, because the request does not run.
 	select {
 	case j := <-verdict:
-		if j.Verdict == suspect.VerdictExclusive {
+		if j.Verdict == suspect.VerdictExclusive || !s.isolates && j.Verdict == suspect.VerdictFree {
 			s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Parts: s.parts(c)})
 		}
 	default:
