--- a/internal/coordination/suspect/bench_test.go
+++ b/internal/coordination/suspect/bench_test.go
@@ -71,3 +71,18 @@
 	b.ReportMetric(float64(size)/share, "bytes/crash")
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/share, "us/crash")
 }
+
+// BenchmarkServed measures what an answer costs a router whose requests share most of
+// their parts.
+func BenchmarkServed(b *testing.B) {
+	table := suspect.New(suspect.Options{Self: "edge-0"})
+	now := time.Unix(1e9, 0)
+	n := suspect.Fingerprint(0)
+	for b.Loop() {
+		n++
+		now = now.Add(100 * time.Microsecond)
+		table.Step(now, suspect.RunEnded{
+			Fingerprint: n, Parts: []suspect.Fingerprint{suspect.PartBit | n%10, suspect.PartBit | n%5000, suspect.PartBit | n}, Finished: true, Served: true,
+		})
+	}
+}
