Use an endpoint again as soon as it is no longer silent

What callers saw: new requests were refused for up to a second after an endpoint that had been silent had continued, and streams of silent endpoints found no place there.

Cause: the time until which a silent endpoint is avoided stayed, although the only reason to avoid it was gone with its next activity.

That time is held apart from the one that failed attempts set, and ends with the next progress of any request at the endpoint. TestRecoveredEndpointIsUsedAtOnce failed before: the endpoint was not usable after its next event (go test -race -run TestRecovered ./internal/coordination/admission).

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -57,7 +57,7 @@
 // usable reports whether the endpoint should receive requests: it takes requests and
 // is neither ejected nor being avoided.
 func (p *Policy) usable(now time.Time, e *endpoint) bool {
-	return e.takesRequests(now) && !now.Before(e.EjectedUntil) && !now.Before(e.health.avoidUntil)
+	return e.takesRequests(now) && !now.Before(e.EjectedUntil) && !e.health.avoided(now)
 }
 
 // endpointState is the state of an endpoint on which all requests of a scan are
--- a/internal/coordination/admission/continuation_test.go
+++ b/internal/coordination/admission/continuation_test.go
@@ -177,7 +177,7 @@
 	w.requests[r.ID], w.arrived[r.ID] = r, w.now
 	w.input(schedule.Arrival{Request: *r})
 	is.Equal(w.started["o"], 0) // e1 is silent
-	second.health.avoidUntil = time.Time{}
+	second.health.silentUntil = time.Time{}
 	second.lastActivityAt = w.now // it sends again
 	w.input(schedule.Alarm{})
 	is.Equal(w.started["o"], 1)
@@ -227,3 +227,25 @@
 	w.input(schedule.Alarm{})
 	is.Equal(w.started["o"], 1)
 }
+
+// TestRecoveredEndpointIsUsedAtOnce guards against refusing requests because an endpoint
+// is still avoided that was silent and has continued.
+func TestRecoveredEndpointIsUsedAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 100_000)
+	w.send("p", 100)
+	w.send("p", 100)
+	w.now = w.now.Add(testStep)
+	w.input(schedule.Alarm{})
+	is.Equal(w.started["p"], 2)
+	e := w.policy.endpoints["e0"]
+	w.now = w.now.Add(silenceTimeout + e.timeToFirstToken(200) + testStep)
+	w.input(schedule.Alarm{})
+	is.True(!w.policy.usable(w.now, e)) // it is silent
+	w.now = w.now.Add(testStep)
+	w.input(schedule.Progress{ID: 1, Service: 1, FirstToken: time.Second})
+	is.True(w.policy.usable(w.now, e))
+	w.input(schedule.Completion{ID: 2, Result: schedule.ResultNotSent})
+	w.input(schedule.Progress{ID: 1, Service: 1})
+	is.True(!w.policy.usable(w.now, e)) // activity does not refute other failures
+}
--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -230,7 +230,7 @@
 // silent reports whether an endpoint that is not avoided has shown no activity for
 // too long while it has requests of this router in flight.
 func (e *endpoint) silent(now time.Time) bool {
-	return e.inactive(now) && !now.Before(e.health.avoidUntil)
+	return e.inactive(now) && !e.health.avoided(now)
 }
 
 // inactive is like silent, also while the endpoint is avoided.
--- a/internal/coordination/admission/health.go
+++ b/internal/coordination/admission/health.go
@@ -34,8 +34,15 @@
 	// Attempts that were not sent, rejected or cancelled don't count.
 	failureRate         float64
 	consecutiveFailures int
-	// avoidUntil is the instant until which the endpoint is avoided.
-	avoidUntil time.Time
+	// avoidUntil is the instant until which the endpoint is avoided because of failed
+	// attempts, and silentUntil that until which it is avoided because it is silent. Its
+	// next activity ends the latter.
+	avoidUntil, silentUntil time.Time
+}
+
+// avoided reports whether the endpoint is avoided.
+func (s *health) avoided(now time.Time) bool {
+	return now.Before(s.avoidUntil) || now.Before(s.silentUntil)
 }
 
 // record processes the result of an attempt. It returns the instant until which
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -218,7 +218,7 @@
 		return
 	}
 	e := r.endpoint
-	e.lastActivityAt = now
+	e.lastActivityAt, e.health.silentUntil = now, time.Time{}
 	if in.EventInterval > 0 && !in.Late {
 		e.measured.addOwn(now, in.EventInterval, in.LongestGap)
 	}
@@ -346,7 +346,7 @@
 				e.expirePeers(now.Add(-p.reportLifetime()))
 			}
 			if e.silent(now) {
-				e.health.avoidUntil = now.Add(silentBackoff)
+				e.health.silentUntil = now.Add(silentBackoff)
 				p.emit(schedule.Decision{Event: "EndpointSilent", Fields: []string{
 					"Endpoint", string(e.ID), "Silence", now.Sub(e.lastActivityAt).String(),
 				}})
