State how often a stream is sent for each wrong continuation

Since its backend repeats the last answer, TestStreamContinuesOnlyWithItsOwnEvents no longer noticed an attempt beyond MaxAttempts; before, it panicked.

--- a/internal/transport/execution/continuation_test.go
+++ b/internal/transport/execution/continuation_test.go
@@ -119,9 +119,17 @@
 			is.True(sink.complete)
 			is.Equal(sink.String(), event1+event2+event3+event4)
 			is.Equal(backend.lastEvents, []string{"", "2", "2"})
-			sink, _, err = runContinuations(t, 2, eventStream(errReset, event1, event2+event3[:4]), &again)
+			sink, backend, err = runContinuations(t, 2, eventStream(errReset, event1, event2+event3[:4]), &again)
 			var broken *BrokenError
 			is.True(errors.As(err, &broken))
+			sent, cause := 2, CauseAttempts
+			if wrong.status == http.StatusServiceUnavailable {
+				// The endpoint has not run these attempts, which only the retry budget
+				// bounds.
+				sent, cause = 3, CauseRetryBudget
+			}
+			is.Equal(len(backend.lastEvents), sent)
+			is.Equal(broken.Cause, cause)
 			is.True(!sink.complete)
 			is.Equal(sink.String(), event1+event2)
 		})
