Show that a retry that is refused replaces an endpoint's answer

A router drops an answer with a server error once a retry is taken from the budget, and only then asks the scheduler, which may refuse it: the caller gets a failure of ours in place of the endpoint's answer. It is the class of fault of the silent endpoints: what is certain is given up for what is not.

--- a/internal/transport/execution/rejected_test.go
+++ b/internal/transport/execution/rejected_test.go
@@ -40,3 +40,18 @@
 	is.Equal(out.String(), "id: 1\n\nid: 2\n\n")
 	is.Equal(scheduler.results, []schedule.Result{schedule.ResultSilent, schedule.ResultRejected, schedule.ResultFinished})
 }
+
+// TestServerErrorIsAnsweredIfItsRetryIsRefused guards against replacing an endpoint's
+// answer by a failure of our own because the retry for which it was dropped is refused.
+func TestServerErrorIsAnsweredIfItsRetryIsRefused(t *testing.T) {
+	is := is.New(t)
+	backend := &scriptedBackend{exchanges: []scriptedExchange{{status: http.StatusInternalServerError, body: "answer"}}}
+	r, stop := newTimedRunner(t, backend, &scriptedScheduler{decisions: []view.EndpointID{"e1", ""}})
+	call := silentCall(false)
+	call.RetryServerErrors = true
+	out := &recordingSink{}
+	is.NoErr(r.Run(t.Context(), call, out))
+	stop()
+	is.Equal(out.status, http.StatusInternalServerError)
+	is.Equal(out.String(), "answer")
+}
