Begin no second search for a silent attempt

A timer that has expired and is reset at the same time calls the search twice if the process runs late by more than the silence; both calls began a search, and the first to end took the other one's function that stops it.

beginSearch refuses a second search while one is under way. TestTimerThatExpiresTwiceBeginsOneSearch failed before (go test -race -run TestTimerThatExpiresTwice ./internal/transport/execution).

--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -139,11 +139,12 @@
 
 // beginSearch returns the context of a search and the progress of the call as it is
 // if the attempt is given up; it returns false if the endpoint does not count as
-// silent.
+// silent, or a search is under way: in a process that runs late, the timer may have
+// expired twice.
 func (w *silenceWatch) beginSearch() (context.Context, *progress, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.held || w.continuation != nil || w.ctx.Err() != nil || time.Now().Before(w.searchAt) {
+	if w.held || w.stopSearch != nil || w.continuation != nil || w.ctx.Err() != nil || time.Now().Before(w.searchAt) {
 		return nil, nil, false
 	}
 	ctx, stop := context.WithCancel(w.ctx)
--- a/internal/transport/execution/silence_test.go
+++ b/internal/transport/execution/silence_test.go
@@ -408,3 +408,24 @@
 	is.Equal(out.String(), "id: 1\n\nid: 2\n\n")
 	is.Equal(scheduler.results, []schedule.Result{schedule.ResultUnused, schedule.ResultFinished})
 }
+
+// TestTimerThatExpiresTwiceBeginsOneSearch guards against a router that ends with a nil
+// dereference, because it ran late and the timer of a silence expired again before the
+// first expiry was handled.
+func TestTimerThatExpiresTwiceBeginsOneSearch(t *testing.T) {
+	is := is.New(t)
+	r, _ := newTimedRunner(t, &timedBackend{}, &scriptedScheduler{})
+	call := silentCall(true)
+	call.MaxSilence = forever
+	_, w := r.watchSilence(t.Context(), &progress{call: call}, "e1", false)
+	w.mu.Lock()
+	w.searchAt = time.Now()
+	w.mu.Unlock()
+	ctx, next, began := w.beginSearch()
+	is.True(began)
+	_, _, again := w.beginSearch()
+	is.True(!again)
+	w.searchAgain(ctx, next, errUnreachable) // the first search has found nothing
+	w.searches.Done()
+	is.True(w.stop() == nil)
+}
