--- a/internal/transport/router/hosted_crashpart_test.go
+++ b/internal/transport/router/hosted_crashpart_test.go
@@ -205,7 +205,6 @@
 		{"five at once", bodyCrashPartEvent, 5},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			l := startPartLoad(t, tt.crashing)
 			time.Sleep(time.Second)
