Retain a server error until its retry has an answer

Callers of idempotent requests got a failure of the router (status 502 or 504) although an endpoint had answered them, with a server error. The runner discarded such an answer as soon as the retry budget allowed a retry. The gate or the scheduler could then refuse the retry, and the retry could reach no endpoint, break off, be rejected or last until the deadline. The class is that of the silent endpoints: a resource is released before its replacement is certain.

The runner now reads such an answer to its end, up to 16 KB, and retains it while it retries the call. The endpoint's place is returned and its failure reported at once, as before. If the call would end with a failure of the router and no answer has begun, the caller gets the retained answer. A retry must be admitted within half of the time that is left when the answer is retained, so that a scheduler that does not decide leaves time to send it. A larger answer is held until a retry is certain, as for a silent endpoint: admitted by the gate and the scheduler, at an endpoint that accepts connections, and taken from the budget; otherwise it is passed on. An answer that breaks off within those 16 KB now counts as broken and is retried as such.

--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -44,6 +44,9 @@
 	// retryReserved is set if the next retry has already been allowed and taken
 	// from the budget.
 	retryReserved bool
+	// retained is the last whole answer that is to be replaced by a retry; nil if there
+	// is none.
+	retained *retainedAnswer
 	// confirmed is the last function that Gate.Done returned; nil if there is none.
 	confirmed func(context.Context)
 }
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -133,6 +133,9 @@
 			if out.started {
 				return p.broken(admitCause(ctx, err), err)
 			}
+			if sent, sendErr := r.sendRetained(ctx, p, out, err); sent {
+				return sendErr
+			}
 			return refusal(c, err, p.mayHaveRun)
 		}
 		outcome, err := r.attempt(ctx, p, start, out)
@@ -154,6 +157,9 @@
 			if out.started {
 				return p.broken(cause, err)
 			}
+			if sent, sendErr := r.sendRetained(ctx, p, out, err); sent {
+				return sendErr
+			}
 			return failure(c, err, p.mayHaveRun)
 		}
 		r.Logger.WithFields(log.Fields{
@@ -349,12 +355,15 @@
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered status %d: it has not run the attempt", a.Endpoint.ID, answer.Status())
 	}
-	if a.Call.RetryServerErrors && answer.Status() >= http.StatusInternalServerError && r.retryDenied(p.afterAttempt(schedule.ResultFailed), schedule.ResultFailed) == "" {
-		p.retryReserved = true
-		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
-	}
 	watch.resume(p, out.started)
+	retry := false
+	if r.mayRetryAnswer(answer, p) {
+		answer, retry, err = r.prepareRetry(ctx, a.Endpoint.ID, answer, watch, p)
+	}
 	switch {
+	case err != nil:
+	case retry:
+		return schedule.ResultFailed, fmt.Errorf("endpoint %s answered status %d", a.Endpoint.ID, answer.Status())
 	case a.Call.Events && answer.Status() < http.StatusMultipleChoices:
 		reporter := newStreamReporter(m.begin, r.Scheduling, id, r.Late)
 		if r.Survived != nil {
--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -53,7 +53,8 @@
 	held bool
 	// stopSearch ends the search under way; nil if there is none. Guarded by mu.
 	stopSearch context.CancelFunc
-	// continuation is set once the attempt has been given up. Guarded by mu.
+	// continuation is set once the attempt has been given up, or its answer is to be
+	// discarded. Guarded by mu.
 	continuation *schedule.Start
 }
 
@@ -271,7 +272,7 @@
 		p.continuation = nil
 		return *start, nil
 	}
-	return r.admit(ctx, p)
+	return r.admitRetry(ctx, p)
 }
 
 // releaseContinuation returns the continuation that was found for the last attempt
--- a/internal/transport/execution/silence_test.go
+++ b/internal/transport/execution/silence_test.go
@@ -1,6 +1,7 @@
 package execution
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -35,11 +36,13 @@
 }
 
 // timedExchange is the timed outcome of one attempt: its head arrives after a
-// pause, and its parts follow. It ends with io.EOF unless err is set.
+// pause, and its parts follow. It ends with io.EOF unless err is set. Its status is 200
+// unless status is set.
 type timedExchange struct {
-	head  time.Duration
-	parts []timedPart
-	err   error
+	head   time.Duration
+	status int
+	parts  []timedPart
+	err    error
 }
 
 // timedBackend plays one timed exchange per attempt.
@@ -61,7 +64,7 @@
 	b.running++
 	b.overlapped = b.overlapped || b.running > 1
 	b.mu.Unlock()
-	answer := &timedAnswer{ctx: ctx, backend: b, parts: x.parts, end: x.err}
+	answer := &timedAnswer{ctx: ctx, backend: b, status: x.status, parts: x.parts, end: x.err}
 	if err := answer.wait(x.head); err != nil {
 		_ = answer.Close()
 		return nil, err
@@ -72,6 +75,7 @@
 type timedAnswer struct {
 	ctx     context.Context
 	backend *timedBackend
+	status  int
 	parts   []timedPart
 	end     error
 	once    sync.Once
@@ -86,7 +90,7 @@
 	}
 }
 
-func (a *timedAnswer) Status() int         { return http.StatusOK }
+func (a *timedAnswer) Status() int         { return cmp.Or(a.status, http.StatusOK) }
 func (a *timedAnswer) Header() http.Header { return http.Header{} }
 
 func (a *timedAnswer) Close() error {
@@ -109,6 +113,11 @@
 		return 0, err
 	}
 	n := copy(p, a.parts[0].data)
+	if n < len(a.parts[0].data) {
+		a.parts = slices.Clone(a.parts)
+		a.parts[0] = timedPart{data: a.parts[0].data[n:]}
+		return n, nil
+	}
 	a.parts = a.parts[1:]
 	return n, nil
 }
