--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 
+	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 )
 
@@ -63,6 +65,32 @@
 	return errors.As(err, &n) && n.Withheld
 }
 
+// rejected reports whether the endpoint states that it has not run the attempt.
+func rejected(c *Call, answer Answer) bool {
+	if a, ok := answer.(RejectionReporter); ok {
+		return a.Rejected()
+	}
+	return c.Class.Idempotent && meansNotRun(c, answer.Status())
+}
+
+// meansNotRun reports whether the status means that the endpoint did not run
+// the call: the endpoint is full, or it is an engine that no longer holds the
+// model.
+func meansNotRun(c *Call, status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusNotFound && c.Service.Kind == text.KindModel
+}
+
+func sendResult(ctx context.Context, err error) schedule.Result {
+	switch {
+	case notSent(err):
+		return schedule.ResultNotSent
+	case ctx.Err() != nil:
+		return schedule.ResultCancelled
+	default:
+		return schedule.ResultBroken
+	}
+}
+
 // ProcessState is what is known about the process of an endpoint.
 type ProcessState uint8
 
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -393,32 +393,6 @@
 	return schedule.ResultFinished, nil
 }
 
-// rejected reports whether the endpoint states that it has not run the attempt.
-func rejected(c *Call, answer Answer) bool {
-	if a, ok := answer.(RejectionReporter); ok {
-		return a.Rejected()
-	}
-	return c.Class.Idempotent && meansNotRun(c, answer.Status())
-}
-
-// meansNotRun reports whether the status means that the endpoint did not run
-// the call: the endpoint is full, or it is an engine that no longer holds the
-// model.
-func meansNotRun(c *Call, status int) bool {
-	return status == http.StatusServiceUnavailable || status == http.StatusNotFound && c.Service.Kind == text.KindModel
-}
-
-func sendResult(ctx context.Context, err error) schedule.Result {
-	switch {
-	case notSent(err):
-		return schedule.ResultNotSent
-	case ctx.Err() != nil:
-		return schedule.ResultCancelled
-	default:
-		return schedule.ResultBroken
-	}
-}
-
 // copyBuffers pools the buffers between endpoints and callers, which would
 // otherwise make up most of the garbage.
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
