--- a/internal/coordination/admission/pacedfleet_test.go
+++ b/internal/coordination/admission/pacedfleet_test.go
@@ -47,6 +47,7 @@
 type pacedFleet struct {
 	now      time.Time
 	policies []*Policy
+	index    map[view.RouterID]int // of policies
 	engines  map[view.EndpointID]*fleetEngine
 	order    []view.EndpointID
 	requests []map[schedule.RequestID]fleetRequest
@@ -78,7 +79,7 @@
 
 func newPacedFleet(routers, engines int, tokensPerSecond float64) *pacedFleet {
 	f := &pacedFleet{
-		now: time.Unix(5000, 0), engines: map[view.EndpointID]*fleetEngine{}, started: map[string]int{},
+		now: time.Unix(5000, 0), index: map[view.RouterID]int{}, engines: map[view.EndpointID]*fleetEngine{}, started: map[string]int{},
 		pace: enginePace{base: baseInterval, perStream: intervalPerStream, events: streamEvents},
 	}
 	v := view.Snapshot{Pools: map[string]view.Pool{"p": {TokensPerSecond: tokensPerSecond}}}
@@ -93,6 +94,7 @@
 	for i := range routers {
 		own := v
 		own.Self = routerID(i)
+		f.index[own.Self] = i
 		f.policies = append(f.policies, New(Options{Source: rand.NewPCG(uint64(i), 2)}))
 		f.requests = append(f.requests, map[schedule.RequestID]fleetRequest{})
 		f.input(i, schedule.Change{View: &own})
@@ -121,10 +123,8 @@
 				f.onRates(router, o.Received)
 			}
 		case schedule.Send:
-			for i := range f.policies {
-				if routerID(i) == o.To {
-					f.input(i, schedule.Delivery{From: routerID(router), Message: o.Message})
-				}
+			if i, known := f.index[o.To]; known {
+				f.input(i, schedule.Delivery{From: f.policies[router].view.Self, Message: o.Message})
 			}
 		}
 	}
