Leave paused endpoints out of the capacity that is shared

Callers of an organisation that requests no more than its share were refused while endpoints had asked for time, and one that requests three times as much was served: the fair rate was computed from the stated throughput of all endpoints. With half of them paused, it was twice the true one, or infinite, so nothing held the other organisation back.

The fair rate is now computed from the stated throughput without the part of endpoints that have asked for time. Endpoints that leave are in neither number, since others replace them, so departures change nothing here.

TestPausedCapacityCountsAsAbsent compares 8 endpoints of which 4 pause with 4 endpoints (20 routers, 8 s, twice as many requests as are served).

--- a/internal/coordination/admission/pause.go
+++ b/internal/coordination/admission/pause.go
@@ -33,6 +33,23 @@
 	return !e.Leaving && !now.Before(e.pausedUntil)
 }
 
+// throughput returns the stated throughput of the pool, in tokens per second, without
+// the part of endpoints that have asked for time. Endpoints that leave have no part in
+// it, since others replace them.
+func (l *pool) throughput(now time.Time) float64 {
+	remaining, paused := 0, 0
+	for _, e := range l.endpoints {
+		if e.Leaving {
+			continue
+		}
+		remaining++
+		if now.Before(e.pausedUntil) {
+			paused++
+		}
+	}
+	return l.tokensPerSecond * (1 - float64(paused)/float64(max(remaining, 1)))
+}
+
 // reopensAt reports whether the request can run nowhere now because endpoints have
 // asked for time: all endpoints that it has not tried and that do not leave have done
 // so. It returns the earliest instant at which an endpoint takes requests. A request
--- a/internal/coordination/admission/pauseinterplay_test.go
+++ b/internal/coordination/admission/pauseinterplay_test.go
@@ -269,6 +269,40 @@
 	is.True(w.startsByEngine["e0"] > seconds) // it is used between the pauses
 }
 
+// TestPausedCapacityCountsAsAbsent guards against fair shares that count the capacity of
+// paused endpoints: organisations above their shares are then not held back, and one that
+// requests its share gets less than beside endpoints that do not exist.
+func TestPausedCapacityCountsAsAbsent(t *testing.T) {
+	is := is.New(t)
+	const routers, engines, seconds, perEngine = 20, 8, 8, 36 * 1040
+	started := map[bool]int{}
+	for _, paused := range []bool{false, true} {
+		total := engines / 2
+		if paused {
+			total = engines
+		}
+		f := newPacedFleet(routers, total, float64(total*perEngine))
+		for router := range routers {
+			for _, id := range f.order[engines/2:] {
+				f.input(router, schedule.Pause{Endpoint: id, Until: f.now.Add(time.Minute)})
+			}
+		}
+		large, small := 0, 0
+		for i := range int(seconds * time.Second / testStep) {
+			for ; large < i*200/200; large++ {
+				f.send(1+large%(routers-1), "large")
+			}
+			for ; small < i*70/200; small++ {
+				f.send(0, "small")
+			}
+			f.advance()
+		}
+		t.Logf("paused=%t: small %d of %d, large %d of %d", paused, f.started["small"], small, f.started["large"], large)
+		started[paused] = f.started["small"]
+	}
+	is.True(started[true]*20 >= started[false]*19)
+}
+
 // TestEqualOrganisationsBesidePausedEndpoints guards against shares that change between
 // equal organisations while endpoints pause, if one uses a single router.
 func TestEqualOrganisationsBesidePausedEndpoints(t *testing.T) {
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -56,7 +56,7 @@
 		return
 	}
 	l.scannedAt, l.scanPending = now, false
-	shares := newShares(p.usage.fleetRates(now), l.tokensPerSecond)
+	shares := newShares(p.usage.fleetRates(now), l.throughput(now))
 	p.logBound(now, l, &shares)
 	l.queue.order(shares.rates, shares.fairRate)
 	meanTiming := l.meanTiming(now)
