Tell organisations that are held back when a pause ends

Callers of an organisation that is held to a bound were told to return in 0.2 to 2.2 s while all endpoints had asked for a longer time, and were refused again: a scan refused their requests because of the bound before it looked at the endpoints. It now looks at the endpoints first, so that the refusal states the end of the earliest pause, as for any other organisation. The work counts as unserved, which it is for another reason than the bound.

TestBoundedOrganisationIsToldTheEndOfPause failed before (a time to return before the end of a pause of 10 s) and passes now (go test -race -run TestBoundedOrg ./internal/coordination/admission).

--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -132,8 +132,12 @@
 }
 
 // refuseHeld refuses a request of an organisation that the bound holds back. Each
-// further caller is asked to return when one more request may have been started.
-func (p *Policy) refuseHeld(now time.Time, w *queuedRequest, s *shares) {
+// further caller is asked to return when one more request may have been started, or
+// when an endpoint takes requests again.
+func (p *Policy) refuseHeld(now time.Time, l *pool, w *queuedRequest, s *shares) {
+	if p.refusePaused(now, l, w) {
+		return
+	}
 	own := p.usage.organisationUsage(w.request.Organisation)
 	if own.returnAt.Before(own.nextStartAt) {
 		own.returnAt = own.nextStartAt
--- a/internal/coordination/admission/pauseinterplay_test.go
+++ b/internal/coordination/admission/pauseinterplay_test.go
@@ -327,3 +327,25 @@
 	is.True(f.started["single"]*2 >= f.started["spread"])
 	is.True(f.started["spread"]*2 >= f.started["single"])
 }
+
+// TestBoundedOrganisationIsToldTheEndOfPause guards against callers of an organisation
+// that is held to a bound and told to return before any endpoint takes requests.
+func TestBoundedOrganisationIsToldTheEndOfPause(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, pauseTokensPerSecond)
+	u := w.policy.usage
+	u.addRequested(w.now, "most", 400_000)
+	u.addReceived(w.now, "most", 300_000)
+	u.addRequested(w.now, "least", 400_000)
+	u.addReceived(w.now, "least", 100_000)
+	u.addUnserved(w.now, "least", 100_000)
+	is.Equal(newShares(u.fleetRates(w.now), pauseTokensPerSecond).leastServed, "least")
+	w.send("most", 1000) // the next one may start later
+	is.Equal(w.started["most"], 1)
+	until := w.now.Add(10 * time.Second)
+	w.pause(0, until)
+	w.send("most", 1000)
+	w.advance(testStep)
+	is.Equal(len(w.refusals), 1)
+	is.True(!w.refusals[0].RetryAt.Before(until))
+}
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -72,7 +72,7 @@
 	remaining := l.queue.requests[:0]
 	for _, w := range l.queue.requests {
 		if !p.mayStart(now, w, &shares) {
-			p.refuseHeld(now, w, &shares)
+			p.refuseHeld(now, l, w, &shares)
 			continue
 		}
 		capacityShare := shares.capacityShare(&w.request)
