Tell callers of rejected last attempts when endpoints reopen

A caller whose request may be sent once, or whose last permitted attempt was turned away, was told to return in 1 s although all endpoints of the service had asked for a longer time: the runner knew only that the attempt had not run.

The answer now tells the runner when an endpoint of the service takes requests again (execution.PauseReporter), which the core knows from the pauses that MaySend looks at. The time to return is that instant and a random part after it, of half the pause and 1 s at the most. While another endpoint takes requests, it remains 1 s.

--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -353,7 +353,7 @@
 		return schedule.ResultSilent, err
 	}
 	if rejected(a.Call, answer) {
-		return schedule.ResultRejected, fmt.Errorf("endpoint %s answered status %d: it has not run the attempt", a.Endpoint.ID, answer.Status())
+		return schedule.ResultRejected, newRejectedError(a, answer)
 	}
 	watch.resume(p, out.started)
 	retry := false
@@ -483,7 +483,7 @@
 	}
 	return &caller.Problem{
 		Title: "The endpoint did not answer", Status: status, Detail: err.Error(),
-		NotRun: notRun(mayHaveRun), Step: "Execute", RequestID: c.RequestID, RetryAt: time.Now().Add(defaultRetryDelay),
+		NotRun: notRun(mayHaveRun), Step: "Execute", RequestID: c.RequestID, RetryAt: retryAt(time.Now(), err),
 	}
 }
 
--- a/internal/transport/router/statements.go
+++ b/internal/transport/router/statements.go
@@ -50,6 +50,26 @@
 	}).Info("EndpointPaused")
 }
 
+// ReopensAt returns the earliest instant at which an endpoint of the pool takes requests
+// if all those that do not leave have asked for time, and zero otherwise.
+func (c *Core) ReopensAt(pool string) time.Time {
+	now := time.Now()
+	var earliest time.Time
+	for _, e := range c.fleet.View().Endpoints {
+		if e.Pool != pool || e.Leaving {
+			continue
+		}
+		until := c.pauses.end(e.ID)
+		if !now.Before(until) {
+			return time.Time{}
+		}
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	return earliest
+}
+
 // pauses are the times during which endpoints have asked to get no requests.
 type pauses struct {
 	mu    sync.Mutex
@@ -73,7 +93,12 @@
 
 // paused reports whether the endpoint has asked to get no requests at present.
 func (p *pauses) paused(id view.EndpointID, now time.Time) bool {
+	return now.Before(p.end(id))
+}
+
+// end returns when the last pause of the endpoint ends; zero if it is unknown.
+func (p *pauses) end(id view.EndpointID) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Before(p.until[id])
+	return p.until[id]
 }
