Retain statements of departure that a starting router has learnt

A router that starts anew learns from another one which endpoints exist and leave. It then took the next list at its word: where the list still stated that such an endpoint was ready, it sent requests there, although the endpoint had said in an answer that it leaves. Only the statements that a router had received itself outweighed lists.

Learn records the endpoints that leave like statements of their own, for the rest of their start. The instant from which the record is retained is that of the next list, since Learn has no clock.

TestStatementOutlastsStandstillAndRestart failed before for the router that starts anew, and passed for one that stood still for longer than records are retained; both pass now (go test -race ./internal/coordination/listing).

--- a/internal/coordination/listing/history.go
+++ b/internal/coordination/listing/history.go
@@ -49,6 +49,9 @@
 		t.Restored(h.RestoredAt)
 	}
 	for _, e := range h.Known {
+		if _, stated := t.leaving[e.ID]; e.Leaving && !stated {
+			t.leaving[e.ID] = time.Time{} // applyLeaving sets the instant
+		}
 		if g, left := t.gone[e.ID]; left && e.Sequence <= g.Sequence {
 			continue
 		}
--- a/internal/coordination/listing/leaving.go
+++ b/internal/coordination/listing/leaving.go
@@ -26,6 +26,8 @@
 			e.Leaving = true
 			current[id] = e
 			t.leaving[id] = now
+		case at.IsZero():
+			t.leaving[id] = now
 		case now.Sub(at) > goneLifetime:
 			delete(t.leaving, id)
 		}
--- a/internal/coordination/listing/leaving_test.go
+++ b/internal/coordination/listing/leaving_test.go
@@ -79,3 +79,23 @@
 	now = now.Add(500 * time.Millisecond)
 	is.True(table.Update(now, []view.Endpoint{a})[0].Leaving)
 }
+
+// TestStatementOutlastsStandstillAndRestart guards against a router that stood still, or
+// started anew and learnt the statement from another, and takes a later list at its word.
+func TestStatementOutlastsStandstillAndRestart(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{LapseTime: time.Second, RelistTime: 2 * time.Second}
+	table, next := New(limits), New(limits)
+	a := endpoint("a#0", "10.0.0.1:80")
+	now := time.Unix(100, 0)
+	table.Update(now, []view.Endpoint{a})
+	table.RecordLeaving(now, a.ID)
+	next.Learn(table.History(now))
+	for range 3 {
+		now = now.Add(goneLifetime + time.Second)
+		a.Sequence++
+		for _, t := range []*Table{table, next} {
+			is.True(t.Update(now, []view.Endpoint{a})[0].Leaving)
+		}
+	}
+}
