Let the endpoint that crashes continue a stream with the next event

The test's endpoint repeated event 1 in a continuation; since continuations are checked the router closes such an attempt, and the endpoint crashed 20 ms later under no attempt. All eight endpoints ended within half a second, three of them with evidence.

An endpoint that continues sends the next event.

--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -136,17 +136,17 @@
 	if string(body) == bodyCrashLate {
 		events = math.MaxInt
 	}
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if strings.HasPrefix(string(body), bodyCrashPart) {
 		time.Sleep(streamEventPause)
 		if strings.HasPrefix(string(body), bodyCrashPartEvent) {
-			_, _ = fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", first+1, first+1)
 			w.(http.Flusher).Flush()
 			time.Sleep(streamEventPause)
 		}
 		e.crash(start)
 		panic(http.ErrAbortHandler) // a process that has ended completes no answer
 	}
-	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := first + 1; n <= events; n++ {
 		if string(body) == bodyCrash && n == first+3 {
 			e.crash(start)
