Move decisions and counters of the adapter into the product

The counters and the log of broken answers move to transport/entry, so that the router that reads the operators' text logs the cause of a broken answer as well, which it did not.

--- a/internal/coordination/schedule/schedule.go
+++ b/internal/coordination/schedule/schedule.go
@@ -1,8 +1,11 @@
 package schedule
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hyssopreach/internal/state/view"
 )
 
@@ -82,6 +85,21 @@
 	Identity uint64
 }
 
+// SetIdentity derives the identity from the parts, the last of which is the request's
+// own, and from the lengths. It remains zero without parts.
+func (p *Prompt) SetIdentity() {
+	if len(p.Parts) == 0 {
+		return
+	}
+	data := binary.LittleEndian.AppendUint64(nil, uint64(p.InputTokens))
+	data = binary.LittleEndian.AppendUint64(data, uint64(p.OutputTokens))
+	for _, part := range p.Parts {
+		data = binary.LittleEndian.AppendUint64(data, part.ID)
+		data = binary.LittleEndian.AppendUint64(data, uint64(part.Tokens))
+	}
+	p.Identity = max(xxhash.Sum64(data), 1)
+}
+
 // PromptPart is a part of a prompt. Other prompts may begin with the same
 // part.
 type PromptPart struct {
--- a/internal/protocol/caller/problem.go
+++ b/internal/protocol/caller/problem.go
@@ -51,6 +51,21 @@
 	return fmt.Sprintf("%s at step %s (status %d, NotRun %s): %s", p.Title, p.Step, p.Status, p.NotRun, p.Detail)
 }
 
+// ProvenStatus returns the status for callers that take 503, or a status below 500, as
+// a promise that the request has not run and never will: one of these if that is known,
+// and no other.
+func (p *Problem) ProvenStatus() int {
+	notRun := p.NotRun == NotRunTrue
+	switch {
+	case notRun && p.Status >= http.StatusInternalServerError:
+		return http.StatusServiceUnavailable
+	case !notRun && (p.Status < http.StatusInternalServerError || p.Status == http.StatusServiceUnavailable):
+		return http.StatusBadGateway
+	default:
+		return p.Status
+	}
+}
+
 // Write writes the refusal as the HTTP response.
 func (p *Problem) Write(w http.ResponseWriter, now time.Time) {
 	if p.Type == "" {
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -107,6 +107,13 @@
 	return nil, false
 }
 
+// CanConnect reports whether an endpoint may have the address: a connection to an
+// unspecified address reaches this host, and none to the others.
+func CanConnect(a netip.AddrPort) bool {
+	ip := a.Addr().Unmap()
+	return a.IsValid() && a.Port() > 0 && !ip.IsUnspecified() && !ip.IsMulticast() && ip != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
+
 // Accepts reports whether the endpoint may receive new requests for the model
 // at the given time. The model is empty for a plain service.
 func (e *Endpoint) Accepts(model string, now time.Time) bool {
--- a/internal/transport/entry/handler.go
+++ b/internal/transport/entry/handler.go
@@ -18,24 +18,6 @@
 	"hyssopreach/internal/transport/execution"
 )
 
-// The names of the metrics that count callers' requests.
-const (
-	MetricRequests = "Requests"
-	MetricAnswers  = "Answers"
-	MetricRefusals = "Refusals"
-	MetricBroken   = "BrokenAnswers"
-	// MetricDuration is in microseconds.
-	MetricDuration = "RequestDurationMicros"
-)
-
-const (
-	// sampleSize is the number of durations that the histogram keeps.
-	sampleSize = 1028
-	// sampleDecay is the exponential decay rate of the histogram, which gives the
-	// last five minutes the most weight.
-	sampleDecay = 0.015
-)
-
 // Executor runs admitted calls; see execution.Runner.Run for the errors that it
 // returns.
 type Executor interface {
@@ -77,10 +59,9 @@
 	configurations Configurations
 	views          execution.Views
 	executor       Executor
-	registry       metrics.Registry
+	metrics        *Metrics
 	logger         log.Interface
 	bodies         *BodyLimiter
-	durations      metrics.Histogram
 	draining       atomic.Bool
 	mux            *http.ServeMux
 }
@@ -89,9 +70,8 @@
 func New(router view.RouterID, limits Limits, configurations Configurations, views execution.Views, executor Executor, registry metrics.Registry, logger log.Interface) *Handler {
 	h := &Handler{
 		router: router, limits: limits, configurations: configurations, views: views,
-		executor: executor, registry: registry, logger: logger,
-		durations: metrics.GetOrRegisterHistogram(MetricDuration, registry, metrics.NewExpDecaySample(sampleSize, sampleDecay)),
-		bodies:    NewBodyLimiter(limits.TotalBodyBytes), mux: http.NewServeMux(),
+		executor: executor, metrics: NewMetrics(registry), logger: logger,
+		bodies: NewBodyLimiter(limits.TotalBodyBytes), mux: http.NewServeMux(),
 	}
 	h.mux.HandleFunc("GET "+caller.PathRouters, h.serveRouters)
 	h.mux.HandleFunc("POST "+caller.PathChatCompletions, h.serveModel)
@@ -123,7 +103,7 @@
 func (h *Handler) newRequest(w http.ResponseWriter, r *http.Request) *request {
 	id := string(h.router) + "-" + uuid.NewString()
 	w.Header().Set(caller.HeaderRequestID, id)
-	metrics.GetOrRegisterCounter(MetricRequests, h.registry).Inc(1)
+	h.metrics.Arrived()
 	return &request{id: id, now: time.Now(), writer: w, Request: r}
 }
 
@@ -144,7 +124,7 @@
 func (h *Handler) writeRefusal(r *request, p *caller.Problem) {
 	p.RequestID = r.id
 	p.Routers = h.otherRouters()
-	metrics.GetOrRegisterCounter(MetricRefusals, h.registry).Inc(1)
+	h.metrics.Refused(nil)
 	h.logger.WithFields(log.Fields{
 		"RequestID": r.id, "Status": p.Status, "NotRun": p.NotRun, "Step": p.Step, "Detail": p.Detail,
 	}).Info("RequestRefused")
@@ -167,16 +147,15 @@
 func (h *Handler) run(r *request, c *execution.Call) {
 	sink := NewSink(r.writer, c.Stream, h.limits.WriteTimeout)
 	err := h.executor.Run(r.Context(), c, sink)
-	h.durations.Update(time.Since(r.now).Microseconds())
+	h.metrics.Ran(r.now)
 	var problem *caller.Problem
 	switch {
 	case err == nil:
-		metrics.GetOrRegisterCounter(MetricAnswers, h.registry).Inc(1)
+		h.metrics.Answered(nil)
 	case errors.As(err, &problem):
 		h.writeRefusal(r, problem)
 	default:
-		metrics.GetOrRegisterCounter(MetricBroken, h.registry).Inc(1)
-		h.logger.WithFields(log.Fields{"RequestID": r.id, "Error": err}).Warn("AnswerBroken")
+		h.metrics.Broken(h.logger, r.id, err)
 		sink.abort(r.id, err)
 	}
 }
--- a/internal/transport/execution/rejection.go
+++ b/internal/transport/execution/rejection.go
@@ -12,24 +12,17 @@
 // maxRetrySpread bounds the random part of the time to return after a rejection.
 const maxRetrySpread = time.Second
 
-// PauseReporter is implemented by answers that know when endpoints take requests again.
-type PauseReporter interface {
-	// ReopensAt returns the earliest instant at which an endpoint of the service takes
-	// requests; zero if one does so now.
-	ReopensAt() time.Time
-}
-
 // rejectedError reports an attempt that its endpoint has not run.
 type rejectedError struct {
 	endpoint  view.EndpointID
 	status    int
-	reopensAt time.Time // see PauseReporter
+	reopensAt time.Time // see Runner.ReopensAt
 }
 
-func newRejectedError(a *Attempt, answer Answer) *rejectedError {
+func (r *Runner) newRejectedError(a *Attempt, answer Answer) *rejectedError {
 	e := &rejectedError{endpoint: a.Endpoint.ID, status: answer.Status()}
-	if p, ok := answer.(PauseReporter); ok {
-		e.reopensAt = p.ReopensAt()
+	if r.ReopensAt != nil {
+		e.reopensAt = r.ReopensAt(a.Call.Service.Pool)
 	}
 	return e
 }
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -104,6 +104,9 @@
 	Late func() bool
 	// Prober examines endpoints at which attempts broke off; nil to examine none.
 	Prober Prober
+	// ReopensAt returns the earliest instant at which an endpoint of a pool takes requests,
+	// zero if one does so now; nil if endpoints never ask for time.
+	ReopensAt func(pool string) time.Time
 	// Survived is called for a stream whose endpoint has sent events for SurvivalTime;
 	// nil to call nothing.
 	Survived func(*Call)
@@ -353,7 +356,7 @@
 		return schedule.ResultSilent, err
 	}
 	if rejected(a.Call, answer) {
-		return schedule.ResultRejected, newRejectedError(a, answer)
+		return schedule.ResultRejected, r.newRejectedError(a, answer)
 	}
 	watch.resume(p, out.started)
 	retry := false
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -15,6 +15,7 @@
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/clock"
+	"hyssopreach/internal/transport/connlimit"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 )
@@ -41,6 +42,8 @@
 	// the head of the answer has not arrived within this time, the router looks for
 	// another endpoint.
 	idempotentSilenceFactor = 2.5
+	// defaultBodyBytes limits a caller's body while no limit is configured.
+	defaultBodyBytes = 4 << 20
 	// joinGrace is the time after its start during which a router that knows no
 	// other router does not yet list the routers to callers, because it may not
 	// have received heartbeats of the others yet.
@@ -286,10 +289,19 @@
 	return r.Patience - time.Duration(min(max(continuationObjectives*float64(r.Objective), shortest), longest))
 }
 
-// ReadsLate reports whether this router has lately read requests some time after they
-// arrived.
-func (c *Core) ReadsLate() bool {
-	return c.overload.Fraction() > 0 || c.sources.router.lateness.Late()
+// MaxBodyBytes returns the size to which a caller's body is limited.
+func (c *Core) MaxBodyBytes() int64 {
+	if limit := c.Table().Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultBodyBytes
+}
+
+// CallerLeft reports whether the caller of the request with the given context has left.
+// It looks only while this router reads requests some time after they have arrived.
+func (c *Core) CallerLeft(ctx context.Context) bool {
+	late := c.overload.Fraction() > 0 || c.sources.router.lateness.Late()
+	return late && connlimit.CallerLeft(ctx)
 }
 
 func (c *Core) lateness() time.Duration { return c.sources.router.lateness.Recent() }
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -209,7 +209,7 @@
 		&fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}, h.Logger)
 	r.core.runner.EndpointsAge, r.core.runner.Late = r.sources.listAge, r.lateness.Late
 	r.core.runner.Prober = newProber(h.Network, h.Registry)
-	r.core.runner.Survived = r.suspects.Survived
+	r.core.runner.Survived, r.core.runner.ReopensAt = r.suspects.Survived, r.core.reopensAt
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
 		r.closeComponents()
 		return nil, fmt.Errorf("start router %s: %w", s.Name, err)
--- a/internal/transport/router/statements.go
+++ b/internal/transport/router/statements.go
@@ -20,6 +20,10 @@
 	MetricPauses = "EndpointPauses"
 )
 
+// maxPause bounds the time that an endpoint may ask for. A longer one is more likely an
+// error, such as milliseconds in place of seconds.
+const maxPause = 5 * time.Minute
+
 // EndpointLeaves records that an endpoint has stated, in the answer to the given
 // request, that it leaves. When it returns, no attempt is sent to the endpoint any
 // more; attempts that have been sent continue.
@@ -37,11 +41,15 @@
 }
 
 // PauseEndpoint records that an endpoint has asked, in the answer to the given request,
-// to get no requests until the given instant. When it returns, no attempt is sent to
-// the endpoint before that instant.
+// to get no requests until the given instant, which is bounded by maxPause. When it
+// returns, no attempt is sent to the endpoint before that instant.
 func (c *Core) PauseEndpoint(id view.EndpointID, until time.Time, requestID string) {
 	metrics.GetOrRegisterCounter(MetricPauses, c.options.Registry).Inc(1)
-	if !c.pauses.add(time.Now(), id, until) {
+	now := time.Now()
+	if latest := now.Add(maxPause); until.After(latest) {
+		until = latest
+	}
+	if !c.pauses.add(now, id, until) {
 		return
 	}
 	c.scheduling.Input(schedule.Pause{Endpoint: id, Until: until})
@@ -50,9 +58,9 @@
 	}).Info("EndpointPaused")
 }
 
-// ReopensAt returns the earliest instant at which an endpoint of the pool takes requests
+// reopensAt returns the earliest instant at which an endpoint of the pool takes requests
 // if all those that do not leave have asked for time, and zero otherwise.
-func (c *Core) ReopensAt(pool string) time.Time {
+func (c *Core) reopensAt(pool string) time.Time {
 	now := time.Now()
 	var earliest time.Time
 	for _, e := range c.fleet.View().Endpoints {
--- a/internal/transport/router/statements_test.go
+++ b/internal/transport/router/statements_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -47,3 +48,14 @@
 	is.Equal(len(r.core.pauses.until), 1) // the first one has ended
 	is.Equal(len(r.Fleet().Endpoints), 1)
 }
+
+// TestPauseIsBounded guards against an endpoint that is out of use for ever since it asked
+// for too long a time.
+func TestPauseIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	r := startHostedFleet(t, s, 1)[0]
+	r.core.PauseEndpoint("e#0", time.Now().Add(math.MaxInt64), "1")
+	is.True(!r.core.MaySend(&text.Organisation{}, "e#0"))
+	is.True(!r.core.pauses.paused("e#0", time.Now().Add(maxPause)))
+}
