Reject a convicted part at once when its trial crashes

A part that crashes endpoints cost more than one of them at each trial: the crash prolonged the rejection only once it had been judged, 0.1 s later, and ended the trial at once. The retry of the tried request, and what else came to that router in this time, was tried again.

New evidence against a convicted part now prolongs its rejection when it arrives, at every router; judging it later sets the exact end, or clears it.

TestTrialThatCrashesIsNotRepeatedAtOnce failed before (the retry got VerdictFree) and passes now: go test -race ./internal/coordination/suspect, 7.8 s.

--- a/internal/coordination/suspect/part.go
+++ b/internal/coordination/suspect/part.go
@@ -67,6 +67,7 @@
 		return
 	}
 	t.repeated[e.Fingerprint] = struct{}{}
+	t.prolongRejection(e)
 	at := e.At.Add(settleTime)
 	if at.Before(now) {
 		at = now
@@ -76,6 +77,16 @@
 	}
 }
 
+// prolongRejection makes a crash of a convicted part count before it is judged. Otherwise
+// the retry of a request that was tried, or the next one, would be tried meanwhile.
+func (t *Table) prolongRejection(e Evidence) {
+	for _, c := range t.convictions {
+		if until := e.At.Add(c.pause); slices.Contains(c.parts, e.Fingerprint) && until.After(c.until) {
+			c.until = until
+		}
+	}
+}
+
 // receivePartEvidence handles evidence against a part from another router. It returns
 // the evidence marked as cleared if an answer at this router outweighs it.
 func (t *Table) receivePartEvidence(now time.Time, e Evidence) (cleared Evidence, objects bool) {
--- a/internal/coordination/suspect/part_test.go
+++ b/internal/coordination/suspect/part_test.go
@@ -358,6 +358,24 @@
 	}
 }
 
+// TestTrialThatCrashesIsNotRepeatedAtOnce guards against losing a further endpoint to a
+// trial: its own retry, or the next request, before the crash has been judged.
+func TestTrialThatCrashesIsNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(4)
+	f.convictPart(crashingPart)
+	f.now = f.now.Add(firstRejection)
+	owner := f.tables["r0"].view.Owners(ownerKey(crashingPart), 1)[0]
+	fp := f.newRequest()
+	f.step(owner, CheckRequest{ID: f.lastID, Fingerprint: fp, Parts: []Fingerprint{crashingPart}, Deadline: f.now.Add(time.Second)})
+	is.Equal(f.checked[f.lastID].Verdict, VerdictFree)
+	f.requestFailed(owner, endpoint(50), fp, crashingPart)
+	is.True(f.checkRequest(owner, fp, crashingPart).Verdict == VerdictRejected)
+	is.True(f.heldEverywhere(crashingPart))
+	f.advance(settleTime)
+	is.True(f.heldEverywhere(crashingPart))
+}
+
 // TestConvictedPartIsTriedByOtherRouters guards against a part that stays rejected since
 // no request with it comes to the router whose turn it is.
 func TestConvictedPartIsTriedByOtherRouters(t *testing.T) {
