Detect crashes under answers that end with their connection

Such an answer ends with its connection, so one that is cut off after an event, or in a plain body, looks complete. The router took it for a success, which even cleared the evidence against the request and its parts.

A crashed attempt clears nothing.

--- a/internal/transport/endpoint/answer.go
+++ b/internal/transport/endpoint/answer.go
@@ -28,8 +28,7 @@
 
 func newAnswer(endpoint netip.AddrPort, response *http.Response, model, allowCloseDelimited bool) *Answer {
 	a := &Answer{endpoint: endpoint, response: response}
-	a.undelimited = !allowCloseDelimited && response.ContentLength < 0 && len(response.TransferEncoding) == 0 &&
-		response.Body != http.NoBody
+	a.undelimited = !allowCloseDelimited && a.CloseDelimited()
 	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	if model && err == nil && mediaType == "text/event-stream" {
 		a.events = &eventReader{}
@@ -43,6 +42,12 @@
 // Header returns the header of the answer.
 func (a *Answer) Header() http.Header { return a.response.Header }
 
+// CloseDelimited reports whether the answer has neither a length nor chunked encoding,
+// and so ends with its connection.
+func (a *Answer) CloseDelimited() bool {
+	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 && a.response.Body != http.NoBody
+}
+
 // Length returns the length of the body in bytes, or -1 if it is unknown.
 func (a *Answer) Length() int64 { return a.response.ContentLength }
 
--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -27,6 +27,12 @@
 	Rejected() bool
 }
 
+// CloseDelimitedReporter is implemented by answers that may have neither a length nor
+// chunks. These end with their connection, whether they are complete or not.
+type CloseDelimitedReporter interface {
+	CloseDelimited() bool
+}
+
 // Backend sends attempts to endpoints.
 type Backend interface {
 	// Send sends the attempt and returns once the head of the answer has
@@ -73,6 +79,11 @@
 	return c.Class.Idempotent && meansNotRun(c, answer.Status())
 }
 
+func closeDelimited(answer Answer) bool {
+	a, ok := answer.(CloseDelimitedReporter)
+	return ok && a.CloseDelimited()
+}
+
 // meansNotRun reports whether the status means that the endpoint did not run
 // the call: the endpoint is full, or it is an engine that no longer holds the
 // model.
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -168,6 +168,8 @@
 	// FirstEventAt is when the first event of the answer arrived, if it is a stream
 	// of events; zero if none has.
 	FirstEventAt time.Time
+	// CloseDelimited is set if the answer ends with its connection.
+	CloseDelimited bool
 }
 
 // Address returns the address that the attempt is sent to.
--- a/internal/transport/execution/crash.go
+++ b/internal/transport/execution/crash.go
@@ -19,13 +19,22 @@
 	maxLoggedParts = 16
 )
 
+// examineEnd reports whether the endpoint crashed under an attempt. That is examined where
+// the answer broke off, and where it ended with its connection: it looks complete then.
+func (r *Runner) examineEnd(ctx context.Context, a *Attempt, result schedule.Result, begin time.Time) bool {
+	switch {
+	case r.Prober == nil:
+		return false
+	case result == schedule.ResultFinished && a.CloseDelimited:
+		return r.Prober.Probe(ctx, &a.Endpoint) == ProcessGone && r.examineBreak(ctx, a, begin)
+	}
+	return result == schedule.ResultBroken && r.examineBreak(ctx, a, begin)
+}
+
 // examineBreak reports whether the endpoint crashed under an attempt that broke
 // off there, and logs it. The fingerprint in the log shows which attempts were
 // sent for the same request.
 func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time) bool {
-	if r.Prober == nil {
-		return false
-	}
 	elapsed := time.Since(begin)
 	state := r.Prober.Probe(ctx, &a.Endpoint)
 	e, listed := r.Views.View().Endpoint(a.Endpoint.ID)
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -73,7 +73,8 @@
 	Endpoint view.EndpointID
 	Result   schedule.Result
 	// Crashed is set if the process of the endpoint is known to have ended,
-	// unplanned, while it ran the attempt.
+	// unplanned, while it ran the attempt. Its answer may look complete if it ended
+	// with its connection.
 	Crashed bool
 	// Status is the status of the answer; zero if its head has not arrived.
 	Status int
@@ -310,9 +311,7 @@
 		for _, w := range r.Watchers {
 			w.AttemptEnded(a, result, err)
 		}
-		if result == schedule.ResultBroken {
-			crashed = r.examineBreak(ctx, a, meter.begin)
-		}
+		crashed = r.examineEnd(ctx, a, result, meter.begin)
 	} else {
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
 	}
@@ -351,7 +350,7 @@
 		return watch.result(sendResult(ctx, err)), fmt.Errorf("send attempt %s to endpoint %s: %w", a.ID, a.Endpoint.ID, err)
 	}
 	defer func() { _ = answer.Close() }()
-	a.AnsweredAt, a.Status = time.Now(), answer.Status()
+	a.AnsweredAt, a.Status, a.CloseDelimited = time.Now(), answer.Status(), closeDelimited(answer)
 	if err := watch.checkGivenUp(); err != nil {
 		return schedule.ResultSilent, err
 	}
--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -43,9 +43,11 @@
 	// at once, and after lateCrashTime. For those with bodyReset, endpoints reset
 	// the connection at times. The bodies of requests with a part that crashes
 	// endpoints begin with bodyCrashPart, or with bodyCrashPartEvent if that happens
-	// after the first event.
+	// after the first event, or with bodyCrashPartClose if the answer has neither a length
+	// nor chunks.
 	bodyCrash, bodyCrashLate, bodyReset = "crash", "crash late", "reset"
 	bodyCrashPart, bodyCrashPartEvent   = "part", "part after event"
+	bodyCrashPartClose                  = "part without length"
 	lateCrashTime                       = crashDelay + 100*time.Millisecond
 	streamEventCount                    = 20
 	streamEventPause                    = 20 * time.Millisecond
@@ -137,6 +139,10 @@
 		events = math.MaxInt
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if strings.HasPrefix(string(body), bodyCrashPartClose) {
+		e.crashWithoutLength(w, start, first)
+		return
+	}
 	if strings.HasPrefix(string(body), bodyCrashPart) {
 		time.Sleep(streamEventPause)
 		if strings.HasPrefix(string(body), bodyCrashPartEvent) {
@@ -177,6 +183,20 @@
 	}
 }
 
+// crashWithoutLength crashes after the first event of an answer that ends with its
+// connection.
+func (e *crashingEndpoint) crashWithoutLength(w http.ResponseWriter, start, first int) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: %s\r\nConnection: close\r\n\r\nid: %d\ndata: 1\n\n",
+		headerAttempt, w.Header().Get(headerAttempt), w.Header().Get("Content-Type"), first+1)
+	time.Sleep(streamEventPause)
+	e.crash(start)
+}
+
 func (e *crashingEndpoint) id(start int) view.EndpointID {
 	return view.EndpointID(fmt.Sprint(e.address, "#", start))
 }
@@ -226,7 +246,7 @@
 }
 
 func (p *crashPlatform) Backend(*Core) execution.Backend {
-	return &crashBackend{endpoint.NewClientWithOptions(nil, endpoint.Options{AttemptHeader: headerAttempt, IdleTimeout: time.Minute, ConnsPerEndpoint: 100})}
+	return &crashBackend{endpoint.NewClientWithOptions(nil, endpoint.Options{AttemptHeader: headerAttempt, AllowCloseDelimited: true, IdleTimeout: time.Minute, ConnsPerEndpoint: 100})}
 }
 
 func (p *crashPlatform) HTTPServices(*Core) []HTTPService { return nil }
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -345,7 +345,7 @@
 		confirmed = nil
 	}
 	parts := s.parts(c)
-	finished := o.Result == schedule.ResultFinished
+	finished := o.Result == schedule.ResultFinished && !o.Crashed
 	served := finished && o.Status < http.StatusMultipleChoices
 	if s.hasEvidence.Load() || served && len(parts) > 0 {
 		s.driver.Input(suspect.RunEnded{Fingerprint: fingerprint(c), Parts: parts, Finished: finished, Served: served})
