Send evidence against convicted parts until every router confirms it

A router that could not be reached by those that saw the crashes, but by others, passed on requests with a convicted part for several seconds after the links worked again, and could lose as many endpoints as the others had (BUDGET).

Evidence was sent again after 1, 2, 4, 8 s whether it had arrived or not, so the router got it up to as long after the end of a cut as the cut had lasted. One that is cut off from all others leaves the view and gets it when it returns; one that others still hear does not. Found in a review of crashing parts.

Each router now notes which others have not confirmed evidence in time, or were suspected when it was sent, and sends them the evidence against convicted parts each second until they confirm it or leave the view. One message is enough, and nothing is sent where all have confirmed.

--- a/internal/coordination/suspect/broadcast.go
+++ b/internal/coordination/suspect/broadcast.go
@@ -28,7 +28,11 @@
 func (t *Table) startBroadcast(now time.Time, in EndpointFailed, evidence []Evidence) {
 	b := &broadcast{EndpointFailed: in, evidence: evidence, resendAt: now.Add(resendInterval), until: now.Add(t.options.ConfirmTimeout)}
 	for i := range t.view.Routers {
-		if r := &t.view.Routers[i]; r.ID != t.self && !r.Suspected {
+		switch r := &t.view.Routers[i]; {
+		case r.ID == t.self:
+		case r.Suspected:
+			t.addMissed(r.ID)
+		default:
 			b.unconfirmed = append(b.unconfirmed, r.ID)
 		}
 	}
@@ -66,6 +70,7 @@
 	t.broadcasts = slices.DeleteFunc(t.broadcasts, func(b *broadcast) bool {
 		if len(b.unconfirmed) == 0 || !now.Before(b.until) {
 			t.emit(BroadcastDone{b.ID})
+			t.addMissed(b.unconfirmed...)
 			return true
 		}
 		if !now.Before(b.resendAt) {
--- a/internal/coordination/suspect/table.go
+++ b/internal/coordination/suspect/table.go
@@ -86,6 +86,11 @@
 	// trials holds, by the first part of a conviction, the deadline of the request that
 	// is being tried.
 	trials map[Fingerprint]time.Time
+	// missed holds the routers that have not confirmed some evidence in time. They are
+	// sent more at catchUpAt, until they confirm it by catchUpAck.
+	missed     map[view.RouterID]struct{}
+	catchUpAt  time.Time
+	catchUpAck EvidenceAck
 	// recordsDueAt is no later than the next instant at which a record or a late
 	// failure expires or evidence is sent again; zero if there is none.
 	recordsDueAt time.Time
@@ -98,7 +103,7 @@
 	return &Table{
 		options: o, self: o.Self, view: &view.Snapshot{Self: o.Self},
 		records: map[Fingerprint]*record{}, late: map[Fingerprint]*late{}, trials: map[Fingerprint]time.Time{},
-		repeated: map[Fingerprint]struct{}{},
+		repeated: map[Fingerprint]struct{}{}, missed: map[view.RouterID]struct{}{},
 	}
 }
 
@@ -268,6 +273,7 @@
 		t.receiveEvidence(now, in.From, m)
 	case EvidenceAck:
 		t.evidenceConfirmed(in.From, m)
+		t.catchUpConfirmed(in.From, m)
 	case PermitRequest:
 		t.permitRequested(now, in.From, m)
 	case PermitReply:
@@ -283,8 +289,11 @@
 // confirmed; that against the parts of their prompts is in the same message.
 func (t *Table) receiveEvidence(now time.Time, from view.RouterID, m EvidenceUpdate) {
 	var cleared []Evidence
+	if m.isCatchUp() {
+		t.send(now, from, EvidenceAck{m.Evidence[0].Fingerprint, m.Evidence[0].Endpoint})
+	}
 	for _, e := range m.Evidence {
-		e = t.adjustClock(now, e, m.Reply)
+		e = t.adjustClock(now, e, m.Reply && !m.isCatchUp())
 		if e.Fingerprint.isPart() {
 			if c, objects := t.receivePartEvidence(now, e); objects && m.Reply {
 				cleared = append(cleared, c)
@@ -326,6 +335,7 @@
 	}
 	t.view = v
 	t.dropGoneRouters()
+	t.dropGoneMissed()
 	var joined []view.RouterID
 	var senders view.Snapshot
 	for i := range v.Routers {
@@ -422,8 +432,10 @@
 	if !t.judgeAt.IsZero() {
 		scheduleAt(t.judgeAt)
 	}
-	if next := t.advanceBroadcasts(now); !next.IsZero() {
-		scheduleAt(next)
+	for _, next := range []time.Time{t.advanceBroadcasts(now), t.catchUp(now)} {
+		if !next.IsZero() {
+			scheduleAt(next)
+		}
 	}
 	if !at.IsZero() && !at.Equal(t.wakeAt) {
 		t.wakeAt = at
