Stop trying a part that keeps crashing endpoints

A part that crashes endpoints went on to take one at each trial of a convicted part, after 30 s, 60 s, 120 s, ..., and three each time its evidence had expired after 15 minutes, as long as such requests came.

The verdict ended with time, which shows nothing about the part. The evidence against a convicted part is now retained until an answer on the part clears it. Trials go on as before, but after two that crash endpoints later than the fifth crash, the rejection is final. A part convicted by accident is tried at least twice, and would have to meet a crash for another reason each time.

--- a/internal/coordination/suspect/part.go
+++ b/internal/coordination/suspect/part.go
@@ -18,6 +18,9 @@
 	// together are rejected each by itself: the requests with one of them may not be
 	// those with the others. A request has fewer attempts.
 	separateThreshold = 5
+	// lateThreshold and maxLateTrials bound the trials of a part that crash endpoints:
+	// maxLateTrials after the first lateThreshold crashes.
+	lateThreshold, maxLateTrials = 5, 2
 	// trialRetryDelay is the time after which a caller may come again that is refused
 	// because another request with its part is being tried.
 	trialRetryDelay = time.Second
@@ -30,9 +33,11 @@
 type partConviction struct {
 	parts     []Fingerprint // in ascending order
 	endpoints []view.EndpointID
-	// until is the end of the rejection, and pause its length.
+	// until is the end of the rejection, and pause its length. It has no end if final is
+	// set; callers may then ask again after pause.
 	until time.Time
 	pause time.Duration
+	final bool
 }
 
 // partCandidate is a part with enough crashes to be convicted.
@@ -246,7 +251,7 @@
 
 // convict rejects requests with the given parts, which were at crashes of the given
 // endpoints. The rejection lasts for firstRejection after the last crash; each crash of
-// a request that was tried after its end doubles it.
+// a request that was tried after its end doubles it, until it becomes final.
 func (t *Table) convict(now time.Time, parts []Fingerprint, endpoints []view.EndpointID) {
 	c := &partConviction{parts: parts, endpoints: endpoints}
 	t.convictions = append(t.convictions, c)
@@ -258,12 +263,20 @@
 	slices.SortFunc(crashes, time.Time.Compare)
 	c.pause = firstRejection
 	c.until = crashes[partThreshold-1].Add(c.pause)
-	for _, at := range crashes[partThreshold:] {
+	lateTrials := 0
+	for i, at := range crashes[partThreshold:] {
 		if !at.Before(c.until) {
 			c.pause = min(2*c.pause, evidenceLifetime)
+			if partThreshold+i >= lateThreshold {
+				lateTrials++
+			}
 		}
 		c.until = at.Add(c.pause)
 	}
+	c.final = lateTrials >= maxLateTrials
+	for _, p := range parts {
+		t.retain(now, t.records[p])
+	}
 	if latest := now.Add(evidenceLifetime); c.until.After(latest) {
 		c.until = latest
 	}
@@ -284,6 +297,9 @@
 			continue
 		}
 		at := c.until
+		if c.final {
+			at = now.Add(c.pause)
+		}
 		if !now.Before(at) {
 			at = at.Add(time.Duration(t.rank(c.parts[0])) * c.pause)
 		}
@@ -351,7 +367,7 @@
 			ids := c.endpoints[:min(len(c.endpoints), partThreshold+rejectThreshold)]
 			t.emit(Decision{"PartConvicted", []string{
 				"Parts", formatFingerprints(c.parts), "FailedEndpoints", strconv.Itoa(len(c.endpoints)),
-				"Endpoints", joinIDs(ids), "Until", c.until.UTC().Format(time.RFC3339Nano),
+				"Endpoints", joinIDs(ids), "Until", c.until.UTC().Format(time.RFC3339Nano), "Final", strconv.FormatBool(c.final),
 			}})
 		}
 	}
--- a/internal/coordination/suspect/record.go
+++ b/internal/coordination/suspect/record.go
@@ -131,6 +131,16 @@
 	return true
 }
 
+// retain makes the evidence of a record last: that against a convicted part ends with an
+// answer, not with time.
+func (t *Table) retain(now time.Time, c *record) {
+	c.until = now.Add(evidenceLifetime)
+	for _, e := range c.evidence {
+		e.Until = c.until
+	}
+	t.recordDueAt(c.until)
+}
+
 // expireIfCleared lets the record expire soon if none of its evidence counts.
 func (t *Table) expireIfCleared(now time.Time, c *record) {
 	if t.options.Isolate {
@@ -187,6 +197,9 @@
 	t.expireLate(now)
 	var due []Fingerprint
 	for f, c := range t.records {
+		if !now.Before(c.until) && t.isConvictedPart(f) {
+			t.retain(now, c)
+		}
 		switch {
 		case !now.Before(c.until):
 			delete(t.records, f)
