Stop trying a request that keeps crashing endpoints

A request that comes again unchanged and crashes every endpoint took one each time its rejection had ended, and two each time its evidence had expired after 15 minutes, as long as it came.

The same fault as with parts of prompts: the verdict ended with time. Found by looking for the same cause elsewhere, by reading. The fifth crash without an answer between now makes the rejection final, and its evidence is retained until an answer clears it.

--- a/internal/coordination/suspect/conviction.go
+++ b/internal/coordination/suspect/conviction.go
@@ -12,6 +12,9 @@
 	// that does not run isolated, even if other requests failed beside it each
 	// time.
 	certainThreshold = 3
+	// finalThreshold is the number of endpoints whose failure rejects a request that
+	// does not run isolated for ever. It has been tried alone before.
+	finalThreshold = 5
 	// firstRejection is the time for which a request that does not run isolated is
 	// rejected after the failure that convicted it. Each further failure doubles
 	// it, up to evidenceLifetime. A request that was convicted by mistake can then
@@ -50,6 +53,7 @@
 		c.loggedRejection = n
 		t.emit(Decision{"RequestConvicted", []string{
 			"Fingerprint", strconv.FormatUint(uint64(in.Fingerprint), 16), "FailedEndpoints", strconv.Itoa(n), "Until", until.UTC().Format(time.RFC3339Nano),
+			"Final", strconv.FormatBool(n >= finalThreshold),
 		}})
 	}
 }
@@ -67,10 +71,20 @@
 	if n < certainThreshold && (t.finishedRecently(now, in.Fingerprint) || !t.isOnlyRepeated(now, in) && !t.failsAlike(now, in)) {
 		return time.Time{}, false
 	}
-	until := t.lastFailure(now, in).Add(min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime))
+	pause := min(firstRejection<<min(n-rejectThreshold, 8), evidenceLifetime)
+	if n >= finalThreshold {
+		return now.Add(pause), true
+	}
+	until := t.lastFailure(now, in).Add(pause)
 	return until, now.Before(until)
 }
 
+// outlastsTime reports whether the evidence against f ends with an answer and not with
+// time: time shows nothing about what crashes endpoints.
+func (t *Table) outlastsTime(f Fingerprint) bool {
+	return t.records[f].isFinal || t.isConvictedPart(f)
+}
+
 // finishedRecently reports whether the request was cleared a short time ago. One
 // that crashes every endpoint never is.
 func (t *Table) finishedRecently(now time.Time, f Fingerprint) bool {
--- a/internal/coordination/suspect/record.go
+++ b/internal/coordination/suspect/record.go
@@ -17,6 +17,8 @@
 	// clearedAt is when this router last cleared evidence, or learned that another
 	// router did.
 	clearedAt time.Time
+	// isFinal is set if a request is rejected for ever; see finalThreshold.
+	isFinal bool
 	// loggedRejection is the number of failed endpoints at the last rejection that
 	// was logged.
 	loggedRejection int
@@ -120,6 +122,10 @@
 	}
 	if !e.Cleared {
 		c.changedAt = now
+		if !t.options.Isolate && !e.Fingerprint.isPart() && t.failedEndpoints(now, e.Fingerprint) >= finalThreshold {
+			c.isFinal = true
+			t.retain(now, c)
+		}
 		if own {
 			event := "RequestSuspected"
 			if e.Fingerprint.isPart() {
@@ -138,9 +144,12 @@
 	for _, e := range c.evidence {
 		e.Until = c.until
 	}
-	t.recordDueAt(c.until)
+	t.recordDueAt(c.retainAt())
 }
 
+// retainAt is when to retain evidence that does not end with time once more.
+func (c *record) retainAt() time.Time { return c.until.Add(-evidenceLifetime / 2) }
+
 // expireIfCleared lets the record expire soon if none of its evidence counts.
 func (t *Table) expireIfCleared(now time.Time, c *record) {
 	if t.options.Isolate {
@@ -151,14 +160,15 @@
 			return
 		}
 	}
+	c.isFinal = false
 	c.until = now.Add(clearedLifetime)
 	t.recordDueAt(c.until)
 }
 
 // evictIfFull makes room if there are maxRecords. It removes evictedRecords at
 // once, so that a full table does not search all records for each new one: first
-// those that reject nothing, and of these the ones that expire first; those of
-// convicted parts last.
+// those that reject nothing, and of these the ones that expire first; those that
+// outlast time last.
 func (t *Table) evictIfFull(now time.Time) {
 	if len(t.records) < maxRecords {
 		return
@@ -172,7 +182,7 @@
 	for f, c := range t.records {
 		importance := 0
 		switch {
-		case t.isConvictedPart(f):
+		case t.outlastsTime(f):
 			importance = 2
 		case t.failedEndpoints(now, f) >= rejectThreshold:
 			importance = 1
@@ -197,7 +207,8 @@
 	t.expireLate(now)
 	var due []Fingerprint
 	for f, c := range t.records {
-		if !now.Before(c.until) && t.isConvictedPart(f) {
+		retained := t.outlastsTime(f)
+		if retained && !now.Before(c.retainAt()) {
 			t.retain(now, c)
 		}
 		switch {
@@ -209,6 +220,9 @@
 		case c.resends:
 			t.recordDueAt(c.resendAt)
 		}
+		if retained {
+			t.recordDueAt(c.retainAt())
+		}
 		t.recordDueAt(c.until)
 	}
 	slices.Sort(due)
--- a/internal/coordination/suspect/trial_test.go
+++ b/internal/coordination/suspect/trial_test.go
@@ -44,3 +44,22 @@
 	f.partsServed(owner, crashingPart)
 	is.True(f.servedEverywhere(crashingPart))
 }
+
+// TestCrashingRequestIsNotTriedForever guards against the same with a request that comes
+// again unchanged.
+func TestCrashingRequestIsNotTriedForever(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(4)
+	crashes := 0
+	for n := range 24 * 60 * 12 {
+		if at := f.ids[n%len(f.ids)]; f.check(at, 7) == VerdictFree {
+			f.failed(at, endpoint(crashes), 7)
+			crashes++
+		}
+		f.advance(5 * time.Second)
+	}
+	is.True(crashes <= finalThreshold)
+	is.True(f.rejectedEverywhere(7))
+	f.step("r1", RunEnded{Fingerprint: 7, Finished: true}) // a run that was under way
+	is.True(f.freeEverywhere(7))
+}
