Break a continuation that skips events after a stream's first one

A stream that broke off after one event could go on with a later one: the caller got events 1, 3 and 4 and no sign that 2 is missing.

Whether IDs rise by one was known only from two events of the first answer, so after one event any higher ID was accepted. A gap after one event is now accepted only once the next ID has arrived, or the answer has ended: if that ID is one higher, IDs rise by one and the gap holds events that were skipped. Steps of another size are accepted as before. Only continuations with such a gap wait, for one event.

TestSkippedEventsAfterOneEventBreakContinuation failed before with the events 1, 3 and 4, and passes; TestSoundContinuationsAreAccepted has four cases more (go test -race ./internal/transport/execution).

--- a/internal/transport/execution/continuation.go
+++ b/internal/transport/execution/continuation.go
@@ -53,8 +53,11 @@
 
 // valid returns the events before the first one that can't follow those that the
 // caller has received, and the reason. IDs rise in a stream, so one that does not is a
-// repetition. The first event must be the next one if all IDs so far rose by one.
-func (c *continuation) valid(events []byte) ([]byte, error) {
+// repetition. The first event must be the next one if all IDs so far rose by one. If
+// the caller has received one event only, the step to the second event of the
+// continuation shows whether they rise by one; until that has arrived, or the answer is
+// complete, events after a gap are not returned.
+func (c *continuation) valid(events []byte, complete bool) ([]byte, error) {
 	if c == nil {
 		return events, nil
 	}
@@ -65,6 +68,14 @@
 			if err := c.follows(last, id); err != nil {
 				return events[:size], fmt.Errorf("event %q after %q: %w", id, last, err)
 			}
+			if c.gapUnexplained(last, id) {
+				switch next := readEventIDs(events[size+len(event):]).first; {
+				case next == "" && !complete:
+					return events[:size], nil
+				case isNext(id, next):
+					return events[:size], fmt.Errorf("event %q after %q and before %q: %w", id, last, next, errEventSkipped)
+				}
+			}
 			c.begun = true
 		}
 		if id != "" {
@@ -92,6 +103,19 @@
 	return nil
 }
 
+// gapUnexplained reports whether the first event is not the one after the last, and it is
+// not known whether IDs rise by one.
+func (c *continuation) gapUnexplained(last, id string) bool {
+	_, _, ok := parseIDs(last, id)
+	return ok && !c.begun && c.progress.steps == (idSteps{}) && !isNext(last, id)
+}
+
+// isNext reports whether both IDs are numbers and the second is one above the first.
+func isNext(id, next string) bool {
+	before, after, ok := parseIDs(id, next)
+	return ok && after == before+1
+}
+
 // mayForward reports whether bytes that hold no event may be forwarded. Before the
 // first event of a continuation it is not known whether they belong to the stream.
 func (c *continuation) mayForward(started bool) bool {
--- a/internal/transport/execution/continuation_test.go
+++ b/internal/transport/execution/continuation_test.go
@@ -148,6 +148,19 @@
 	}
 }
 
+// TestSkippedEventsAfterOneEventBreakContinuation guards against a stream that lacks
+// events because it broke off after its first one, and the endpoint at which it was to
+// be continued skipped some.
+func TestSkippedEventsAfterOneEventBreakContinuation(t *testing.T) {
+	for _, parts := range [][]string{{event3, event4}, {event3 + event4}, {": c\n\n" + event3, "retry: 100\n\n", event4[:4], event4[4:], event5}} {
+		is := is.New(t)
+		sink, backend, err := runContinuations(t, 3, eventStream(errReset, event1), eventStream(nil, parts...), eventStream(nil, event2, event3))
+		is.NoErr(err)
+		is.Equal(sink.String(), event1+event2+event3)
+		is.Equal(backend.lastEvents, []string{"", "1", "1"})
+	}
+}
+
 // TestSoundContinuationsAreAccepted guards against checks of continuations that break
 // off sound streams: those whose IDs are no numbers or do not rise by one, and those
 // with comments, other fields or spaces.
@@ -159,6 +172,10 @@
 		{"consecutive", []string{event1, event2}, []string{event3, event4, event5}},
 		{"at once", []string{event1 + event2}, []string{event3 + event4 + event5}},
 		{"one event before", []string{event1}, []string{event3}},
+		{"one event before, steps of two", []string{event1}, []string{event3, event5}},
+		{"one event before, steps of two at once", []string{event1}, []string{event3 + event5}},
+		{"one event before, steps that differ", []string{event1}, []string{event4, "id: 6\n\n", "id: 7\n\n"}},
+		{"one event before, event without ID later", []string{event1}, []string{event3, "data: x\n\n", event5}},
 		{"steps of eight", []string{"id: 8\n\n", "id: 16\n\n"}, []string{"id: 24\n\n"}},
 		{"steps that differ", []string{"id: 1\n\n", "id: 2\n\n", "id: 7\n\n"}, []string{"id: 9\n\n"}},
 		{"no numbers", []string{"id: b\n\n", "id: c\n\n"}, []string{"id: a\n\n", "id: d\n\n"}},
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -65,7 +65,7 @@
 		if err != nil {
 			return err
 		}
-		events, invalid := joint.valid(whole)
+		events, invalid := joint.valid(whole, errors.Is(readErr, io.EOF))
 		ids := readEventIDs(events)
 		if err := watch.eventsArrived(ids.count, errors.Is(readErr, io.EOF)); err != nil {
 			return err
