Break a stream that holds the head of another answer

Where a stream has neither a length nor chunks, an endpoint that repeats an earlier refusal on its connection writes it into the stream: the caller got "HTTP/1.1 503 ..." as a part of an event, in an answer that ended as complete.

Only continuations were checked. An event with a line that begins with "HTTP/1." now ends the answer as broken before that event, and a stream that may be resumed goes on elsewhere after the last sound one; "data: HTTP/1.1" is no such line.

--- a/internal/transport/execution/continuation_test.go
+++ b/internal/transport/execution/continuation_test.go
@@ -136,6 +136,40 @@
 	}
 }
 
+// TestHeadOfAnotherAnswerBreaksStream guards against a stream that holds an earlier
+// refusal, which an endpoint repeats on a connection that ends with the stream.
+func TestHeadOfAnotherAnswerBreaksStream(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\n"
+	for name, parts := range map[string][]string{
+		"between events":          {event1, head + event2, event3},
+		"at once":                 {event1 + head + "refused" + event2 + event3},
+		"inside an event":         {event1, event2[:6] + head, event2[6:], event3},
+		"before a line":           {event1, "id: 2\n" + head + "data: b\n\n" + event3},
+		"alone":                   {event1, head + "\n\n", event2},
+		"each byte by itself":     strings.Split(event1+head+event2+event3, ""),
+		"after the last event":    {event1, head},
+		"with empty lines around": {event1, "\n\n" + head + "\n\n", event2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sink, _, err := runContinuations(t, 1, eventStream(nil, parts...))
+			var broken *BrokenError
+			is.True(errors.As(err, &broken))
+			is.True(!sink.complete)
+			is.Equal(strings.TrimRight(sink.String(), "\n"), strings.TrimRight(event1, "\n"))
+			sink, backend, err := runContinuations(t, 2, eventStream(nil, parts...), eventStream(nil, event2, event3))
+			is.NoErr(err)
+			is.Equal(strings.ReplaceAll(sink.String(), "\n\n\n\n", "\n\n"), event1+event2+event3)
+			is.Equal(backend.lastEvents, []string{"", "1"})
+		})
+	}
+	is := is.New(t)
+	const text = "id: 2\ndata: HTTP/1.1 503\ndata:HTTP/1.1\n\n"
+	sink, _, err := runContinuations(t, 1, eventStream(nil, event1+text))
+	is.NoErr(err)
+	is.Equal(sink.String(), event1+text)
+}
+
 // TestRepeatedEventBreaksContinuation guards against an event that a caller gets
 // twice because an endpoint repeats it within its continuation.
 func TestRepeatedEventBreaksContinuation(t *testing.T) {
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -22,6 +22,7 @@
 var (
 	errEventTooLong   = errors.New("an event of the stream is too long")
 	errEventTruncated = errors.New("the stream ended inside an event")
+	errHeadInStream   = errors.New("the stream holds the head of another answer")
 )
 
 // eventBuffer buffers the bytes of a stream until they form whole events.
@@ -41,6 +42,30 @@
 	return b.buffered[:end+len(eventEnd)], nil
 }
 
+// headStart begins the head of an answer, and no line of an event.
+var headStart = []byte("HTTP/1.")
+
+// beforeHead returns the events before the first one with a line that begins the head of
+// an answer. Where the body has neither a length nor chunks, an endpoint that writes
+// another answer on its connection writes it into the stream.
+func beforeHead(events []byte) ([]byte, error) {
+	for offset := 0; ; {
+		i := bytes.Index(events[offset:], headStart)
+		if i < 0 {
+			return events, nil
+		}
+		offset += i
+		if offset == 0 || events[offset-1] == '\n' {
+			end := bytes.LastIndex(events[:offset], eventEnd)
+			if end < 0 {
+				return nil, errHeadInStream
+			}
+			return events[:end+len(eventEnd)], errHeadInStream
+		}
+		offset += len(headStart)
+	}
+}
+
 // discard removes the first n bytes from the buffer.
 func (b *eventBuffer) discard(n int) { b.buffered = b.buffered[:copy(b.buffered, b.buffered[n:])] }
 
@@ -65,12 +90,14 @@
 		if err != nil {
 			return err
 		}
-		events, invalid := joint.valid(whole, errors.Is(readErr, io.EOF))
+		whole, foreign := beforeHead(whole)
+		complete := errors.Is(readErr, io.EOF) && foreign == nil
+		events, invalid := joint.valid(whole, complete)
 		ids := readEventIDs(events)
-		if err := watch.eventsArrived(ids.count, errors.Is(readErr, io.EOF)); err != nil {
+		if err := watch.eventsArrived(ids.count, complete); err != nil {
 			return err
 		}
-		forward := len(events) > 0 && (joint.mayForward(out.started) || ids.count > 0 || errors.Is(readErr, io.EOF) && joint == nil)
+		forward := len(events) > 0 && (joint.mayForward(out.started) || ids.count > 0 || complete && joint == nil)
 		switch {
 		case forward:
 			if err := forwardEvents(out, answer, events); err != nil {
@@ -85,8 +112,8 @@
 		case len(buffer.buffered) > maxEventBytes:
 			return errEventTooLong
 		}
-		if invalid != nil {
-			return invalid
+		if err := errors.Join(invalid, foreign); err != nil {
+			return err
 		}
 		if ended, err := endStream(ctx, out, answer, &buffer, joint, readErr); ended {
 			return err
