Reject a connection only once its request has begun

A router that runs late answered connections with 503 on which its callers had sent nothing.

The platform's rules allow a failure on a channel without a request, but HTTP does not: an answer belongs to a request, and a caller can't know that this one is a promise. A rejected connection on which nothing has arrived now waits for its request, among as many rejected connections as before, and gets its answer then, or is closed without one after 0.5 s. All that wait are looked at with one call each 5 ms.

--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -153,10 +153,14 @@
 		now := time.Now()
 		l.measureBacklog(now.Sub(begun), now)
 		l.accepted += serveCost
-		if err != nil || !rejecting || !l.overload.Reject(l.rejecter.peek(inner)) {
+		if err != nil || !rejecting {
 			return inner, err
 		}
-		l.rejecter.reject(inner, l.overload.Answer())
+		head := l.rejecter.peek(inner)
+		if !l.overload.Reject(head) {
+			return inner, nil
+		}
+		l.rejecter.reject(inner, head, l.overload.Answer())
 	}
 }
 
--- a/internal/transport/connlimit/rejecter.go
+++ b/internal/transport/connlimit/rejecter.go
@@ -17,6 +17,9 @@
 	// then the caller can read the answer; a connection that is closed while it
 	// holds unread data is reset.
 	lingerTime = 500 * time.Millisecond
+	// requestWait is the time for which a rejected connection is kept until its request
+	// begins, and requestPoll the time between two looks at those that wait for that.
+	requestWait, requestPoll = lingerTime, 5 * time.Millisecond
 	// rejectWriteTimeout bounds the time that the answer takes to be written to
 	// the empty send buffer.
 	rejectWriteTimeout = 100 * time.Millisecond
@@ -28,13 +31,17 @@
 	// for so long.
 	peekTimeout = 5 * time.Millisecond
 	// lingerDivisor divides the number of open connections to give the number of
-	// rejected connections that linger.
+	// rejected connections that are still open.
 	lingerDivisor = 4
 )
 
 // rejecter rejects connections. It accepts those that wait in the accept queue as
 // mere descriptors, since the preparation of a connection for use costs several
 // times as much as the rejection, which must be cheap to be of use in a flood.
+//
+// An answer is written only once a request has begun to arrive. Callers also open
+// connections that they do not use yet, and would take an earlier answer for a
+// failure of the connection, and of a request that they are about to send on it.
 type rejecter struct {
 	listener     syscall.RawConn
 	maxLingering int
@@ -48,6 +55,12 @@
 	// in which they are to be closed. timer is set while there are any.
 	lingering []lingeringConn
 	timer     *time.Timer
+	// waiting are the rejected connections on which no request has begun, in the order
+	// in which they are to be closed. waitTimer is set while there are any, and polled
+	// is the buffer of pollWaiting.
+	waiting   []waitingConn
+	waitTimer *time.Timer
+	polled    []unix.PollFd
 	closed    bool
 }
 
@@ -57,6 +70,13 @@
 	closeAt time.Time
 }
 
+// waitingConn is a rejected connection that gets its answer once its request begins.
+type waitingConn struct {
+	lingeringConn
+	descriptor int
+	answer     []byte
+}
+
 // descriptor is a connection that is used without package net.
 type descriptor int
 
@@ -89,9 +109,13 @@
 	}
 	// An error means that nothing has been received yet, or that the caller has
 	// disconnected, which shows at the next use.
-	n, _, _ := unix.Recvfrom(accepted, r.head[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	if !o.Reject(r.head[:max(n, 0)]) {
+	n, _, peekErr := unix.Recvfrom(accepted, r.head[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	switch {
+	case !o.Reject(r.head[:max(n, 0)]):
 		return newConn(accepted), true
+	case errors.Is(peekErr, unix.EAGAIN):
+		r.await(descriptor(accepted), accepted, o.Answer())
+		return nil, true
 	}
 	// The send buffer is empty, so the answer is sent whole or not at all. An
 	// error means that the caller has disconnected.
@@ -137,13 +161,101 @@
 	return c
 }
 
-// reject rejects an accepted connection with the answer.
-func (r *rejecter) reject(c net.Conn, answer []byte) {
+// reject rejects an accepted connection with the answer. head is what peek returned.
+func (r *rejecter) reject(c net.Conn, head, answer []byte) {
+	if len(head) == 0 {
+		if number, ok := descriptorOf(c); ok {
+			r.await(c, number, answer)
+			return
+		}
+	}
 	_ = c.SetWriteDeadline(time.Now().Add(rejectWriteTimeout))
 	_, err := c.Write(answer)
 	r.linger(c, err)
 }
 
+// descriptorOf returns the descriptor of a connection of package net. It is valid until
+// the connection is closed.
+func descriptorOf(c net.Conn) (number int, ok bool) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(d uintptr) { number = int(d) })
+	return number, err == nil
+}
+
+// await writes the answer once a request begins to arrive on the connection. If none
+// does within requestWait, the connection is closed without an answer.
+func (r *rejecter) await(c io.Closer, number int, answer []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		_ = c.Close()
+		return
+	}
+	r.makeRoom()
+	r.waiting = append(r.waiting, waitingConn{lingeringConn{c, time.Now().Add(requestWait)}, number, answer})
+	if r.waitTimer == nil {
+		r.waitTimer = time.AfterFunc(requestPoll, r.pollWaiting)
+	}
+}
+
+// pollWaiting answers the connections on which a request has begun, and closes those that
+// are due.
+func (r *rejecter) pollWaiting() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	now := time.Now()
+	r.polled = r.polled[:0]
+	for i := range r.waiting {
+		r.polled = append(r.polled, unix.PollFd{Fd: int32(r.waiting[i].descriptor), Events: unix.POLLIN})
+	}
+	// After an error, all are looked at again later.
+	ready, err := unix.Poll(r.polled, 0)
+	waiting := r.waiting[:0]
+	for i, w := range r.waiting {
+		switch {
+		case err == nil && ready > 0 && r.polled[i].Revents != 0:
+			if _, err := unix.Write(w.descriptor, w.answer); err != nil {
+				_ = w.conn.Close()
+				continue
+			}
+			r.startLinger(w.conn)
+		case !now.Before(w.closeAt):
+			_ = w.conn.Close() // it is closed even if Close returns an error
+		default:
+			waiting = append(waiting, w)
+		}
+	}
+	clear(r.waiting[len(waiting):])
+	r.waiting = waiting
+	r.waitTimer = nil
+	if len(r.waiting) > 0 {
+		r.waitTimer = time.AfterFunc(requestPoll, r.pollWaiting)
+	}
+}
+
+// makeRoom closes the connection that is to be closed first if too many are open. It
+// requires that mu is held.
+func (r *rejecter) makeRoom() {
+	switch {
+	case len(r.lingering)+len(r.waiting) < r.maxLingering:
+	case len(r.waiting) == 0 || len(r.lingering) > 0 && r.lingering[0].closeAt.Before(r.waiting[0].closeAt):
+		r.closeFirst()
+	default:
+		_ = r.waiting[0].conn.Close()
+		r.waiting = r.waiting[1:]
+	}
+}
+
 // linger closes the connection after lingerTime, or earlier if too many linger or
 // the answer could not be sent because of err.
 func (r *rejecter) linger(c io.Closer, err error) {
@@ -153,9 +265,12 @@
 		_ = c.Close()
 		return
 	}
-	if len(r.lingering) >= r.maxLingering {
-		r.closeFirst()
-	}
+	r.makeRoom()
+	r.startLinger(c)
+}
+
+// startLinger requires that mu is held.
+func (r *rejecter) startLinger(c io.Closer) {
 	r.lingering = append(r.lingering, lingeringConn{c, time.Now().Add(lingerTime)})
 	if r.timer == nil {
 		r.timer = time.AfterFunc(lingerTime, r.closeDue)
@@ -183,7 +298,7 @@
 	r.lingering = r.lingering[1:]
 }
 
-// close closes all connections that linger.
+// close closes all connections that are still open.
 func (r *rejecter) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -194,4 +309,11 @@
 	for len(r.lingering) > 0 {
 		r.closeFirst()
 	}
+	if r.waitTimer != nil {
+		r.waitTimer.Stop()
+	}
+	for i := range r.waiting {
+		_ = r.waiting[i].conn.Close()
+	}
+	r.waiting = nil
 }
