Continue a begun stream later if endpoints have no room for it now

Callers lost a stream that had begun once each endpoint left had rejected its rest (not run), although the endpoints had only asked for time or had room again a moment later, and the caller still waited.

Cause: an endpoint that rejected the rest counted as tried for good, like one at which the stream had broken off. Once no other was left, the scheduler refused the continuation, or eight rejections had used up the attempts. A search beside a silent attempt did not return to such an endpoint either.

Endpoints that reject the rest of a stream are now excluded only until its next event or until its continuation is postponed: after at least 100 ms, doubling up to 1 s and at most half of the time for which the caller still waits, the call asks them again, and the endpoint that was silent as well. It ends when the caller has given up. Endpoints at which the stream broke off or that could not be reached stay excluded; rejections are still taken from the retry budget.

--- a/internal/transport/execution/broken.go
+++ b/internal/transport/execution/broken.go
@@ -81,6 +81,8 @@
 		return contextCause(ctx)
 	case errors.As(err, &refused):
 		return CauseScheduler
+	case errors.Is(err, errManyRejections):
+		return CauseAttempts
 	default:
 		return CauseGate
 	}
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -25,6 +25,10 @@
 	// endpoint that was silent earlier may have recovered.
 	triedEndpoints []view.EndpointID
 	silentEndpoint view.EndpointID
+	// rejecting are the endpoints that have rejected the rest of a stream since its last
+	// event, and since the last of its postponements, which next counts.
+	rejecting     []view.EndpointID
+	postponements int
 	// stillRuns is set while the search for a continuation goes on beside the last
 	// attempt.
 	stillRuns bool
@@ -62,19 +66,23 @@
 // recordFailure records an attempt that did not end with a complete answer.
 func (p *progress) recordFailure(e view.EndpointID, result schedule.Result) {
 	*p = *p.afterAttempt(result)
-	if result == schedule.ResultSilent {
+	switch {
+	case result == schedule.ResultSilent:
 		p.silentEndpoint = e
-		return
+	case result == schedule.ResultRejected && p.canResume():
+		p.rejecting = append(slices.Clip(p.rejecting), e)
+	default:
+		p.triedEndpoints = append(slices.Clip(p.triedEndpoints), e)
 	}
-	p.triedEndpoints = append(slices.Clip(p.triedEndpoints), e)
 }
 
 // excludedEndpoints returns the endpoints at which the next attempt must not be made.
 func (p *progress) excludedEndpoints() []view.EndpointID {
-	if p.silentEndpoint == "" {
-		return p.triedEndpoints
+	excluded := slices.Concat(p.triedEndpoints, p.rejecting)
+	if p.silentEndpoint != "" {
+		excluded = append(excluded, p.silentEndpoint)
 	}
-	return append(slices.Clip(p.triedEndpoints), p.silentEndpoint)
+	return excluded
 }
 
 // afterAttempt returns the progress as it will be if the current attempt ends
@@ -101,7 +109,7 @@
 		p.lastEvent = e.last
 	}
 	if e.count > 0 {
-		p.lastEventAt = time.Now()
+		p.lastEventAt, p.rejecting, p.postponements = time.Now(), nil, 0
 	}
 	p.events += e.count
 }
@@ -111,3 +119,12 @@
 func (p *progress) canResume() bool {
 	return p.call.Resumable && p.events > 0 && p.lastEvent != ""
 }
+
+// givesUpAt returns the time at which the caller gives up if it receives nothing more.
+func (p *progress) givesUpAt() time.Time {
+	at := p.lastEventAt.Add(p.call.Patience)
+	if p.call.Patience == 0 || at.After(p.call.Deadline) {
+		return p.call.Deadline
+	}
+	return at
+}
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -242,7 +242,7 @@
 // attemptsLeft reports whether the limits on attempts allow one more after an
 // attempt with the given result. A stream that has begun is not ended because
 // endpoints reject its continuation, which they have not run: only its runs count
-// towards MaxAttempts.
+// towards MaxAttempts. See next for the limit on rejections.
 func (r *Runner) attemptsLeft(p *progress, result schedule.Result) bool {
 	switch {
 	case p.call.MaxAttempts == 0:
@@ -250,8 +250,7 @@
 	case result == schedule.ResultNotSent:
 		return p.attempts-p.sentAttempts < maxUnreached
 	case p.canResume():
-		runs := p.sentAttempts - p.rejectedAttempts
-		return runs < min(p.call.MaxAttempts, maxAttempts) && p.attempts-runs < maxUnreached
+		return p.sentAttempts-p.rejectedAttempts < min(p.call.MaxAttempts, maxAttempts)
 	default:
 		return p.sentAttempts < min(p.call.MaxAttempts, maxAttempts)
 	}
--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -192,6 +192,7 @@
 	}
 	w.stopSearch()
 	w.stopSearch = nil
+	w.progress.rejecting = nil // they may have room by then
 	delay := max(time.Until(at), minSearchInterval)
 	w.searchAt = time.Now().Add(delay)
 	w.timer.Reset(delay)
@@ -248,33 +249,6 @@
 	r.Gate.Done(c, &Outcome{Result: schedule.ResultNotSent})
 }
 
-// waitUntilNotWithheld waits if err shows that this router withheld the continuation of
-// a stream that has begun, and reports whether to try it again. Such an attempt counts
-// as none: the stream is not ended by what this router does not know for a moment.
-func (p *progress) waitUntilNotWithheld(ctx context.Context, err error) bool {
-	if !withheld(err) || !p.canResume() || p.continuation != nil {
-		return false
-	}
-	timer := time.NewTimer(minSearchInterval)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// next returns the admission of the next attempt: the continuation of the last one,
-// or a new one.
-func (r *Runner) next(ctx context.Context, p *progress) (schedule.Start, error) {
-	if start := p.continuation; start != nil {
-		p.continuation = nil
-		return *start, nil
-	}
-	return r.admitRetry(ctx, p)
-}
-
 // releaseContinuation returns the continuation that was found for the last attempt
 // if the call ends with that attempt.
 func (r *Runner) releaseContinuation(p *progress) {
