Repeat the search for a continuation in time for the caller

Callers gave up streams whose endpoint was silent although another one could have continued them: the router had looked once, found nothing, and did not look again while the caller waited.

Cause: the next search began at the time stated with the refusal, up to 3 s later, or after a second. Both are meant for callers that return with a new request; the caller of a silent stream waits for about a second more when the first search begins (a quarter to a half of its patience).

The next search now begins at that time or halfway to the time at which the caller gives up, whichever is sooner, and at least 100 ms after the last one. With a second left, it looks after 0.5, 0.75, 0.88 and 0.98 s. A request that waits in the queue of the scheduler is judged there at each change, as before.

--- a/internal/transport/execution/search_test.go
+++ b/internal/transport/execution/search_test.go
@@ -116,6 +116,24 @@
 	return nil
 }
 
+// TestSearchIsRepeatedWhileTheCallerWaits guards against a stream that stays at a silent
+// endpoint until its caller gives up, since a search that found nothing is repeated only
+// at the time of a refusal, although another endpoint has room by then.
+func TestSearchIsRepeatedWhileTheCallerWaits(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {forever, ""}}}, {parts: []timedPart{{0, "id: 2\n\n"}}}}}
+	scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "", "e2"}, retryAfter: 3 * time.Second}
+	r, stop := newTimedRunner(t, backend, scheduler)
+	call := silentCall(true)
+	call.Patience = 2 * time.Second
+	out := &recordingSink{}
+	begun := time.Now()
+	is.NoErr(r.Run(t.Context(), call, out))
+	stop()
+	is.Equal(out.String(), "id: 1\n\nid: 2\n\n")
+	is.True(time.Since(begun) < call.Patience)
+}
+
 // countingGate counts admissions that have not ended.
 type countingGate struct {
 	admitAllGate
--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -171,7 +171,7 @@
 }
 
 // searchAgain schedules another search for the time stated with the error of the
-// last one.
+// last one, but in time for the caller: halfway to the time at which it gives up.
 func (w *silenceWatch) searchAgain(ctx context.Context, next *progress, err error) {
 	at := time.Now().Add(defaultRetryDelay)
 	var refused *RefusedError
@@ -182,6 +182,11 @@
 	case errors.As(err, &problem) && !problem.RetryAt.IsZero():
 		at = problem.RetryAt
 	}
+	delay := time.Until(at)
+	if left := time.Until(next.givesUpAt()); left > 0 {
+		delay = min(delay, left/2)
+	}
+	delay = max(delay, minSearchInterval)
 	w.runner.Logger.WithFields(log.Fields{
 		"RequestID": next.call.RequestID, "Endpoint": w.endpoint, "Silence": time.Since(next.lastEventAt).Round(time.Millisecond), "Error": err,
 	}).Info("ContinuationNotFound")
@@ -193,7 +198,6 @@
 	w.stopSearch()
 	w.stopSearch = nil
 	w.progress.rejecting = nil // they may have room by then
-	delay := max(time.Until(at), minSearchInterval)
 	w.searchAt = time.Now().Add(delay)
 	w.timer.Reset(delay)
 }
--- a/internal/transport/execution/silence_test.go
+++ b/internal/transport/execution/silence_test.go
@@ -127,9 +127,11 @@
 // decision.
 type scriptedScheduler struct {
 	decisions []view.EndpointID
-	arrivals  []schedule.Request
-	departed  int
-	results   []schedule.Result
+	// retryAfter is the time stated with a refusal; testSilence if it is zero.
+	retryAfter time.Duration
+	arrivals   []schedule.Request
+	departed   int
+	results    []schedule.Result
 }
 
 func (s *scriptedScheduler) Step(now time.Time, in schedule.Input) []schedule.Output {
@@ -141,7 +143,7 @@
 		case n >= len(s.decisions):
 			return nil
 		case s.decisions[n] == "":
-			return []schedule.Output{schedule.Refusal{ID: in.Request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(testSilence)}}
+			return []schedule.Output{schedule.Refusal{ID: in.Request.ID, Reason: schedule.RefusalOverload, RetryAt: now.Add(cmp.Or(s.retryAfter, testSilence))}}
 		}
 		return []schedule.Output{schedule.Start{ID: in.Request.ID, Endpoint: s.decisions[n]}}
 	case schedule.Departure:
