Count the silence of a continuation from the last event of its stream

Callers gave up streams of which two endpoints in turn were silent: the router waited at the second one as long as at the first, by which time its caller had left, although a third endpoint could have continued the stream.

Cause: the silence counted anew from each attempt, and again from the head of its answer. What the caller sees is the time since the last event that it has got.

In a stream that has begun, the silence of an attempt now counts from the last event, and the search begins after half of the time that the caller still waits at the earliest, so that a continuation has time to answer: about one objective, of the two that are left when the first search begins. Attempts before the first event, and calls without a known patience, are watched as before. The attempt is read on until its continuation is certain, and MaxAttempts bounds the attempts.

--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -59,8 +59,9 @@
 	// MaxSilence is the time without the head of the answer after which the runner
 	// looks for another endpoint. It counts anew from the head and, if Events is set,
 	// from each whole event, as long as the call can still be retried or its answer
-	// resumed. The attempt is read on until another one is certain. Zero means to
-	// wait until the deadline.
+	// resumed. In a stream that has begun it counts from the last event, whichever
+	// endpoint sent that; see progress.silentAt. The attempt is read on until another
+	// one is certain. Zero means to wait until the deadline.
 	MaxSilence time.Duration
 	// Patience is the time without an event after which the caller gives up a
 	// stream; zero if it is not known.
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -120,6 +120,21 @@
 	return p.call.Resumable && p.events > 0 && p.lastEvent != ""
 }
 
+// silentAt returns when the endpoint of the current attempt counts as silent if it sends
+// nothing more. The caller of a stream that has begun waits since the last event, so the
+// silence of earlier attempts counts. A continuation has half of the time that is left.
+func (p *progress) silentAt(now time.Time) time.Time {
+	patience, c := p.givesUpAt().Sub(now), p.call
+	if c.Patience == 0 || !p.canResume() || patience <= 0 {
+		return now.Add(c.MaxSilence)
+	}
+	at, sinceEvent := now.Add(min(patience/2, c.MaxSilence)), p.lastEventAt.Add(c.MaxSilence)
+	if at.Before(sinceEvent) {
+		return sinceEvent
+	}
+	return at
+}
+
 // givesUpAt returns the time at which the caller gives up if it receives nothing more.
 func (p *progress) givesUpAt() time.Time {
 	at := p.lastEventAt.Add(p.call.Patience)
--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -70,16 +70,17 @@
 	return ctx, w
 }
 
-// resume measures the silence from now on. An answer that has begun and cannot be
-// resumed is read to its end.
+// resume measures the silence from now on, or from the last event of a stream that has
+// begun; see progress.silentAt. An answer that has begun and cannot be resumed is read to
+// its end.
 func (w *silenceWatch) resume(p *progress, begun bool) {
 	if w.timer == nil || begun && !p.canResume() {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.held, w.progress, w.searchAt = false, *p, time.Now().Add(w.after)
-	w.timer.Reset(w.after)
+	w.held, w.progress, w.searchAt = false, *p, p.silentAt(time.Now())
+	w.timer.Reset(time.Until(w.searchAt))
 }
 
 // hold ends the search, if there is one, because the endpoint has sent something of
--- a/internal/transport/execution/silence_test.go
+++ b/internal/transport/execution/silence_test.go
@@ -244,6 +244,26 @@
 	}
 }
 
+// TestSilenceOfContinuationCountsFromTheLastEvent guards against a stream that stays at a
+// second silent endpoint until its caller gives up, because the silence of the first one
+// does not count.
+func TestSilenceOfContinuationCountsFromTheLastEvent(t *testing.T) {
+	for _, second := range []timedExchange{{head: forever}, {head: 100 * time.Millisecond, parts: []timedPart{{forever, ""}}}} {
+		is := is.New(t)
+		backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {forever, ""}}}, second, {parts: []timedPart{{0, "id: 2\n\n"}}}}}
+		scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "e2", "e3"}}
+		r, stop := newTimedRunner(t, backend, scheduler)
+		call := silentCall(true)
+		call.MaxAttempts, call.MaxSilence, call.Patience = 3, 1200*time.Millisecond, 2*time.Second
+		out := &recordingSink{}
+		begun := time.Now()
+		is.NoErr(r.Run(t.Context(), call, out))
+		stop()
+		is.Equal(out.String(), "id: 1\n\nid: 2\n\n")
+		is.True(time.Since(begun) < call.Patience)
+	}
+}
+
 // TestSilentAttemptIsCancelledBeforeItsContinuation guards against two endpoints
 // that run one stream at the same time, and a continuation that repeats or omits
 // events.
