Search once for the request behind crashes that many parts share

A caller that invents parts could make a router wait for 0.17 s at each verdict: with 3,000 parts that were always at the same three crashes, the table looked for a request that was at all of these crashes once for each part. All requests that ask the table wait meanwhile.

The result is now kept by the set of crashes for the time of one verdict; it is the same for all parts of the set. A bound on time is no test that holds on a busy machine, so there is a benchmark and no test.

--- a/internal/coordination/suspect/bench_test.go
+++ b/internal/coordination/suspect/bench_test.go
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// BenchmarkJudge measures a verdict where callers have invented the parts of many
+// requests that were at the same crashes. Everything else waits for it.
+func BenchmarkJudge(b *testing.B) {
+	table := suspect.New(suspect.Options{Self: "edge-0"})
+	now := time.Unix(1e9, 0)
+	for n := range 300 {
+		in := suspect.EndpointFailed{Fingerprint: suspect.Fingerprint(n + 1), Endpoint: view.EndpointID(fmt.Sprint("e", n%3))}
+		for i := range 30 {
+			in.Parts = append(in.Parts, suspect.PartBit|suspect.Fingerprint(100*(n/3)+i))
+		}
+		table.Step(now, in)
+	}
+	n := 0
+	for b.Loop() {
+		n++ // another crash under one more part, which is judged from the third on
+		table.Step(now, suspect.EndpointFailed{
+			Fingerprint: suspect.Fingerprint(1000 + n%2), Parts: []suspect.Fingerprint{suspect.PartBit}, Endpoint: view.EndpointID(fmt.Sprint("x", n)),
+		})
+		now = now.Add(time.Second)
+		table.Step(now, suspect.Alarm{})
+	}
+}
--- a/internal/coordination/suspect/part.go
+++ b/internal/coordination/suspect/part.go
@@ -183,6 +183,8 @@
 func (t *Table) partCandidates(now time.Time) []partCandidate {
 	t.judgeAt = time.Time{}
 	var all []partCandidate
+	// Parts that were at the same crashes, of which there may be many, share a search.
+	wasOneRequest := map[string]bool{}
 	for f := range t.repeated {
 		c := t.records[f]
 		if c == nil || len(c.evidence) < partThreshold {
@@ -202,8 +204,17 @@
 			}
 			p.endpoints = append(p.endpoints, id)
 		}
-		if len(p.endpoints) >= partThreshold && !t.wasOneRequest(p.endpoints) {
-			slices.Sort(p.endpoints)
+		if len(p.endpoints) < partThreshold {
+			continue
+		}
+		slices.Sort(p.endpoints)
+		key := joinIDs(p.endpoints)
+		one, known := wasOneRequest[key]
+		if !known {
+			one = t.wasOneRequest(p.endpoints)
+			wasOneRequest[key] = one
+		}
+		if !one {
 			all = append(all, p)
 		}
 	}
