Take the silence of an endpoint for no sign of saturation

Callers were refused with cause=Saturated for about a second while all usable endpoints were idle (strain=1.22, idle=2/2, seen in TestSilentEndpointsEndNoAnswer), after an endpoint had been silent and had continued.

Cause: each stream of such an endpoint reports its first event after the silence with a gap of that length, and the gaps count in the pace by which admission judges how saturated the endpoint is. A silence that it takes for one (EndpointSilent: no activity for 1.2 s more than the prompts at the endpoint explain) says nothing of the pace.

The endpoint remembers when such a silence ended, and the first report of each stream after it, which includes the silence, is no sample. The prompts of all routers count as an explanation, so gaps of an endpoint that processes prompts remain samples, and so do single gaps of less than 1.2 s.

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -107,7 +107,7 @@
 	switch {
 	case !e.takesRequests(now), slices.Contains(r.Tried, e.ID):
 		return false
-	case r.StillRuns && (e.inactive(now) || !p.usable(now, e)), !avoided && !p.usable(now, e):
+	case r.StillRuns && (e.inactive(now, e.own.backlog) || !p.usable(now, e)), !avoided && !p.usable(now, e):
 		return false
 	case r.Exclusive && e.exclusive > 0:
 		return false
--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -104,6 +104,9 @@
 	// lastActivityAt is the instant of the last activity of the endpoint, or of
 	// the first request sent to it after a time without requests.
 	lastActivityAt time.Time
+	// silenceEndedAt is the end of the last silence that the prompts at the endpoint do
+	// not explain.
+	silenceEndedAt time.Time
 	// pausedUntil is the instant until which the endpoint has asked to get nothing.
 	pausedUntil time.Time
 	// exclusive is the number of exclusive requests in flight.
@@ -230,12 +233,13 @@
 // silent reports whether an endpoint that is not avoided has shown no activity for
 // too long while it has requests of this router in flight.
 func (e *endpoint) silent(now time.Time) bool {
-	return e.inactive(now) && !e.health.avoided(now)
+	return e.inactive(now, e.own.backlog) && !e.health.avoided(now)
 }
 
-// inactive is like silent, also while the endpoint is avoided.
-func (e *endpoint) inactive(now time.Time) bool {
-	return e.own.requests > 0 && now.Sub(e.lastActivityAt) > silenceTimeout+e.timeToFirstToken(e.own.backlog)
+// inactive is like silent, also while the endpoint is avoided, for an endpoint that has
+// the given number of prompt tokens to process.
+func (e *endpoint) inactive(now time.Time, tokens int64) bool {
+	return e.own.requests > 0 && now.Sub(e.lastActivityAt) > silenceTimeout+e.timeToFirstToken(tokens)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -101,6 +101,8 @@
 	// to process before the answer begins, those of this request included.
 	tokensAhead    int64
 	firstTokenSeen bool
+	// reportedAt is the instant of the last progress, or of the start.
+	reportedAt time.Time
 }
 
 // New returns a policy that knows no endpoints until the first Change.
@@ -218,8 +220,14 @@
 		return
 	}
 	e := r.endpoint
-	e.lastActivityAt, e.health.silentUntil = now, time.Time{}
-	if in.EventInterval > 0 && !in.Late {
+	if e.inactive(now, e.total().backlog) {
+		e.silenceEndedAt = now
+	}
+	// The time since the last progress of a stream includes a silence of its endpoint
+	// that has ended since, which does not show how fast the endpoint is.
+	afterSilence := r.reportedAt.Before(e.silenceEndedAt)
+	r.reportedAt, e.lastActivityAt, e.health.silentUntil = now, now, time.Time{}
+	if in.EventInterval > 0 && !in.Late && !afterSilence {
 		e.measured.addOwn(now, in.EventInterval, in.LongestGap)
 	}
 	if r.firstTokenSeen {
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -283,7 +283,7 @@
 // the time to first token, ahead for tokensAhead, unread for the prefill, pace
 // for the event interval and measured for the age of its last sample.
 func (p *Policy) start(now time.Time, w *queuedRequest, c candidate) {
-	r := &running{request: w.request, endpoint: c.endpoint, work: c.work, tokensAhead: c.tokensAhead}
+	r := &running{request: w.request, endpoint: c.endpoint, work: c.work, tokensAhead: c.tokensAhead, reportedAt: now}
 	p.running[w.request.ID] = r
 	c.endpoint.start(now, r)
 	p.usage.addReceived(now, w.request.Organisation, w.cost)
