Let a begun stream wait for the retry budget

Callers lost a stream that had begun, and that another endpoint could have continued, because the retry budget was empty at the moment at which its endpoint broke off, or rejected its rest.

Cause: an empty budget ended the call at once, like a retry that is not allowed at all, although the budget fills with the next requests of the service. A stream whose rest is rejected takes several retries.

The retry of a stream that has begun is now taken from the budget before its next attempt, and the attempt is postponed until it can be, as long as its caller waits (the same delays as for endpoints without room).

go test -race -run TestBegunStreamWaitsForRetryBudget ./internal/transport/execution failed before (the answer broke off) and passes. ./internal/transport/execution, ./internal/transport/entry and ./platform/... pass (-race, one run each).

--- a/internal/transport/execution/broken.go
+++ b/internal/transport/execution/broken.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/protocol/caller"
 )
 
@@ -83,7 +84,31 @@
 		return CauseScheduler
 	case errors.Is(err, errManyRejections):
 		return CauseAttempts
+	case errors.Is(err, errNoRetryAllowed):
+		return CauseRetryBudget
 	default:
 		return CauseGate
 	}
 }
+
+// endCause returns why the call ends after an attempt that failed with the given
+// error; it is empty if another attempt is allowed, which is then taken from the
+// retry budget, for a stream that has begun as soon as that is not empty.
+func (r *Runner) endCause(ctx context.Context, p *progress, out *sinkTracker, result schedule.Result, err error) BreakCause {
+	var callerErr *sinkError
+	switch {
+	case errors.As(err, &callerErr):
+		return CauseCaller
+	case ctx.Err() != nil:
+		return contextCause(ctx)
+	case out.started && !p.canResume():
+		return CauseEndpoint
+	case p.continuation != nil:
+		return "" // taken from the budget when it was found
+	}
+	cause := r.retryDenied(p, result)
+	if p.retryOwed = cause == CauseRetryBudget && p.canPostpone(); p.retryOwed {
+		return ""
+	}
+	return cause
+}
--- a/internal/transport/execution/postponed.go
+++ b/internal/transport/execution/postponed.go
@@ -14,8 +14,8 @@
 
 // next returns the admission of the next attempt: the continuation of the last one,
 // or a new one. A stream that has begun is not ended because all endpoints that are left
-// have rejected its rest, or were silent: they are tried again later, as long as its
-// caller waits.
+// have rejected its rest, or were silent, or because the retry budget is empty: it is
+// continued later, as long as its caller waits.
 func (r *Runner) next(ctx context.Context, p *progress) (schedule.Start, error) {
 	if start := p.continuation; start != nil {
 		p.continuation = nil
@@ -23,7 +23,11 @@
 	}
 	for {
 		start, err := schedule.Start{}, errManyRejections
-		if len(p.rejecting) < maxUnreached {
+		p.retryOwed = p.retryOwed && !r.Budget.Withdraw(p.call)
+		switch {
+		case p.retryOwed:
+			err = errNoRetryAllowed
+		case len(p.rejecting) < maxUnreached:
 			start, err = r.admitRetry(ctx, p)
 		}
 		if err == nil || !p.mayPostpone(err) || !r.postpone(ctx, p, err) {
@@ -32,14 +36,23 @@
 	}
 }
 
+// canPostpone reports whether the call is a stream that has begun, of which it is known
+// how long its caller waits.
+func (p *progress) canPostpone() bool { return p.canResume() && p.call.Patience > 0 }
+
 // mayPostpone reports whether a stream that has begun, whose continuation failed with the
-// given error, can be continued later at an endpoint that is excluded now.
+// given error, can be continued later: at an endpoint that is excluded now, or with a
+// retry that is not left now.
 func (p *progress) mayPostpone(err error) bool {
-	if !p.canResume() || len(p.rejecting) == 0 && p.silentEndpoint == "" {
+	var refused *RefusedError
+	switch {
+	case !p.canPostpone():
 		return false
+	case errors.Is(err, errNoRetryAllowed), errors.Is(err, errManyRejections):
+		return true
+	default:
+		return (len(p.rejecting) > 0 || p.silentEndpoint != "") && errors.As(err, &refused) && refused.Reason == schedule.RefusalOverload
 	}
-	var refused *RefusedError
-	return errors.Is(err, errManyRejections) || errors.As(err, &refused) && refused.Reason == schedule.RefusalOverload
 }
 
 // postpone waits until endpoints that have not run the rest of a stream, or were silent,
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -48,6 +48,9 @@
 	// retryReserved is set if the next retry has already been allowed and taken
 	// from the budget.
 	retryReserved bool
+	// retryOwed is set if the next retry of a stream that has begun still has to be taken
+	// from the budget, which was empty.
+	retryOwed bool
 	// retained is the last whole answer that is to be replaced by a retry; nil if there
 	// is none.
 	retained *retainedAnswer
--- a/internal/transport/execution/rejected_test.go
+++ b/internal/transport/execution/rejected_test.go
@@ -61,6 +61,39 @@
 
 func (unlimitedBudget) Withdraw(*Call) bool { return true }
 
+// refillingBudget is a retry budget that is empty for the given number of withdrawals.
+type refillingBudget struct {
+	RetryBudget
+	empty, withdrawn int
+}
+
+func (b *refillingBudget) Withdraw(*Call) bool {
+	if b.empty--; b.empty >= 0 {
+		return false
+	}
+	b.withdrawn++
+	return true
+}
+
+// TestBegunStreamWaitsForRetryBudget guards against a stream that the router ends because
+// the retry budget is empty for a moment, and against a retry that is not taken from it.
+func TestBegunStreamWaitsForRetryBudget(t *testing.T) {
+	is := is.New(t)
+	backend := &timedBackend{exchanges: []timedExchange{
+		{parts: []timedPart{{0, "id: 1\n\n"}}, err: errors.New("connection reset")}, {parts: []timedPart{{0, "id: 2\n\n"}}},
+	}}
+	r, stop := newTimedRunner(t, backend, &untriedScheduler{})
+	budget := &refillingBudget{RetryBudget: r.Budget, empty: 2}
+	r.Budget = budget
+	call := silentCall(true)
+	call.Patience = 5 * time.Second
+	out := &recordingSink{}
+	is.NoErr(r.Run(t.Context(), call, out))
+	stop()
+	is.Equal(out.String(), "id: 1\n\nid: 2\n\n")
+	is.Equal(budget.withdrawn, 1)
+}
+
 // untriedScheduler starts requests at an endpoint that they have not tried, and refuses
 // them if there is none.
 type untriedScheduler struct{ scriptedScheduler }
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -196,25 +196,6 @@
 	}
 }
 
-// endCause returns why the call ends after an attempt that failed with the given
-// error; it is empty if another attempt is allowed, which is then taken from the
-// retry budget.
-func (r *Runner) endCause(ctx context.Context, p *progress, out *sinkTracker, result schedule.Result, err error) BreakCause {
-	var callerErr *sinkError
-	switch {
-	case errors.As(err, &callerErr):
-		return CauseCaller
-	case ctx.Err() != nil:
-		return contextCause(ctx)
-	case out.started && !p.canResume():
-		return CauseEndpoint
-	case p.continuation != nil:
-		return "" // taken from the budget when it was found
-	default:
-		return r.retryDenied(p, result)
-	}
-}
-
 // retryDenied returns why no further attempt is allowed. If it returns nothing, the
 // attempt is taken from the retry budget unless it has been reserved before. A
 // retry is allowed only if it is certainly safe: no attempt can have run, or the
