Answer what has not begun before a planned stop ends

Callers whose requests a stopping router had accepted, and whose endpoints were silent until the router's time was over, got neither an answer nor a refusal: their connections were closed.

Cause: a planned stop accepts requests for four fifths of its time and waits for those in flight, but 0.25 s before its end the HTTP server closed all connections, also of calls of which nothing had been sent, and which could still be refused or answered with a failure.

0.5 s before its end, the router now ends the calls whose answer has not begun: with 503 if they have not run, and with 502 or 504 otherwise. Answers that have begun keep the time that they had.

--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"hyssopreach/internal/coordination/admission"
@@ -306,9 +307,30 @@
 
 func (c *Core) lateness() time.Duration { return c.sources.router.lateness.Recent() }
 
-// Run runs an admitted call; see execution.Runner.Run.
+// Run runs an admitted call; see execution.Runner.Run. A call whose answer has not begun
+// ends with a refusal or a failure before the router stops.
 func (c *Core) Run(ctx context.Context, call *execution.Call, sink execution.Sink) error {
-	return c.runner.Run(ctx, call, sink)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watched := &beginningSink{Sink: sink}
+	defer context.AfterFunc(c.ending, func() {
+		if !watched.begun.Load() {
+			cancel()
+		}
+	})()
+	return c.runner.Run(ctx, call, watched)
+}
+
+// beginningSink records whether an answer has begun.
+type beginningSink struct {
+	execution.Sink
+	begun atomic.Bool
+}
+
+// Begin records that the answer has begun and forwards its head.
+func (s *beginningSink) Begin(status int, header http.Header) error {
+	s.begun.Store(true)
+	return s.Sink.Begin(status, header)
 }
 
 // TrackRequest counts a request as in flight until the returned function is
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -164,6 +164,10 @@
 	overload *overloadController
 	// inFlight is the number of requests in the router.
 	inFlight atomic.Int64
+	// ending is done when calls whose answer has not begun must end, because the router
+	// stops; end ends it.
+	ending context.Context
+	end    context.CancelFunc
 	// lastRequestAt is the arrival of the last request, in Unix nanoseconds.
 	lastRequestAt atomic.Int64
 	logger        log.Interface
@@ -200,6 +204,7 @@
 		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodyLimiter(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
 		started: time.Now(), options: &r.options, overload: &r.overload, logger: h.Logger,
 	}
+	r.core.ending, r.core.end = context.WithCancel(context.WithoutCancel(ctx))
 	r.lateness = lateness.Start(h.Registry, h.Logger, r.overload.Observe)
 	r.suspects = startSuspects(suspect.Options{Self: r.self.ID, ConfirmTimeout: evidenceTimeout}, r.fleet, p, h.Logger, h.Registry)
 	r.sources = startSources(r, p)
@@ -264,8 +269,9 @@
 
 // Drain performs a planned stop. It withdraws the router from the list for
 // callers, serves requests that still arrive as long as they can end in time,
-// and lets requests in flight end. It cuts off the requests that are still in
-// flight when only stopMargin remains of the time for the stop.
+// and lets requests in flight end. When only twice the stopMargin remains of the time
+// for the stop, it ends those whose answer has not begun, with an answer of its own. It
+// cuts off the requests that are still in flight when only stopMargin remains.
 func (r *Hosted) Drain(ctx context.Context) {
 	startedAt := time.Now()
 	within := r.options.StopWithin
@@ -273,6 +279,8 @@
 	logger.WithField("Inside", r.core.inFlight.Load()).Info("DrainStarted")
 	r.core.stopStarted.Store(&startedAt)
 	r.members.drain()
+	endTimer := time.AfterFunc(within-2*stopMargin, r.core.end)
+	defer endTimer.Stop()
 	r.waitUntil(ctx, startedAt.Add(time.Duration(acceptShare*float64(within))), func(now time.Time) bool {
 		last := time.Unix(0, r.core.lastRequestAt.Load())
 		return now.Sub(startedAt) > time.Duration(idleStopMinShare*float64(within)) &&
@@ -325,6 +333,7 @@
 }
 
 func (r *Hosted) closeComponents() {
+	r.core.end()
 	r.sources.Close()
 	r.members.Close()
 	r.suspects.Close()
