Pass on statements of leaving endpoints with the lists

What callers saw: a request through another router ran at an endpoint that had already told one router that it leaves, until that router heard it itself or the list stated it, and was cut if the endpoint ended first.

Cause: each router learnt a statement from its own answers only; History is sent to routers that start.

Change: a router that learns a statement from an answer reports it to the two store readers (EndpointNews, which hosted routers did not use). They name it in their answers to queries for the list, as long as the list does not state it and the asking router's hash of statements differs (new fields StatedHash and Stated; routers without them ignore both). Where the reader's hash lacks one, the asking router reports it again. Statements name a start. Hosted tests' lists carry the start of their endpoint.

Results: TestStatementSpreadsWithLists, seven routers on a list that stays "ready", fails without the change, without reading the statements, and, in its second half, without the repeated report ("condition not met within 30 s" each), and passes.

--- a/internal/coordination/listing/leaving.go
+++ b/internal/coordination/listing/leaving.go
@@ -16,6 +16,28 @@
 	}
 }
 
+// Stated returns the known endpoints that leave although the last list does not state it:
+// what other routers may not know although they have the same list.
+func (t *Table) Stated() []view.EndpointID {
+	var all []view.EndpointID
+	for id := range t.leaving {
+		if _, known := t.known[id]; known && !t.listedLeaving[id] {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+// recordListed records which endpoints leave by the last list.
+func (t *Table) recordListed(list []view.Endpoint) {
+	clear(t.listedLeaving)
+	for i := range list {
+		if list[i].Leaving {
+			t.listedLeaving[list[i].ID] = true
+		}
+	}
+}
+
 // applyLeaving marks the current endpoints that have stated that they leave, in an answer
 // or in a list that was read before: leaving holds for the rest of a start. It forgets
 // statements of endpoints that went long ago.
--- a/internal/coordination/listing/leaving_test.go
+++ b/internal/coordination/listing/leaving_test.go
@@ -114,3 +114,28 @@
 	now = now.Add(500 * time.Millisecond)
 	is.True(table.Update(now, []view.Endpoint{ready})[0].Leaving)
 }
+
+// TestStatedAreThoseThatListLacks guards against statements that other routers are not told
+// although their lists lack them, or are told for ever.
+func TestStatedAreThoseThatListLacks(t *testing.T) {
+	is := is.New(t)
+	table := New(Limits{LapseTime: time.Second, RelistTime: 2 * time.Second})
+	a, b := endpoint("a#0", "10.0.0.1:80"), endpoint("b#0", "10.0.0.2:80")
+	now := time.Unix(100, 0)
+	table.Update(now, []view.Endpoint{a, b})
+	is.Equal(len(table.Stated()), 0)
+	table.RecordLeaving(now, a.ID)
+	table.RecordLeaving(now, "c#0") // a list has not named it yet
+	is.Equal(len(table.Stated()), 1)
+	is.Equal(table.Stated()[0], a.ID)
+	listed := a
+	listed.Leaving = true
+	for _, tt := range []struct {
+		list []view.Endpoint
+		want int
+	}{{[]view.Endpoint{a, b}, 1}, {[]view.Endpoint{listed, b}, 0}, {[]view.Endpoint{a, b}, 1}, {[]view.Endpoint{b}, 0}} {
+		now = now.Add(500 * time.Millisecond)
+		table.Update(now, tt.list)
+		is.Equal(len(table.Stated()), tt.want)
+	}
+}
--- a/internal/coordination/listing/table.go
+++ b/internal/coordination/listing/table.go
@@ -22,6 +22,8 @@
 	// leaving holds the endpoints that have stated that they leave, in a list or in an
 	// answer to this router, with the instant of that or at which they were last listed.
 	leaving map[view.EndpointID]time.Time
+	// listedLeaving holds the endpoints that leave by the last list.
+	listedLeaving map[view.EndpointID]bool
 	// distrustUntil is the instant until which entries of a restored store may be
 	// older than what is known. Departures from before restoredAt count against
 	// them.
@@ -44,7 +46,10 @@
 
 // New returns an empty table.
 func New(l Limits) *Table {
-	return &Table{limits: l, known: map[view.EndpointID]view.Endpoint{}, gone: map[view.EndpointID]Departure{}, leaving: map[view.EndpointID]time.Time{}}
+	return &Table{
+		limits: l, known: map[view.EndpointID]view.Endpoint{}, gone: map[view.EndpointID]Departure{},
+		leaving: map[view.EndpointID]time.Time{}, listedLeaving: map[view.EndpointID]bool{},
+	}
 }
 
 // Restored tells the table that lists read from the given instant on are from a
@@ -64,6 +69,7 @@
 		t.retainUntil = now.Add(t.limits.RelistTime)
 	}
 	t.lastRead = now
+	t.recordListed(list)
 	current := make(map[view.EndpointID]view.Endpoint, len(list))
 	for i := range list {
 		current[list[i].ID] = list[i]
--- a/internal/transport/router/confirmation.go
+++ b/internal/transport/router/confirmation.go
@@ -39,7 +39,7 @@
 		return false, fmt.Errorf("query router %s: it is no longer in the membership view", id)
 	}
 	c := s.current.Load()
-	q := &wire.ConfirmationQuery{Version: c.version, ListHash: c.listHash}
+	q := &wire.ConfirmationQuery{Version: c.version, ListHash: c.listHash, StatedHash: statedHash(s.stated())}
 	return s.confirmFromAddress(address, id, q, maxAge)
 }
 
@@ -65,6 +65,7 @@
 	if err := s.learnHistory(answer.GetEndpoints(), address); err != nil {
 		return false, err
 	}
+	s.learnStated(id, answer.GetStated())
 	if answer.GetVersion() == q.Version || len(answer.GetConfiguration()) > 0 {
 		if err := s.applyConfiguration(readResult{answer.GetConfiguration(), sentAt.Add(-age), answer.GetEpoch(), restoredAt}, id); err != nil {
 			return false, err
@@ -75,6 +76,9 @@
 			return false, err
 		}
 	}
+	if answer.GetStatedHash() != q.StatedHash {
+		s.reportUnknown(id, answer.GetStated())
+	}
 	if age > maxAge || listAge > maxAge {
 		return false, fmt.Errorf("query router %s: the data is too old: the configuration was read %v ago, the list of endpoints %v ago", id, age, listAge)
 	}
@@ -115,6 +119,7 @@
 	if restored := now.Sub(c.restoredAt); !c.restoredAt.IsZero() && restored < s.router.options.Listing.RelistTime {
 		answer.RestoredAgeMillis = uint64(max(restored/time.Millisecond, 1))
 	}
+	s.addStated(answer, q.GetStatedHash())
 	if q.GetStarting() {
 		answer.Suspects = wire.FromEvidence(s.router.suspects.rejecting())
 		s.mu.Lock()
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,6 +34,7 @@
 	mu      sync.Mutex
 	version uint64                 // guarded by mu
 	leaving bool                   // guarded by mu
+	start   int                    // guarded by mu
 	refused map[view.RouterID]bool // guarded by mu
 	// stalled holds the routers whose reads do not return until the channel is
 	// closed, not even when their contexts end.
@@ -68,7 +70,7 @@
 }
 
 func (p *hostedPlatform) ReadEndpoints(context.Context) (Reading, error) {
-	return p.read(func() string { return fmt.Sprint(p.store.leaving) })
+	return p.read(func() string { return fmt.Sprint(p.store.start, p.store.leaving) })
 }
 
 func (p *hostedPlatform) ParseConfiguration(data []byte) (*route.Table, error) {
@@ -85,7 +87,8 @@
 }
 
 func (p *hostedPlatform) ParseEndpoints(data []byte) ([]view.Endpoint, error) {
-	return []view.Endpoint{{ID: "e#0", Pool: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: string(data) == "true"}}, nil
+	start, leaving, _ := strings.Cut(string(data), " ")
+	return []view.Endpoint{{ID: view.EndpointID("e#" + start), Pool: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: leaving == "true"}}, nil
 }
 
 func (p *hostedPlatform) Backend(*Core) execution.Backend { return nil }
@@ -145,7 +148,7 @@
 			_, problem = r.core.Admit(keyed, time.Now())
 		}
 	})
-	is.NoErr(r.sources.applyList(readResult{data: []byte("false"), at: clock.Now()}))
+	is.NoErr(r.sources.applyList(readResult{data: []byte("0 false"), at: clock.Now()}))
 	is.NoErr(r.sources.applyConfiguration(readResult{data: []byte("1"), at: clock.Now()}, ""))
 	is.True(r.core.Ready())
 	is.Equal(problem, nil)
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -128,6 +128,7 @@
 	s.current.Store(&readings{})
 	s.allowStep(0)
 	p.confirm = s.answerConfirmation
+	p.Register("EndpointNews", s.receiveEndpointNews)
 	s.loop.Go(s.run)
 	return s
 }
@@ -374,15 +375,6 @@
 	return nil
 }
 
-// recordLeaving records that an endpoint has stated in an answer that it leaves, and
-// reports whether this was not known; see listing.Table.RecordLeaving.
-func (s *sources) recordLeaving(id view.EndpointID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.RecordLeaving(clock.Now().Time(), id)
-	return s.router.fleet.setLeaving(id)
-}
-
 // listAge returns the time since the list of endpoints was read from the store.
 func (s *sources) listAge() time.Duration {
 	return clock.Now().Sub(s.current.Load().list.at)
--- a/internal/transport/router/statements.go
+++ b/internal/transport/router/statements.go
@@ -34,6 +34,7 @@
 	if !c.sources.recordLeaving(id) {
 		return
 	}
+	c.sources.reportLeaving(id)
 	metrics.GetOrRegisterCounter(MetricLeavingStatements, c.options.Registry).Inc(1)
 	c.logger.WithFields(log.Fields{
 		"Endpoint": id, "Source": "Answer", "RequestID": requestID, "EndpointsAge": c.sources.listAge(),
--- a/internal/transport/router/statements_test.go
+++ b/internal/transport/router/statements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,11 +61,43 @@
 	s.mu.Lock()
 	s.leaving = false
 	s.mu.Unlock()
-	waitFor(t, "the list states that it is ready", func() bool { return string(r.sources.current.Load().list.data) == "false" })
+	waitFor(t, "the list states that it is ready", func() bool { return string(r.sources.current.Load().list.data) == "0 false" })
 	is.True(r.Fleet().Endpoints[0].Leaving)
 	is.True(!r.core.MaySend(&text.Organisation{}, "e#0"))
 }
 
+// TestStatementSpreadsWithLists guards against routers that send requests to an endpoint
+// which has told another router that it leaves, since the list does not state it. Another
+// start of the endpoint must get requests.
+func TestStatementSpreadsWithLists(t *testing.T) {
+	is := is.New(t)
+	s := &store{version: 1, refused: map[view.RouterID]bool{}}
+	fleet := startHostedFleet(t, s, 7)
+	open := &text.Organisation{}
+	readers := fleet[0].Fleet().Owners("store", storeReaders)
+	at := slices.IndexFunc(fleet, func(r *Hosted) bool { return !slices.Contains(readers, r.self.ID) })
+	statedAt := time.Now()
+	fleet[at].core.EndpointLeaves("e#0", "1")
+	for _, r := range fleet {
+		waitFor(t, "each router knows that the endpoint leaves", func() bool { return !r.core.MaySend(open, "e#0") })
+	}
+	drain := fleet[0].options.DrainWithin
+	is.True(time.Since(statedAt) < drain)
+	s.mu.Lock()
+	s.start++
+	s.mu.Unlock()
+	for _, r := range fleet {
+		waitFor(t, "another start is listed", func() bool { return r.core.MaySend(open, "e#1") })
+	}
+	// The reports to the store readers are lost.
+	statedAt = time.Now()
+	fleet[at].sources.recordLeaving("e#1")
+	for _, r := range fleet {
+		waitFor(t, "each router knows that the other start leaves", func() bool { return !r.core.MaySend(open, "e#1") })
+	}
+	is.True(time.Since(statedAt) < drain)
+}
+
 // TestPauseIsBounded guards against an endpoint that is out of use for ever since it asked
 // for too long a time.
 func TestPauseIsBounded(t *testing.T) {
