Let a newer entry end what an older one stated about leaving

What callers would see: less capacity, since an endpoint that only its entry had called leaving, and that started again under the same key without a stated start, got no requests for as long as it was listed. Seen in a test, not on an installation.

Cause: retained what a list states like a statement in an answer, for the rest of the start. Without a stated start, two starts under one key are one.

Change: an entry undoes leaving only if its sequence is higher than that of the entry before, or the endpoint was missing in between. A statement in an answer is always retained for the start, also if a list has stated it before, which was the other half of the fault.

Results: TestListedLeavingOutweighsOlderList covers both and failed before ("list 5: leaving is true"). TestStatementOfListedLeavingEndpointIsRetained, whose list now has rising sequences, fails if a statement is not retained because a list stated it before ("not true: Fleet().Endpoints[0].Leaving"). go test -race ./internal/transport/router ./internal/coordination/listing ./internal/tool/soak pass.

--- a/internal/coordination/listing/leaving.go
+++ b/internal/coordination/listing/leaving.go
@@ -38,13 +38,14 @@
 	}
 }
 
-// applyLeaving marks the current endpoints that have stated that they leave, in an answer
-// or in a list that was read before: leaving holds for the rest of a start. It forgets
-// statements of endpoints that went long ago.
+// applyLeaving marks the current endpoints that have stated that they leave: in an answer,
+// for the rest of the start, or in an entry that the listed one is not newer than. It
+// forgets statements of endpoints that went long ago.
 func (t *Table) applyLeaving(now time.Time, current map[view.EndpointID]view.Endpoint) {
 	for id, e := range current {
-		if e.Leaving {
-			t.leaving[id] = now
+		if known, ok := t.known[id]; ok && known.Leaving && e.Sequence <= known.Sequence {
+			e.Leaving = true
+			current[id] = e
 		}
 	}
 	for id, at := range t.leaving {
--- a/internal/coordination/listing/leaving_test.go
+++ b/internal/coordination/listing/leaving_test.go
@@ -102,17 +102,30 @@
 
 // TestListedLeavingOutweighsOlderList guards against an endpoint that is listed as leaving
 // and gets requests again, since a read that is not known to be from a restored store
-// states that it is ready.
+// states that it is ready, and against one that stays out of use after it has started again
+// under the same ID.
 func TestListedLeavingOutweighsOlderList(t *testing.T) {
 	is := is.New(t)
 	table := New(Limits{LapseTime: time.Second, RelistTime: 2 * time.Second})
-	a := endpoint("a#0", "10.0.0.1:80")
 	now := time.Unix(100, 0)
-	ready := a
-	a.Leaving, a.Sequence = true, 1
-	is.True(table.Update(now, []view.Endpoint{a})[0].Leaving)
-	now = now.Add(500 * time.Millisecond)
-	is.True(table.Update(now, []view.Endpoint{ready})[0].Leaving)
+	for i, tt := range []struct {
+		leaving  bool
+		sequence uint64
+		want     bool
+	}{{true, 8, true}, {false, 5, true}, {false, 5, true}, {true, 9, true}, {false, 1, true}, {false, 2, false}} {
+		now = now.Add(500 * time.Millisecond)
+		a := endpoint("a#0", "10.0.0.1:80")
+		a.Leaving, a.Sequence = tt.leaving, tt.sequence
+		if got := table.Update(now, []view.Endpoint{a})[0].Leaving; got != tt.want {
+			t.Errorf("list %d: leaving is %t", i, got)
+		}
+	}
+	a := endpoint("a#0", "10.0.0.1:80")
+	a.Leaving, a.Sequence = true, 20
+	table.Update(now, []view.Endpoint{a})
+	table.Update(now, nil)
+	a.Leaving, a.Sequence = false, 1
+	is.True(!table.Update(now, []view.Endpoint{a})[0].Leaving)
 }
 
 // TestStatedAreThoseThatListLacks guards against statements that other routers are not told
--- a/internal/coordination/listing/table.go
+++ b/internal/coordination/listing/table.go
@@ -19,8 +19,8 @@
 	retainUntil time.Time
 	// gone holds the endpoints that went within the last goneLifetime.
 	gone map[view.EndpointID]Departure
-	// leaving holds the endpoints that have stated that they leave, in a list or in an
-	// answer to this router, with the instant of that or at which they were last listed.
+	// leaving holds the endpoints that have stated in an answer that they leave, with the
+	// instant of that or at which they were last listed.
 	leaving map[view.EndpointID]time.Time
 	// listedLeaving holds the endpoints that leave by the last list.
 	listedLeaving map[view.EndpointID]bool
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,7 +69,7 @@
 }
 
 func (p *hostedPlatform) ReadEndpoints(context.Context) (Reading, error) {
-	return p.read(func() string { return fmt.Sprint(p.store.start, p.store.leaving) })
+	return p.read(func() string { return fmt.Sprint(p.store.start, p.store.leaving, p.store.version) })
 }
 
 func (p *hostedPlatform) ParseConfiguration(data []byte) (*route.Table, error) {
@@ -87,8 +86,13 @@
 }
 
 func (p *hostedPlatform) ParseEndpoints(data []byte) ([]view.Endpoint, error) {
-	start, leaving, _ := strings.Cut(string(data), " ")
-	return []view.Endpoint{{ID: view.EndpointID("e#" + start), Pool: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: leaving == "true"}}, nil
+	var start, sequence uint64
+	var leaving bool
+	if _, err := fmt.Sscan(string(data), &start, &leaving, &sequence); err != nil {
+		return nil, err
+	}
+	id := view.EndpointID(fmt.Sprint("e#", start))
+	return []view.Endpoint{{ID: id, Pool: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: leaving, Sequence: sequence}}, nil
 }
 
 func (p *hostedPlatform) Backend(*Core) execution.Backend { return nil }
@@ -148,7 +152,7 @@
 			_, problem = r.core.Admit(keyed, time.Now())
 		}
 	})
-	is.NoErr(r.sources.applyList(readResult{data: []byte("0 false"), at: clock.Now()}))
+	is.NoErr(r.sources.applyList(readResult{data: []byte("0 false 1"), at: clock.Now()}))
 	is.NoErr(r.sources.applyConfiguration(readResult{data: []byte("1"), at: clock.Now()}, ""))
 	is.True(r.core.Ready())
 	is.Equal(problem, nil)
--- a/internal/transport/router/statements.go
+++ b/internal/transport/router/statements.go
@@ -28,9 +28,7 @@
 // request, that it leaves. When it returns, no attempt is sent to the endpoint any
 // more; attempts that have been sent continue.
 func (c *Core) EndpointLeaves(id view.EndpointID, requestID string) {
-	if e, ok := c.fleet.View().Endpoint(id); ok && e.Leaving {
-		return
-	}
+	// The statement is retained also if a list has stated it before: a later one may not.
 	if !c.sources.recordLeaving(id) {
 		return
 	}
--- a/internal/transport/router/statements_test.go
+++ b/internal/transport/router/statements_test.go
@@ -60,8 +60,9 @@
 	r.core.EndpointLeaves("e#0", "1")
 	s.mu.Lock()
 	s.leaving = false
+	s.version++
 	s.mu.Unlock()
-	waitFor(t, "the list states that it is ready", func() bool { return string(r.sources.current.Load().list.data) == "0 false" })
+	waitFor(t, "the list states that it is ready", func() bool { return string(r.sources.current.Load().list.data) == "0 false 2" })
 	is.True(r.Fleet().Endpoints[0].Leaving)
 	is.True(!r.core.MaySend(&text.Organisation{}, "e#0"))
 }
