Doubt a list that lacks all endpoints at once

An empty list was believed at once, although entries lapse one by one and only an outage of the store, which a router notices by its own reads, lets all of them lapse. It is now doubted if several endpoints were ready in the list before and no entry can have lapsed since: that list stays in use, but it ages, and attempts are sent by it only up to the age that the drain bound allows (DrainWithin less 0.3 s and the lateness), also by routers that run on time. Routers state its true age to each other, so a doubt is not prolonged by being relayed. Other lists, and a list of one endpoint, are believed as before.

--- a/internal/coordination/listing/table.go
+++ b/internal/coordination/listing/table.go
@@ -14,6 +14,8 @@
 	limits   Limits
 	known    map[view.EndpointID]view.Endpoint
 	lastRead time.Time
+	// updatedAt is the instant of the last list that was not doubted.
+	updatedAt time.Time
 	// retainUntil is the instant until which endpoints that are missing from
 	// the list are retained after an outage.
 	retainUntil time.Time
@@ -42,8 +44,16 @@
 	// RelistTime is the time, from the first list after an outage, within which
 	// endpoints have renewed lapsed entries.
 	RelistTime time.Duration
+	// DoubtTime is the time after a list for which one that lacks all endpoints at
+	// once is doubted. It is at most the time for which endpoints that have gone
+	// take requests.
+	DoubtTime time.Duration
 }
 
+// minDoubted is the number of endpoints that must be missing at once for a list to be
+// doubted. One endpoint may well be stopped by itself.
+const minDoubted = 2
+
 // New returns an empty table.
 func New(l Limits) *Table {
 	return &Table{
@@ -62,13 +72,42 @@
 	t.distrustUntil = t.retainUntil.Add(t.limits.LapseTime)
 }
 
+// Doubts reports whether a list that was read at the given instant is to be ignored: it
+// holds no entry at all, although the one before held several. The store may have lost
+// them for a moment, and nothing says that they were removed.
+func (t *Table) Doubts(now time.Time, list []view.Endpoint) bool {
+	if len(list) > 0 || now.Sub(t.updatedAt) >= t.limits.DoubtTime || now.Sub(t.lastRead) > t.limits.LapseTime || now.Before(t.retainUntil) {
+		return false
+	}
+	ready := 0
+	for _, e := range t.known {
+		if !e.Leaving {
+			ready++
+		}
+	}
+	if ready < minDoubted {
+		return false
+	}
+	t.recordRead(now)
+	return true
+}
+
+// recordRead records that a list was read at the given instant. One that another router
+// relays may be older than one that was doubted.
+func (t *Table) recordRead(at time.Time) {
+	if at.After(t.lastRead) {
+		t.lastRead = at
+	}
+}
+
 // Update processes a list that was read from the store at the given instant. It
 // returns the endpoints that exist, sorted by ID.
 func (t *Table) Update(now time.Time, list []view.Endpoint) []view.Endpoint {
 	if !t.lastRead.IsZero() && now.Sub(t.lastRead) > t.limits.LapseTime {
 		t.retainUntil = now.Add(t.limits.RelistTime)
 	}
-	t.lastRead = now
+	t.recordRead(now)
+	t.updatedAt = now
 	t.recordListed(list)
 	current := make(map[view.EndpointID]view.Endpoint, len(list))
 	for i := range list {
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -31,15 +31,22 @@
 // store is a platform's store that can refuse the reads of some routers.
 type store struct {
 	mu      sync.Mutex
-	version uint64                 // guarded by mu
-	leaving bool                   // guarded by mu
-	start   int                    // guarded by mu
-	refused map[view.RouterID]bool // guarded by mu
+	version uint64 // guarded by mu
+	leaving bool   // guarded by mu
+	start   int    // guarded by mu
+	// list is the list of endpoints, if it is not that of one endpoint, and listReads
+	// counts its reads. Guarded by mu.
+	list      string
+	listReads int
+	refused   map[view.RouterID]bool // guarded by mu
 	// stalled holds the routers whose reads do not return until the channel is
 	// closed, not even when their contexts end.
 	stalled map[view.RouterID]chan struct{} // guarded by mu
 }
 
+// The lists of endpoints that a store states by their names.
+const listOfNone, listOfTwo = "none", "two"
+
 // hostedPlatform is one router's access to the store.
 type hostedPlatform struct {
 	store *store
@@ -69,7 +76,13 @@
 }
 
 func (p *hostedPlatform) ReadEndpoints(context.Context) (Reading, error) {
-	return p.read(func() string { return fmt.Sprint(p.store.start, p.store.leaving, p.store.version) })
+	return p.read(func() string {
+		p.store.listReads++
+		if p.store.list != "" {
+			return p.store.list
+		}
+		return fmt.Sprint(p.store.start, p.store.leaving, p.store.version)
+	})
 }
 
 func (p *hostedPlatform) ParseConfiguration(data []byte) (*route.Table, error) {
@@ -86,13 +99,24 @@
 }
 
 func (p *hostedPlatform) ParseEndpoints(data []byte) ([]view.Endpoint, error) {
+	switch string(data) {
+	case listOfNone:
+		return nil, nil
+	case listOfTwo:
+		return []view.Endpoint{hostedEndpoint("e#0", "127.0.0.1:9"), hostedEndpoint("f#0", "127.0.0.2:9")}, nil
+	}
 	var start, sequence uint64
 	var leaving bool
 	if _, err := fmt.Sscan(string(data), &start, &leaving, &sequence); err != nil {
 		return nil, err
 	}
-	id := view.EndpointID(fmt.Sprint("e#", start))
-	return []view.Endpoint{{ID: id, Pool: "s", Address: netip.MustParseAddrPort("127.0.0.1:9"), Leaving: leaving, Sequence: sequence}}, nil
+	e := hostedEndpoint(view.EndpointID(fmt.Sprint("e#", start)), "127.0.0.1:9")
+	e.Leaving, e.Sequence = leaving, sequence
+	return []view.Endpoint{e}, nil
+}
+
+func hostedEndpoint(id view.EndpointID, address string) view.Endpoint {
+	return view.Endpoint{ID: id, Pool: "s", Address: netip.MustParseAddrPort(address)}
 }
 
 func (p *hostedPlatform) Backend(*Core) execution.Backend { return nil }
@@ -101,8 +125,8 @@
 
 // startHostedFleet starts routers and waits until each knows the others and has
 // a configuration.
-func startHostedFleet(t *testing.T, s *store, count int) []*Hosted {
-	fleet := startHosted(t, s, count)
+func startHostedFleet(t *testing.T, s *store, count int, change ...func(*HostedOptions)) []*Hosted {
+	fleet := startHosted(t, s, count, change...)
 	for _, r := range fleet {
 		waitFor(t, "the routers know each other", func() bool { return len(r.fleet.View().Routers) == count })
 		waitFor(t, "a configuration and a list of endpoints", r.core.Ready)
@@ -110,8 +134,8 @@
 	return fleet
 }
 
-// startHosted starts routers.
-func startHosted(t *testing.T, s *store, count int) []*Hosted {
+// startHosted starts routers, with changes of their options.
+func startHosted(t *testing.T, s *store, count int, change ...func(*HostedOptions)) []*Hosted {
 	is := is.New(t)
 	addresses := make([]netip.AddrPort, count)
 	for i := range addresses {
@@ -124,14 +148,18 @@
 		own := settings.Default()
 		own.Name, own.FailureDomain, own.PeerAddress, own.Peers = view.RouterID(fmt.Sprint("r", i)), "d", addresses[i], addresses
 		own.CallerAddress = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
-		r, err := StartHosted(t.Context(), HostedOptions{
+		o := HostedOptions{
 			Options: Options{
 				Settings: own, Incarnation: uint64(time.Now().UnixNano()), Network: NewNetwork(netip.Addr{}),
 				Logger: &log.Logger{Handler: discard.Default}, Registry: metrics.NewRegistry(),
 			},
 			Platform: &hostedPlatform{s, own.Name}, RevokeWithin: 2700 * time.Millisecond, DrainWithin: 2 * time.Second, Listing: listing.Limits{LapseTime: time.Second, RelistTime: time.Second},
 			StopWithin: time.Second, RetryLimits: retry.Limits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
-		})
+		}
+		for _, apply := range change {
+			apply(&o)
+		}
+		r, err := StartHosted(t.Context(), o)
 		is.NoErr(err)
 		t.Cleanup(r.Close)
 		fleet[i] = r
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -76,6 +76,9 @@
 	versionEpoch uint64
 	list         readResult
 	listHash     uint64
+	// listDoubtedAt is the instant of the last list that was doubted; see
+	// listing.Table.Doubts.
+	listDoubtedAt clock.Instant
 	// epoch is the highest epoch of the store that this router knows, and
 	// restoredAt the instant at which it learnt that the epoch had risen; zero if
 	// it has not.
@@ -85,6 +88,9 @@
 	endpoints []view.Endpoint
 }
 
+// listDoubted reports whether a newer list than the current one has been doubted.
+func (r *readings) listDoubted() bool { return r.listDoubtedAt.After(r.list.at) }
+
 // sources keeps the configuration and the endpoints of a hosted router up to
 // date. A few routers of the fleet, the store readers, read them from the store.
 // The other routers query the store readers, and read the store themselves if no
@@ -121,9 +127,11 @@
 
 func startSources(r *Hosted, p *peers) *sources {
 	ctx, cancel := context.WithCancel(context.Background())
+	limits := r.options.Listing
+	limits.DoubtTime = r.options.listFor()
 	s := &sources{
 		router: r, peers: p, confirmClient: r.links.NewConfirmationClient(), logger: r.options.Logger, ctx: ctx, cancel: cancel,
-		table: listing.New(r.options.Listing), restorations: metrics.GetOrRegisterCounter(MetricRestorations, r.options.Registry),
+		table: listing.New(limits), restorations: metrics.GetOrRegisterCounter(MetricRestorations, r.options.Registry),
 	}
 	s.current.Store(&readings{})
 	s.allowStep(0)
@@ -350,7 +358,7 @@
 }
 
 // applyList applies a list of endpoints unless it is older than the current
-// one. A result without data confirms the current list as of r.at.
+// one, or doubted. A result without data confirms the current list as of r.at.
 func (s *sources) applyList(r readResult) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -367,6 +375,15 @@
 		if err != nil {
 			return err
 		}
+		if s.table.Doubts(r.at.Time(), endpoints) {
+			// The current list grows older and is used no longer than any other.
+			if !next.listDoubted() {
+				s.logger.WithFields(log.Fields{"Endpoints": len(next.endpoints), "EndpointsAge": s.listAge()}).Warn("EmptyListDoubted")
+			}
+			next.listDoubtedAt = r.at
+			s.current.Store(&next)
+			return nil
+		}
 		next.endpoints, next.list.data, next.listHash = endpoints, r.data, xxhash.Sum64(r.data)
 	}
 	next.list.at = r.at
@@ -385,7 +402,8 @@
 // may be late, or is old only because the store can't be read. In the latter case
 // it is the best that any router has.
 func (s *sources) listUsable(now clock.Instant, maxAge time.Duration) bool {
-	return now.Sub(s.current.Load().list.at)+s.router.lateness.Recent() <= maxAge || !s.runsLate()
+	c := s.current.Load()
+	return now.Sub(c.list.at)+s.router.lateness.Recent() <= maxAge || !c.listDoubted() && !s.runsLate()
 }
 
 // confirmedWithin reports whether the configuration in force was the newest one
