Confirm nothing by a higher version of a restored store

A router that had been cut off while a key was taken away, and while the store came back from an older copy, accepted the key again once it read the copy: the copy held a version above the router's own, in which the key was valid.

A version above the one in force counted as written after the restore, and so as the newest. That holds only for a router that had seen all versions before the restore. A higher version is put in force as before, but like any other reading it confirms nothing until RelistTime after the router has noticed the restore, by when operators have written again what the copy lacks.

--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -32,6 +32,7 @@
 type store struct {
 	mu      sync.Mutex
 	version uint64 // guarded by mu
+	epoch   uint64 // guarded by mu
 	leaving bool   // guarded by mu
 	start   int    // guarded by mu
 	// list is the list of endpoints, if it is not that of one endpoint, and listReads
@@ -68,7 +69,7 @@
 	if p.store.refused[p.self] {
 		return Reading{}, errRefused
 	}
-	return Reading{Data: []byte(data())}, nil
+	return Reading{Data: []byte(data()), Epoch: p.store.epoch}, nil
 }
 
 func (p *hostedPlatform) ReadConfiguration(context.Context) (Reading, error) {
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -305,9 +305,6 @@
 			s.logger.WithFields(log.Fields{
 				"Version": table.Version, "Before": next.version, "From": from, "Age": clock.Now().Sub(r.at), "Epoch": next.epoch,
 			}).Info("ConfigurationInForce")
-			if next.version > 0 || r.restoredAt.IsZero() {
-				next.versionEpoch = next.epoch
-			}
 			next.table, next.version, next.configuration.data = table, table.Version, r.data
 			s.router.fleet.setTable(table)
 		}
