Tell starting routers of a configuration that is not confirmed yet

A key that was taken away was accepted again by a router that started while the store was restored twice, if the only router that it could ask had started after the first restore: that one held the newer version, but answered no query until the store had confirmed it, so the other took the older copy for the newest.

Such a router answers now, with an age that confirms nothing; the one that asks puts the version in force and notices the second restore when it reads the store. A configuration that no reading has confirmed does not count as confirmed either on a VM that has itself just started.

TestConfigurationInForceNeverGoesBack no longer leaves this case out.

--- a/internal/transport/router/confirmation.go
+++ b/internal/transport/router/confirmation.go
@@ -108,12 +108,12 @@
 // router's data, and with the data itself where the peer's differs.
 func (s *sources) answerConfirmation(q *wire.ConfirmationQuery) (*wire.Confirmation, error) {
 	c := s.current.Load()
-	if c.configuration.at.IsZero() || c.list.at.IsZero() {
+	if c.version == 0 || c.list.at.IsZero() {
 		return nil, errors.New("confirm configuration: this router has read none yet")
 	}
 	now := clock.Now()
 	answer := &wire.Confirmation{
-		Version: c.version, AgeMillis: ageMillis(now, c.configuration.at),
+		Version: c.version, AgeMillis: c.configurationAgeMillis(now),
 		ListAgeMillis: ageMillis(now, c.list.at), ListHash: c.listHash, Epoch: c.epoch,
 	}
 	if restored := now.Sub(c.restoredAt); !c.restoredAt.IsZero() && restored < s.router.options.Listing.RelistTime {
@@ -138,6 +138,18 @@
 	return answer, nil
 }
 
+// unconfirmedAge is stated as the age of a configuration that no reading has confirmed,
+// because the store was restored shortly before the router started. It confirms nothing
+// at the peer, which has to know of the version: the store may lack it.
+const unconfirmedAge = 24 * time.Hour
+
+func (r *readings) configurationAgeMillis(now clock.Instant) uint64 {
+	if r.configuration.at.IsZero() {
+		return uint64(unconfirmedAge / time.Millisecond)
+	}
+	return ageMillis(now, r.configuration.at)
+}
+
 // ageMillis returns the age in milliseconds, rounded up, since an age must never
 // be reported too low.
 func ageMillis(now, at clock.Instant) uint64 {
--- a/internal/transport/router/restore_test.go
+++ b/internal/transport/router/restore_test.go
@@ -167,11 +167,10 @@
 }
 
 // pastKnown reports whether another router than i can be asked that has run since before
-// the store was restored. One whose configuration was never confirmed does not answer.
+// the store was restored.
 func (f *restoreFleet) pastKnown(i int) bool {
 	for j := range f.sources {
-		confirmed := !f.sources[j].current.Load().configuration.at.IsZero()
-		if j != i && !f.cut[j] && confirmed && f.restoredAt.After(f.startedAt[j]) {
+		if j != i && !f.cut[j] && f.restoredAt.After(f.startedAt[j]) {
 			return true
 		}
 	}
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -413,5 +413,5 @@
 // system call.
 func (s *sources) confirmedAt(now clock.Instant, maxAge time.Duration) bool {
 	c := s.current.Load()
-	return c.version > 0 && now.Sub(c.configuration.at) <= maxAge
+	return !c.configuration.at.IsZero() && now.Sub(c.configuration.at) <= maxAge
 }
