Send a retained server error also when the router stops

What callers would see: a call whose endpoint had answered with a server error, and whose retry got no answer until the router stopped, ended with 502 of the router instead of the endpoint's answer. Seen in a test, not on an installation.

Cause: since the router cancels calls that have not begun before a planned stop ends. The runner took that for a caller that had left, to whom a retained answer is not sent.

Change: the context is cancelled with the cause ErrStopping, and the runner takes only a cancellation without another cause for a caller that has left.

--- a/internal/transport/execution/retained.go
+++ b/internal/transport/execution/retained.go
@@ -108,11 +108,15 @@
 	return r.admit(ctx, p)
 }
 
+// ErrStopping is the cause with which the context of a call is cancelled whose caller still
+// waits, since the router stops.
+var ErrStopping = errors.New("the router stops")
+
 // sendRetained ends a call that failed with the given error: it sends the retained
-// answer to the caller. It returns false if there is none, or if it can't be sent.
+// answer to the caller. It returns false if there is none, or if the caller has left.
 func (r *Runner) sendRetained(ctx context.Context, p *progress, out *sinkTracker, cause error) (bool, error) {
 	retained := p.retained
-	if retained == nil || out.started || errors.Is(ctx.Err(), context.Canceled) {
+	if retained == nil || out.started || errors.Is(context.Cause(ctx), context.Canceled) {
 		return false, nil
 	}
 	r.Logger.WithFields(log.Fields{
--- a/internal/transport/execution/retained_test.go
+++ b/internal/transport/execution/retained_test.go
@@ -164,6 +164,24 @@
 	is.Equal(scheduler.results, []schedule.Result{schedule.ResultFailed})
 }
 
+// TestServerErrorIsSentBeforeTheRouterStops guards against a failure of the router that the
+// caller gets in place of an endpoint's answer, because the router stops during its retry.
+func TestServerErrorIsSentBeforeTheRouterStops(t *testing.T) {
+	for _, decisions := range [][]view.EndpointID{{"e1"}, {"e1", "e2"}} { // the retry waits, or is silent
+		is := is.New(t)
+		backend := &timedBackend{exchanges: []timedExchange{{status: 500, parts: []timedPart{{0, "no"}}}, {head: forever}}}
+		r, stop := newTimedRunner(t, backend, &scriptedScheduler{decisions: decisions})
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(testSilence, func() { cancel(ErrStopping) })
+		out := &recordingSink{}
+		is.NoErr(r.Run(ctx, retriedCall(), out))
+		stop()
+		is.Equal(out.status, http.StatusInternalServerError)
+		is.Equal(out.String(), "no")
+		is.True(out.complete)
+	}
+}
+
 // TestServerErrorsThatRaceWithSearches guards against places, admissions and runs beside
 // each other that remain where the rest of an answer with a server error arrives while
 // a continuation is found.
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -310,12 +310,12 @@
 // Run runs an admitted call; see execution.Runner.Run. A call whose answer has not begun
 // ends with a refusal or a failure before the router stops.
 func (c *Core) Run(ctx context.Context, call *execution.Call, sink execution.Sink) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	watched := &beginningSink{Sink: sink}
 	defer context.AfterFunc(c.ending, func() {
 		if !watched.begun.Load() {
-			cancel()
+			cancel(execution.ErrStopping)
 		}
 	})()
 	return c.runner.Run(ctx, call, watched)
