Begin no answer of a call that has been cancelled

What callers would see: a request whose endpoint began to answer at the moment at which its stopping router ended the calls without an answer got the head and a part of the answer and then a closed connection, instead of a failure. Seen in a test, not on an installation.

Cause: the context of a call is cancelled only while its answer has not begun, but the runner did not look at it between the arrival of the first part and the head that it sends to the caller. It did afterwards, and cut the answer.

Change: the runner begins no answer of a call whose context has ended, unless the answer is complete.

--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -100,7 +100,7 @@
 		forward := len(events) > 0 && (joint.mayForward(out.started) || ids.count > 0 || complete && joint == nil)
 		switch {
 		case forward:
-			if err := forwardEvents(out, answer, events); err != nil {
+			if err := forwardEvents(ctx, out, answer, events, complete); err != nil {
 				return err
 			}
 			buffer.discard(len(events))
@@ -138,7 +138,12 @@
 	return false, nil
 }
 
-func forwardEvents(out *sinkTracker, answer Answer, events []byte) error {
+// forwardEvents writes events to the caller. It begins no answer of a call that has ended,
+// unless that is complete: it would be cut, and the caller can still get a failure.
+func forwardEvents(ctx context.Context, out *sinkTracker, answer Answer, events []byte, complete bool) error {
+	if ctx.Err() != nil && !out.started && !complete {
+		return context.Cause(ctx)
+	}
 	if err := ensureBegun(out, answer); err != nil {
 		return err
 	}
--- a/internal/transport/execution/retained_test.go
+++ b/internal/transport/execution/retained_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/view"
 )
 
@@ -182,6 +183,48 @@
 	}
 }
 
+// endingBackend cancels the call once the first part of its answer has arrived.
+type endingBackend struct {
+	*timedBackend
+	end context.CancelCauseFunc
+}
+
+type endingAnswer struct {
+	Answer
+	end context.CancelCauseFunc
+}
+
+func (b endingBackend) Send(ctx context.Context, a *Attempt) (Answer, error) {
+	answer, err := b.timedBackend.Send(ctx, a)
+	return endingAnswer{answer, b.end}, err
+}
+
+func (a endingAnswer) Read(p []byte) (int, error) {
+	n, err := a.Answer.Read(p)
+	a.end(ErrStopping)
+	return n, err
+}
+
+// TestCancelledCallDoesNotBeginItsAnswer guards against an answer that begins as the router
+// stops, and is cut at once, where the caller could still get a failure.
+func TestCancelledCallDoesNotBeginItsAnswer(t *testing.T) {
+	for _, events := range []bool{false, true} {
+		is := is.New(t)
+		backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}, {0, "id: 2\n\n"}}}}}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		r, stop := newTimedRunner(t, endingBackend{backend, cancel}, &scriptedScheduler{decisions: []view.EndpointID{"e1"}})
+		call := retriedCall()
+		call.Events = events
+		out := &recordingSink{}
+		err := r.Run(ctx, call, out)
+		stop()
+		var problem *caller.Problem
+		is.True(errors.As(err, &problem))
+		is.Equal(problem.NotRun, caller.NotRunUnknown)
+		is.Equal(out.status, 0)
+	}
+}
+
 // TestServerErrorsThatRaceWithSearches guards against places, admissions and runs beside
 // each other that remain where the rest of an answer with a server error arrives while
 // a continuation is found.
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -393,7 +393,7 @@
 			return err
 		}
 		if !out.started {
-			if err := watch.checkGivenUp(); err != nil && !complete {
+			if err := errors.Join(watch.checkGivenUp(), context.Cause(ctx)); err != nil && !complete {
 				return err
 			}
 			if err := out.Begin(answer.Status(), answer.Header()); err != nil {
