Break an answer without a length whose endpoint has crashed

Change: the endpoint is probed when the connection has ended and before the end is passed on. If the process of an endpoint that is not leaving has gone, the answer has broken off: a stream that may be resumed continues at another endpoint, and others are cut. The number of probes is the same. A whole answer is cut if its endpoint crashes within the same round trip, which can't be told from the other case; and one is still taken for whole if the endpoint's host accepts connections when it is probed.

--- a/internal/transport/execution/crash.go
+++ b/internal/transport/execution/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/apex/log"
 
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/state/view"
 )
 
 const (
@@ -19,26 +22,51 @@
 	maxLoggedParts = 16
 )
 
-// examineEnd reports whether the endpoint crashed under an attempt. That is examined where
-// the answer broke off, and where it ended with its connection: it looks complete then.
-func (r *Runner) examineEnd(ctx context.Context, a *Attempt, result schedule.Result, begin time.Time) bool {
-	switch {
-	case r.Prober == nil:
-		return false
-	case result == schedule.ResultFinished && a.CloseDelimited:
-		return r.Prober.Probe(ctx, &a.Endpoint) == ProcessGone && r.examineBreak(ctx, a, begin)
+var errEndedByCrash = errors.New("the endpoint has crashed at the end of an answer without a length")
+
+// examinedAnswer is an answer that ends with its connection. Its end is that of the answer
+// only if the endpoint has not crashed.
+type examinedAnswer struct {
+	Answer
+	crashed func() bool
+}
+
+// Read returns io.EOF only if the endpoint has not crashed.
+func (a examinedAnswer) Read(p []byte) (int, error) {
+	n, err := a.Answer.Read(p)
+	if errors.Is(err, io.EOF) && a.crashed() {
+		return n, errEndedByCrash
 	}
-	return result == schedule.ResultBroken && r.examineBreak(ctx, a, begin)
+	return n, err
+}
+
+// examineEnd returns the answer of an attempt so that its end is examined if it ends with
+// its connection.
+func (r *Runner) examineEnd(ctx context.Context, a *Attempt, answer Answer) Answer {
+	if r.Prober == nil || !a.CloseDelimited {
+		return answer
+	}
+	return examinedAnswer{answer, func() bool {
+		return r.Prober.Probe(ctx, &a.Endpoint) == ProcessGone && !r.isLeaving(a.Endpoint.ID)
+	}}
+}
+
+// isLeaving reports whether an endpoint may end as planned.
+func (r *Runner) isLeaving(id view.EndpointID) bool {
+	e, listed := r.Views.View().Endpoint(id)
+	return !listed || e.Leaving
 }
 
 // examineBreak reports whether the endpoint crashed under an attempt that broke
 // off there, and logs it. The fingerprint in the log shows which attempts were
 // sent for the same request.
 func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time) bool {
+	if r.Prober == nil {
+		return false
+	}
 	elapsed := time.Since(begin)
 	state := r.Prober.Probe(ctx, &a.Endpoint)
-	e, listed := r.Views.View().Endpoint(a.Endpoint.ID)
-	leaving := !listed || e.Leaving
+	leaving := r.isLeaving(a.Endpoint.ID)
 	fields := log.Fields{
 		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
 		"Fingerprint": strconv.FormatUint(a.Call.Fingerprint(), 16), "Endpoint": a.Endpoint.ID, "Process": state,
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -73,8 +73,7 @@
 	Endpoint view.EndpointID
 	Result   schedule.Result
 	// Crashed is set if the process of the endpoint is known to have ended,
-	// unplanned, while it ran the attempt. Its answer may look complete if it ended
-	// with its connection.
+	// unplanned, while it ran the attempt.
 	Crashed bool
 	// Status is the status of the answer; zero if its head has not arrived.
 	Status int
@@ -291,7 +290,9 @@
 		for _, w := range r.Watchers {
 			w.AttemptEnded(a, result, err)
 		}
-		crashed = r.examineEnd(ctx, a, result, meter.begin)
+		if result == schedule.ResultBroken {
+			crashed = r.examineBreak(ctx, a, meter.begin)
+		}
 	} else {
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
 	}
@@ -337,6 +338,7 @@
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, r.newRejectedError(a, answer)
 	}
+	answer = r.examineEnd(ctx, a, answer)
 	watch.resume(p, out.started)
 	retry := false
 	if r.mayRetryAnswer(answer, p) {
