Tell starting routers which endpoints have stated that they leave

What callers would see: less capacity, for as long as an endpoint is listed that only its entry had called leaving, and that started again under the same ID, if a router had started in between. Seen in a test, not on an installation.

Change: the history of endpoints names those that have stated it (new field Stated, which older routers ignore). A known endpoint that leaves and is not among them is taken for listed as leaving. Of an older router, which names none, a starting one learns the entries only, and the statements once it hears them.

Results: TestLearntLeavingEndsWithNewerEntry failed before ("1 != 0", one statement) and passes; TestEndpointHistoryRoundTrip covers the field. go test -race ./internal/coordination/listing ./internal/protocol/peer passes; -run 'Leav|Restor|Statement|Odd|EmptyList|Moment' ./internal/transport/router ./platform passes, one run; golangci-lint reports nothing.

--- a/internal/coordination/listing/history.go
+++ b/internal/coordination/listing/history.go
@@ -15,6 +15,9 @@
 	RestoredAt time.Time
 	// Known are the endpoints that exist.
 	Known []view.Endpoint
+	// Stated are the endpoints that have stated in an answer that they leave. A known one
+	// that leaves and is none of these is listed as leaving, which a newer entry ends.
+	Stated []view.EndpointID
 	// Departed are the endpoints that went within the last goneLifetime.
 	Departed []Departure
 }
@@ -35,6 +38,9 @@
 	for _, e := range t.known {
 		h.Known = append(h.Known, e)
 	}
+	for id := range t.leaving {
+		h.Stated = append(h.Stated, id)
+	}
 	for _, g := range t.gone {
 		h.Departed = append(h.Departed, g)
 	}
@@ -48,10 +54,12 @@
 	if h.RestoredAt.After(t.restoredAt) {
 		t.Restored(h.RestoredAt)
 	}
-	for _, e := range h.Known {
-		if _, stated := t.leaving[e.ID]; e.Leaving && !stated {
-			t.leaving[e.ID] = time.Time{} // applyLeaving sets the instant
+	for _, id := range h.Stated {
+		if _, stated := t.leaving[id]; !stated {
+			t.leaving[id] = time.Time{} // applyLeaving sets the instant
 		}
+	}
+	for _, e := range h.Known {
 		if g, left := t.gone[e.ID]; left && e.Sequence <= g.Sequence {
 			continue
 		}
--- a/internal/coordination/listing/leaving_test.go
+++ b/internal/coordination/listing/leaving_test.go
@@ -100,6 +100,28 @@
 	}
 }
 
+// TestLearntLeavingEndsWithNewerEntry guards against an endpoint that an entry called leaving,
+// and that stays out of use after it has started again under the same ID, since a router
+// that started meanwhile takes that entry for a statement, and tells the others.
+func TestLearntLeavingEndsWithNewerEntry(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{LapseTime: time.Second, RelistTime: 2 * time.Second}
+	table, next := New(limits), New(limits)
+	a := endpoint("a#0", "10.0.0.1:80")
+	a.Leaving, a.Sequence = true, 8
+	now := time.Unix(100, 0)
+	table.Update(now, []view.Endpoint{a})
+	next.Learn(table.History(now))
+	for _, sequence := range []uint64{7, 9} {
+		now = now.Add(500 * time.Millisecond)
+		a.Leaving, a.Sequence = false, sequence
+		for _, t := range []*Table{table, next} {
+			is.Equal(t.Update(now, []view.Endpoint{a})[0].Leaving, sequence < 8)
+			is.Equal(len(t.Stated()), 0)
+		}
+	}
+}
+
 // TestListedLeavingOutweighsOlderList guards against an endpoint that is listed as leaving
 // and gets requests again, since a read that is not known to be from a restored store
 // states that it is ready, and against one that stays out of use after it has started again
--- a/internal/protocol/peer/conversion_listing.go
+++ b/internal/protocol/peer/conversion_listing.go
@@ -23,6 +23,9 @@
 			Slots: int64(e.Slots), MemoryTokens: e.MemoryTokens, Models: e.Models, Leaving: e.Leaving, Sequence: e.Sequence,
 		})
 	}
+	for _, id := range h.Stated {
+		m.Stated = append(m.Stated, string(id))
+	}
 	for _, g := range h.Departed {
 		age := uint64(max(now.Sub(g.At), 0)/time.Millisecond) + 1
 		m.Departed = append(m.Departed, &DepartedEndpoint{Endpoint: string(g.ID), Sequence: g.Sequence, AgeMillis: age})
@@ -48,6 +51,9 @@
 			Slots: int(e.GetSlots()), MemoryTokens: e.GetMemoryTokens(), Models: e.GetModels(), Leaving: e.GetLeaving(), Sequence: e.GetSequence(),
 		})
 	}
+	for _, id := range m.GetStated() {
+		h.Stated = append(h.Stated, view.EndpointID(id))
+	}
 	for _, g := range m.GetDeparted() {
 		h.Departed = append(h.Departed, listing.Departure{ID: view.EndpointID(g.GetEndpoint()), Sequence: g.GetSequence(), At: before(g.GetAgeMillis())})
 	}
--- a/internal/protocol/peer/conversion_listing_test.go
+++ b/internal/protocol/peer/conversion_listing_test.go
@@ -23,6 +23,7 @@
 			ID: "e#1", Pool: "p", VM: "v", FailureDomain: "d", Address: netip.MustParseAddrPort("127.0.0.1:9"),
 			Slots: 6, MemoryTokens: 7, Models: []string{"m"}, Leaving: true, Sequence: 8,
 		}},
+		Stated:   []view.EndpointID{"e#1"},
 		Departed: []listing.Departure{{ID: "f#2", Sequence: 3, At: sent.Add(-1600 * time.Microsecond)}},
 	}
 	data, err := proto.Marshal(FromEndpointHistory(sent, history))
@@ -32,6 +33,7 @@
 	got, err := ToEndpointHistory(received, &m)
 	is.NoErr(err)
 	is.Equal(got.Known, history.Known)
+	is.Equal(got.Stated, history.Stated)
 	is.Equal(got.Departed[0].ID, history.Departed[0].ID)
 	is.Equal(got.Departed[0].Sequence, uint64(3))
 	is.True(got.Departed[0].At.Before(got.RestoredAt))
