Send no evidence again that has been evicted

A router could end with a nil dereference: catchUp looked up the record of each convicted part, which may have been evicted from a full table in the meantime.

Evicted records are left out, and nothing is sent if none is left.

TestEvictedEvidenceIsNotSentAgain panicked before and passes: go test -race -run 'Evicted|CutLinks|Part' ./internal/coordination/suspect.

--- a/internal/coordination/suspect/catchup.go
+++ b/internal/coordination/suspect/catchup.go
@@ -30,9 +30,14 @@
 	var toSend []Evidence
 	for _, c := range t.convictions {
 		for _, f := range c.parts {
-			toSend = append(toSend, t.records[f].all()...)
+			if c := t.records[f]; c != nil { // it may have been evicted
+				toSend = append(toSend, c.all()...)
+			}
 		}
 	}
+	if len(toSend) == 0 {
+		return t.catchUpAt
+	}
 	toSend = toSend[:min(len(toSend), maxEvidencePerMessage)]
 	t.catchUpAck = EvidenceAck{toSend[0].Fingerprint, toSend[0].Endpoint}
 	for _, id := range sortedKeys(t.missed) {
--- a/internal/coordination/suspect/catchup_test.go
+++ b/internal/coordination/suspect/catchup_test.go
@@ -32,3 +32,17 @@
 		}
 	}
 }
+
+// TestEvictedEvidenceIsNotSentAgain guards against a router that ends because the evidence
+// against a convicted part has been evicted while another router has still to get it.
+func TestEvictedEvidenceIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	f := newOpenFleet(4)
+	f.lose = func(_, to view.RouterID) bool { return to == "r3" }
+	f.convictPart(crashingPart)
+	f.advance(time.Second)
+	table := f.tables["r0"]
+	is.True(len(table.missed) > 0 && len(table.convictions) > 0)
+	delete(table.records, crashingPart)
+	is.True(!table.catchUp(f.now.Add(firstResendDelay)).IsZero())
+}
