Count no calls of peers that are over before the next report

Cause: in a fleet of 295 routers, which report every 4.2 s, a report counted until the next one. Endpoints of plain services were taken for full or busy by all routers at once, and the others were overrun: of six endpoints of dispatch-app, one got 65 calls of 22 logged routers in one second and none in three others; refusals said room=none with five endpoints of five idle. Calls of 40 ms in reports do not count any more where reports come more than 0.3 s apart, which spreads them at random, and backlogs of prompts count until they must be processed.

Pattern: herding by old loads.

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -166,9 +166,10 @@
 
 // domainPenalty returns a penalty for endpoints outside the router's own
 // failure domain. It is small enough to decide only between endpoints that are
-// otherwise about equal.
+// otherwise about equal. There is none in a fleet that is too large for routers to know
+// each other's calls: the endpoints of a domain with much traffic would be overrun.
 func (p *Policy) domainPenalty(e *endpoint) time.Duration {
-	if p.domain != e.FailureDomain {
+	if p.domain != e.FailureDomain && p.knowsCalls() {
 		return otherDomainPenalty
 	}
 	return 0
--- a/internal/coordination/admission/endpoint.go
+++ b/internal/coordination/admission/endpoint.go
@@ -67,6 +67,14 @@
 type peerLoad struct {
 	load
 	at time.Time
+	// processedAt is the instant at which the endpoint has processed the reported
+	// prompts.
+	processedAt time.Time
+}
+
+// newPeerLoad returns the load that a peer reports now.
+func (e *endpoint) newPeerLoad(now time.Time, reported load) peerLoad {
+	return peerLoad{reported, now, now.Add(maxUsefulInterval + time.Duration(float64(reported.backlog)/e.speed*float64(time.Millisecond)))}
 }
 
 // endpoint is the state that this router holds of one start of an endpoint.
@@ -133,6 +141,22 @@
 	}
 }
 
+// processPeers removes the backlogs that peers reported and that have been processed
+// since. In a large fleet the next reports are seconds away. Until then all routers
+// would avoid an endpoint that has long been free, and use the same other ones instead
+// (Mitzenmacher, How useful is old information?, 2000).
+func (e *endpoint) processPeers(now time.Time) {
+	if e.peerTotal.backlog == 0 {
+		return
+	}
+	for id, l := range e.peers {
+		if l.backlog > 0 && !now.Before(l.processedAt) {
+			l.backlog = 0
+			e.setPeerLoad(id, l)
+		}
+	}
+}
+
 // retainPeers removes the loads of peers that are not among the routers.
 func (e *endpoint) retainPeers(routers map[view.RouterID]bool) {
 	for id := range e.peers {
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -355,6 +355,7 @@
 			if expirePeers {
 				e.expirePeers(now.Add(-p.reportLifetime()))
 			}
+			e.processPeers(now)
 			if e.silent(now) {
 				e.health.silentUntil = now.Add(silentBackoff)
 				p.emit(schedule.Decision{Event: "EndpointSilent", Fields: []string{
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -23,6 +23,16 @@
 	return max(minPulseInterval, time.Duration(len(p.view.Routers)-1)*time.Second/maxPulsesPerSecond)
 }
 
+// maxUsefulInterval is the longest time between two reports with which the calls
+// without prompts in them are of use. It is some times plainCallTime.
+const maxUsefulInterval = 300 * time.Millisecond
+
+// knowsCalls reports whether routers know of each other's calls without prompts. In a
+// larger fleet these are over long before the next report. An endpoint would then be
+// avoided, or taken for full, by all routers at once, and overrun when the next reports
+// come, while a choice at random spreads the calls well.
+func (p *Policy) knowsCalls() bool { return p.pulseInterval() <= maxUsefulInterval }
+
 // reportLifetime returns the time for which the loads in a peer's Pulse are taken
 // into account. It exceeds the time until the next one.
 func (p *Policy) reportLifetime() time.Duration {
@@ -91,10 +101,15 @@
 		e.setPeerLoad(from, peerLoad{})
 	}
 	for _, l := range m.Endpoints {
-		if e := p.endpoints[l.Endpoint]; e != nil {
-			e.setPeerLoad(from, peerLoad{load{l.Requests, l.Backlog, l.Memory}, now})
-			e.measured.add(now, l.Samples)
+		e := p.endpoints[l.Endpoint]
+		if e == nil {
+			continue
+		}
+		// Requests with prompts occupy memory.
+		if l.Memory > 0 || p.knowsCalls() {
+			e.setPeerLoad(from, e.newPeerLoad(now, load{l.Requests, l.Backlog, l.Memory}))
 		}
+		e.measured.add(now, l.Samples)
 	}
 	reported := make(map[string]usageRates, len(m.Organisations))
 	for _, o := range m.Organisations {
