Read the list of endpoints as often as leaving endpoints need

The interval follows drain_ms, from 0.45 s at 2 s to 0.9 s from 4 s on. The configuration is still confirmed every 0.45 s: keys are refused when its last confirmation is too old, so reading it less often would refuse callers sooner in an outage of the store.

--- a/internal/transport/router/confirmation.go
+++ b/internal/transport/router/confirmation.go
@@ -79,7 +79,7 @@
 	if answer.GetStatedHash() != q.StatedHash {
 		s.reportUnknown(id, answer.GetStated())
 	}
-	if age > maxAge || listAge > maxAge {
+	if age > maxAge || listAge > s.maxListAge(maxAge) {
 		return false, fmt.Errorf("query router %s: the data is too old: the configuration was read %v ago, the list of endpoints %v ago", id, age, listAge)
 	}
 	return true, nil
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -26,6 +26,11 @@
 	// readInterval is the mean delay between two reads of the store, or between
 	// two queries to a peer that reads it.
 	readInterval = 450 * time.Millisecond
+	// shortestDrain is the shortest time within which a leaving endpoint must get no
+	// more attempts. Lists of endpoints are read every readInterval where this is
+	// the time, and maxListFactor times as seldom at the most.
+	shortestDrain = 2 * time.Second
+	maxListFactor = 2
 	// readTimeout bounds one read of the store.
 	readTimeout = 900 * time.Millisecond
 	// confirmTimeout bounds one query to a peer.
@@ -109,6 +114,10 @@
 	// it.
 	storeLost bool
 
+	// listDueAt is the instant from which a read of the store includes the list of
+	// endpoints. Only the goroutine of run uses it.
+	listDueAt clock.Instant
+
 	// stepDue is the instant by which the current step of run ends if the process
 	// runs on time: a query, a read or the delay between two refreshes.
 	stepDue atomic.Pointer[clock.Instant]
@@ -258,21 +267,51 @@
 	}
 }
 
-// readStore reads the configuration and the list of endpoints concurrently.
+// listInterval returns the mean time between two reads of the list of endpoints. The
+// list takes many calls in a large fleet, and only an endpoint that leaves makes its
+// age matter; the configuration is confirmed every readInterval all the same, since
+// keys are refused soon after the last confirmation.
+func (h *HostedOptions) listInterval() time.Duration {
+	factor := min(max(float64(h.DrainWithin)/float64(shortestDrain), 1), maxListFactor)
+	return time.Duration(factor * float64(readInterval))
+}
+
+// maxListAge returns the maximum age of a list that another router has read, if that
+// of the configuration is maxAge.
+func (s *sources) maxListAge(maxAge time.Duration) time.Duration {
+	return maxAge + s.router.options.listInterval() - readInterval
+}
+
+// readsList reports whether a read of the store at the given instant includes the list
+// of endpoints: it is due, or none is known, or the store was lost, when any read may be
+// the last one.
+func (s *sources) readsList(at clock.Instant) bool {
+	if s.listDueAt.After(at) && !s.storeLost && !s.current.Load().list.at.IsZero() {
+		return false
+	}
+	// Reads begin readInterval apart, so one that is due by half of that is taken.
+	s.listDueAt = at.Add(s.router.options.listInterval() - readInterval/2)
+	return true
+}
+
+// readStore reads the configuration and, if it is due, the list of endpoints
+// concurrently.
 func (s *sources) readStore() error {
 	ctx, cancel := context.WithTimeout(s.ctx, readTimeout)
 	defer cancel()
 	platform := s.router.options.Platform
 	var listErr error
 	var reads sync.WaitGroup
-	reads.Go(func() {
-		at := clock.Now()
-		read, err := platform.ReadEndpoints(ctx)
-		if err == nil {
-			err = s.applyList(readResult{data: read.Data, at: at, epoch: read.Epoch})
-		}
-		listErr = err
-	})
+	if s.readsList(clock.Now()) {
+		reads.Go(func() {
+			at := clock.Now()
+			read, err := platform.ReadEndpoints(ctx)
+			if err == nil {
+				err = s.applyList(readResult{data: read.Data, at: at, epoch: read.Epoch})
+			}
+			listErr = err
+		})
+	}
 	at := clock.Now()
 	read, err := platform.ReadConfiguration(ctx)
 	if err == nil {
