Keep sums of what peers report, and judge unmeasured endpoints by their pool

And a router that sends little to each of 160 engines never measured most of them: it took them for half as fast as they are, by the stated throughput, in all starts of 22 logged routers, so that prompts went to engines that had not cached them.

Sums are updated with each report, and only endpoints that a peer reported are cleared. Endpoints without a sample have the mean speed of those measured. Pattern: a router that gets little of a large fleet's work, and one that gets a flood.

--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -78,10 +78,13 @@
 // where the answer should begin soonest, with penalties added for failures,
 // saturation and the loss of a cached prefix. Endpoints on which the request can be
 // started now go before all others, so that no request waits for the endpoint that
-// has its prefix cached while another one has room. It returns false if no endpoint
-// can run the request.
+// has its prefix cached while another one has room. Requests of organisations above
+// their share do not, since they would find room only at endpoints without any load
+// and have most prefixes processed again. It returns false if no endpoint can run the
+// request.
 func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, states []endpointState, capacityShare float64) (candidate, bool) {
 	homes := p.homes(now, l, w)
+	spills := capacityShare >= 1
 	var best candidate
 	found := false
 	for pass := range 2 {
@@ -93,11 +96,11 @@
 			if !e.fits(states[i].load, c.work) {
 				continue
 			}
-			if found && c.score >= best.score && best.startNow {
+			if found && c.score >= best.score && (best.startNow || !spills) {
 				continue
 			}
 			c.startNow = p.canStart(now, w, &c, capacityShare)
-			if !found || c.startNow && !best.startNow || c.startNow == best.startNow && c.score < best.score {
+			if !found || !spills || c.startNow && !best.startNow || c.startNow == best.startNow && c.score < best.score {
 				best, found = c, true
 			}
 		}
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -46,11 +47,13 @@
 	random *rand.Rand
 	view   *view.Snapshot
 	// domain is the failure domain of this router.
-	domain           string
-	pools            map[string]*pool
-	endpoints        map[view.EndpointID]*endpoint
-	running          map[schedule.RequestID]*running
-	usage            *usage
+	domain    string
+	pools     map[string]*pool
+	endpoints map[view.EndpointID]*endpoint
+	running   map[schedule.RequestID]*running
+	usage     *usage
+	// loadedBy holds the endpoints on which the last reports of peers state load.
+	loadedBy         map[view.RouterID][]*endpoint
 	returning        returning
 	nextPulseAt      time.Time
 	nextCheckAt      time.Time
@@ -71,8 +74,11 @@
 	tokensPerSecond float64
 	tokensPerEvent  float64
 	endpoints       []*endpoint
-	// prefillSamples are those of all endpoints; see busyTime.
+	// prefillSamples are those of all endpoints; see busyTime. speed is the mean prefill
+	// speed of the endpoints that this router has measured, by the given number of samples.
 	prefillSamples prefillSamples
+	speed          float64
+	samples        int
 	queue          queue
 	// classes hold the mean prefill of each class of requests.
 	classes map[string]*classPrefill
@@ -111,7 +117,7 @@
 func New(o Options) *Policy {
 	return &Policy{
 		random: rand.New(o.Source), view: &view.Snapshot{}, pools: map[string]*pool{},
-		endpoints: map[view.EndpointID]*endpoint{}, running: map[schedule.RequestID]*running{}, pauses: map[view.EndpointID]time.Time{}, usage: newUsage(),
+		endpoints: map[view.EndpointID]*endpoint{}, running: map[schedule.RequestID]*running{}, pauses: map[view.EndpointID]time.Time{}, usage: newUsage(), loadedBy: map[view.RouterID][]*endpoint{},
 	}
 }
 
@@ -295,7 +301,8 @@
 			p.domain = v.Routers[i].FailureDomain
 		}
 	}
-	p.usage.retainPeers(routers)
+	p.usage.fleet.retain(routers)
+	maps.DeleteFunc(p.loadedBy, func(id view.RouterID, _ []*endpoint) bool { return !routers[id] })
 	previous := p.endpoints
 	p.endpoints = make(map[view.EndpointID]*endpoint, len(v.Endpoints))
 	for _, l := range p.pools {
@@ -324,6 +331,7 @@
 			e.retainPeers(routers)
 			e.hash = xxhash.Sum64String(string(e.ID))
 		}
+		l.assumeSpeed()
 		if len(l.endpoints) == 0 && l.queue.len() == 0 {
 			delete(p.pools, name)
 			continue
@@ -348,7 +356,7 @@
 	expirePeers := !now.Before(p.nextPeerExpiryAt)
 	if expirePeers {
 		p.nextPeerExpiryAt = now.Add(peerExpiryInterval)
-		p.usage.expirePeers(now.Add(-p.ratesLifetime()))
+		p.usage.fleet.expire(now.Add(-p.ratesLifetime()))
 	}
 	for _, l := range p.pools {
 		for _, e := range l.endpoints {
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -97,9 +97,12 @@
 // receivePulse replaces the loads and rates of a peer by those of its newest
 // Pulse.
 func (p *Policy) receivePulse(now time.Time, from view.RouterID, m *schedule.Pulse) {
-	for _, e := range p.endpoints {
+	loaded := p.loadedBy[from]
+	for _, e := range loaded {
 		e.setPeerLoad(from, peerLoad{})
 	}
+	clear(loaded)
+	loaded = loaded[:0]
 	for _, l := range m.Endpoints {
 		e := p.endpoints[l.Endpoint]
 		if e == nil {
@@ -108,12 +111,14 @@
 		// Requests with prompts occupy memory.
 		if l.Memory > 0 || p.knowsCalls() {
 			e.setPeerLoad(from, e.newPeerLoad(now, load{l.Requests, l.Backlog, l.Memory}))
+			loaded = append(loaded, e)
 		}
 		e.measured.add(now, l.Samples)
 	}
+	p.loadedBy[from] = loaded
 	reported := make(map[string]usageRates, len(m.Organisations))
 	for _, o := range m.Organisations {
 		reported[o.Organisation] = usageRates{o.Requested, o.Received, o.Unserved}
 	}
-	p.usage.peers[from] = peerRates{reported, now}
+	p.usage.fleet.set(from, peerRates{reported, now})
 }
--- a/internal/coordination/admission/speed.go
+++ b/internal/coordination/admission/speed.go
@@ -19,6 +19,9 @@
 	// initialSampleTokens is the number of prompt tokens with which the speed that was
 	// assumed before the first sample counts as a sample of a pool.
 	initialSampleTokens = 20_000
+	// minPoolSamples is the number of samples from which the mean speed of a pool is
+	// taken for that of endpoints without a sample.
+	minPoolSamples = 20
 	// maxInitialSpeed bounds the speed that counts as a sample. Operators may state a
 	// throughput far above what the engines deliver, which the first samples would
 	// not correct.
@@ -74,6 +77,26 @@
 	observed := min(max(tokens/milliseconds(prefillTime), minSpeed), maxSpeed)
 	e.speed += sampleWeight * (observed - e.speed)
 	e.speedMeasured = true
+	if l.speed == 0 {
+		l.speed = e.speed
+	}
+	l.speed += sampleWeight * (observed - l.speed)
+	l.samples++
+	l.assumeSpeed()
+}
+
+// assumeSpeed takes endpoints that this router has not measured for as fast as the
+// mean of the others. A router of a large fleet sends few requests to each of many
+// endpoints, and the stated throughput may be far from what they deliver.
+func (l *pool) assumeSpeed() {
+	if l.samples < minPoolSamples {
+		return
+	}
+	for _, e := range l.endpoints {
+		if !e.speedMeasured {
+			e.speed = l.speed
+		}
+	}
 }
 
 // busyTime returns the time for which the engine of the endpoint is busy with the given
--- a/internal/coordination/admission/stall_test.go
+++ b/internal/coordination/admission/stall_test.go
@@ -100,3 +100,23 @@
 		is.True(busy >= 50*time.Millisecond && busy <= 100*time.Millisecond)
 	}
 }
+
+// TestSpeedOfUnusedEndpoints covers a router of a large fleet, which sends hardly any
+// request to each of many endpoints, in a pool whose stated throughput is a quarter of
+// what it delivers: the endpoints that it has not measured are no slower than the others.
+func TestSpeedOfUnusedEndpoints(t *testing.T) {
+	is := is.New(t)
+	const engines = 40
+	w := newSimulation(engines, engines*engineSpeed*1000/statedSpeedFactor/4)
+	is.Equal(w.policy.endpoints["e0"].speed, engineSpeed/4.0)
+	for range 30 {
+		w.sendHot()
+		w.advance(250 * time.Millisecond)
+	}
+	is.True(len(w.startsByEngine) < engines/2)
+	is.True(w.policy.endpoints["e0"].speed >= 0.8*engineSpeed)
+	w.engines = append(w.engines, w.engines[0])
+	w.engines[engines].ID = "new"
+	w.setView(engines * engineSpeed * 1000 / statedSpeedFactor / 4)
+	is.True(w.policy.endpoints["new"].speed >= 0.8*engineSpeed)
+}
--- a/internal/coordination/admission/usage.go
+++ b/internal/coordination/admission/usage.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"hyssopreach/internal/state/view"
 )
 
 // usageTimeConstant is the time constant with which the rates of an organisation are
@@ -60,6 +58,11 @@
 	return usageRates{r.requested + o.requested, r.received + o.received, r.unserved + o.unserved}
 }
 
+// minus returns the difference, without the negative values that rounding leaves.
+func (r usageRates) minus(o usageRates) usageRates {
+	return usageRates{max(r.requested-o.requested, 0), max(r.received-o.received, 0), max(r.unserved-o.unserved, 0)}
+}
+
 // organisationUsage is the work that an organisation has requested from, and
 // received through, this router; see usageRates.
 type organisationUsage struct {
@@ -76,18 +79,12 @@
 	return usageRates{o.requested.perSecond(now), o.received.perSecond(now), o.unserved.perSecond(now)}
 }
 
-// peerRates are the rates of organisations that a peer reported at an instant.
-type peerRates struct {
-	rates map[string]usageRates
-	at    time.Time
-}
-
 // usage tracks the work that each organisation requests from the whole fleet
 // and receives.
 type usage struct {
 	own map[string]*organisationUsage
-	// peers holds the rates that other routers reported last.
-	peers map[view.RouterID]peerRates
+	// fleet holds the rates that other routers reported last.
+	fleet fleetSums
 	// rates are the sums over the fleet at ratesAt, updated with the work
 	// received through this router since then.
 	rates   map[string]usageRates
@@ -98,7 +95,7 @@
 }
 
 func newUsage() *usage {
-	return &usage{own: map[string]*organisationUsage{}, peers: map[view.RouterID]peerRates{}}
+	return &usage{own: map[string]*organisationUsage{}, fleet: newFleetSums()}
 }
 
 func (u *usage) organisationUsage(organisation string) *organisationUsage {
@@ -141,25 +138,6 @@
 	u.adjustRate(organisation, -cost)
 }
 
-// retainPeers removes the rates reported by peers that are not among the
-// routers.
-func (u *usage) retainPeers(routers map[view.RouterID]bool) {
-	for id := range u.peers {
-		if !routers[id] {
-			delete(u.peers, id)
-		}
-	}
-}
-
-// expirePeers removes the rates that peers reported before the given instant.
-func (u *usage) expirePeers(before time.Time) {
-	for id, reported := range u.peers {
-		if reported.at.Before(before) {
-			delete(u.peers, id)
-		}
-	}
-}
-
 // fleetRates returns the rates of all organisations, summed over the routers.
 func (u *usage) fleetRates(now time.Time) map[string]usageRates {
 	if u.rates != nil && now.Sub(u.ratesAt) < fleetRatesMaxAge {
@@ -172,11 +150,9 @@
 		own += rates[name].requested
 	}
 	total = own
-	for _, reported := range u.peers {
-		for name, o := range reported.rates {
-			rates[name] = rates[name].plus(o)
-			total += o.requested
-		}
+	for name, o := range u.fleet.sums {
+		rates[name] = rates[name].plus(o.usageRates)
+		total += o.requested
 	}
 	u.rates, u.ratesAt, u.ownShare = rates, now, own/max(total, 1)
 	return rates
