--- a/internal/transport/platform/log_test.go
+++ b/internal/transport/platform/log_test.go
@@ -130,11 +130,11 @@
 }
 
 // TestLateAppendTakesEffectAfterError breaks the connection of an append that
-// the log carries out 30 ms later. The error must leave the outcome open.
+// the log carries out a second later. The error must leave the outcome open.
 func TestLateAppendTakesEffectAfterError(t *testing.T) {
 	is := is.New(t)
 	j, l := startLog(t, journal.Settings{})
-	j.SetFaults(journal.Faults{LateAppends: 1, LateMillis: 30})
+	j.SetFaults(journal.Faults{LateAppends: 1, LateMillis: 1000})
 	_, err := l.Append(context.Background(), "s", records("a"))
 	var unknown *UnknownOutcomeError
 	is.True(errors.As(err, &unknown))
