Judge no speed for a pool that is gone, and list refusals beside idle engines

measureSpeed, which belongs to the pool of an endpoint since, would have ended the process where an answer began after the last endpoint of its pool had left the list (TestAnswerFromARemovedPool). Found by reading the change.

--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -243,8 +243,8 @@
 	}
 	r.firstTokenSeen = true
 	e.own.backlog -= r.work.prefill
-	if !in.Late {
-		p.pools[e.Pool].measureSpeed(r, in.FirstToken)
+	if l := p.pools[e.Pool]; l != nil && !in.Late {
+		l.measureSpeed(r, in.FirstToken)
 	}
 	p.scan(now, p.pools[e.Pool])
 }
--- a/internal/coordination/admission/stall_test.go
+++ b/internal/coordination/admission/stall_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -21,15 +22,18 @@
 	acceptedPause                    = 400 * time.Millisecond
 )
 
-// sendHot sends a request of the hot prefix, of a class whose streams may pause for
-// acceptedPause.
-func (w *simulation) sendHot() {
+// sendHot sends a request of the hot prefix.
+func (w *simulation) sendHot() { w.sendHotOf("o", 7) }
+
+// sendHotOf sends a request of an organisation's hot prefix, of a class whose streams
+// may pause for acceptedPause.
+func (w *simulation) sendHotOf(organisation string, prefix uint64) {
 	w.last++
 	r := &schedule.Request{
-		ID: w.last, Organisation: "o", Class: "hot", Pool: "p", MayWait: true, MaxPause: acceptedPause,
+		ID: w.last, Organisation: organisation, Class: "hot", Pool: "p", MayWait: true, MaxPause: acceptedPause,
 		Objective: w.now.Add(objective), Deadline: w.now.Add(deadline),
 		Prompt: &schedule.Prompt{InputTokens: hotPromptTokens, OutputTokens: 100, Parts: []schedule.PromptPart{
-			{ID: 7, Tokens: hotPrefixTokens}, {ID: uint64(w.last) << 20, Tokens: hotPromptTokens - hotPrefixTokens},
+			{ID: prefix, Tokens: hotPrefixTokens}, {ID: uint64(w.last) << 20, Tokens: hotPromptTokens - hotPrefixTokens},
 		}},
 	}
 	w.requests[r.ID], w.arrived[r.ID] = r, w.now
@@ -120,3 +124,32 @@
 	w.setView(engines * engineSpeed * 1000 / statedSpeedFactor / 4)
 	is.True(w.policy.endpoints["new"].speed >= 0.8*engineSpeed)
 }
+
+// TestNothingIsRefusedWhileEnginesAreIdle lets two organisations with a hot prefix each
+// request two fifths of the capacity, which is four times the stated throughput, so that
+// both are far above their fair rates. Neither may be refused while engines are idle.
+func TestNothingIsRefusedWhileEnginesAreIdle(t *testing.T) {
+	is := is.New(t)
+	const engines = 8
+	w := newSimulation(engines, engines*engineSpeed*1000/10)
+	for i := range 80 { // 27 requests a second, 0.4 of the capacity
+		w.sendHotOf(fmt.Sprint("o", i%2), 7+uint64(i%2))
+		w.advance(37 * time.Millisecond)
+	}
+	t.Logf("started %v, refused %v", w.started, w.refused)
+	is.Equal(len(w.refusals), 0)
+}
+
+// TestAnswerFromARemovedPool lets the answer to a request begin after its pool has been
+// removed from the view.
+func TestAnswerFromARemovedPool(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1, 50_000)
+	w.sendHot()
+	is.Equal(w.started["o"], 1)
+	w.engines = nil
+	w.setView(50_000)
+	w.input(schedule.Progress{ID: w.last, FirstToken: 200 * time.Millisecond, Service: 1})
+	w.input(schedule.Completion{ID: w.last, Result: schedule.ResultFinished})
+	is.Equal(len(w.policy.running), 0)
+}
