--- a/internal/coordination/admission/candidate.go
+++ b/internal/coordination/admission/candidate.go
@@ -76,15 +76,11 @@
 
 // choose returns the endpoint with the lowest score for the request: the one
 // where the answer should begin soonest, with penalties added for failures,
-// saturation and the loss of a cached prefix. Endpoints on which the request can be
-// started now go before all others, so that no request waits for the endpoint that
-// has its prefix cached while another one has room. Requests of organisations above
-// their share do not, since they would find room only at endpoints without any load
-// and have most prefixes processed again. It returns false if no endpoint can run the
-// request.
-func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, states []endpointState, capacityShare float64) (candidate, bool) {
+// saturation and the loss of a cached prefix. If spills is set, endpoints on which the
+// request can be started now go before all others. It returns false if no endpoint can
+// run the request.
+func (p *Policy) choose(now time.Time, l *pool, w *queuedRequest, states []endpointState, capacityShare float64, spills bool) (candidate, bool) {
 	homes := p.homes(now, l, w)
-	spills := capacityShare >= 1
 	var best candidate
 	found := false
 	for pass := range 2 {
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		capacityShare := shares.capacityShare(&w.request)
-		best, found := p.choose(now, l, w, states, capacityShare)
+		best, found := p.choose(now, l, w, states, capacityShare, false)
 		if !found && p.refusePaused(now, l, w) {
 			continue
 		}
@@ -90,6 +90,10 @@
 			w.judged = true
 			w.class.add(best.work.prefill)
 		}
+		var cause refusalCause
+		if !best.startNow {
+			best, cause = p.spillOrRefuse(now, l, w, states, best, found, queueTime, capacityShare)
+		}
 		switch {
 		case found && best.startNow:
 			p.start(now, w, best)
@@ -97,7 +101,7 @@
 			load := best.endpoint.total()
 			states[slices.Index(l.endpoints, best.endpoint)] = endpointState{load, best.endpoint.timing(now, load, meanTiming)}
 		default:
-			if cause := p.mustRefuse(now, l, w, best, found, queueTime, capacityShare < 1); cause != "" {
+			if cause != "" {
 				detail := fmt.Sprintf("cause=%s,%s,%s", cause, refusalDetail(now, w, best, found, queueTime, capacityShare, &shares), p.leastLoaded(now, l, states))
 				p.refuse(now, w, best, queueTime, detail)
 				continue
@@ -112,6 +116,26 @@
 	l.queue.requests = remaining
 }
 
+// spillOrRefuse judges a request that can't be started on the best candidate. It returns
+// why the request must be refused, if it must, or another candidate on which it can be
+// started instead. A request waits for the endpoint that has its prefix cached for as
+// long as another one would take to process the prefix, and is not refused there while
+// another one has room. Requests of organisations above their share are: they would find
+// room only at endpoints without much load, and have most prefixes processed again.
+func (p *Policy) spillOrRefuse(now time.Time, l *pool, w *queuedRequest, states []endpointState, best candidate, found bool, queueTime time.Duration, capacityShare float64) (candidate, refusalCause) {
+	cause := p.mustRefuse(now, l, w, best, found, queueTime, capacityShare < 1)
+	if !found || capacityShare < 1 || w.request.Prompt == nil {
+		return best, cause
+	}
+	if cause == "" && now.Sub(w.arrived) < l.busyTime(best.endpoint, sharedPrefixTokens(w.request.Prompt)) {
+		return best, ""
+	}
+	if other, _ := p.choose(now, l, w, states, capacityShare, true); other.startNow {
+		return other, ""
+	}
+	return best, cause
+}
+
 // ownSpeedShare returns this router's share of the prefill speed of the pool,
 // in tokens per millisecond. The share follows the part of the fleet's demand
 // that this router receives, since all callers may use one router, and is at
