--- /dev/null
+++ b/review/reviewkit/unframed.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// streamLoad returns the mix of streams of the small deployment: short ones, and some long
+// ones that are under way when a worker ends.
+func streamLoad() request {
+	if rand.IntN(4) > 0 {
+		return request{kind: "short", key: "key-clinic-1", events: 5, step: 20, deadline: 3 * time.Second}
+	}
+	return request{kind: "long", key: "key-depot-1", events: 76, step: 50, deadline: 15 * time.Second}
+}
+
+// startUnframed starts four workers whose answers end with their connection, the routers
+// and the load.
+func startUnframed(ctx context.Context, f *fleet, perSecond float64) (*load, context.CancelFunc, error) {
+	for i := range 4 {
+		if err := f.startWorker(ctx, "pool", fmt.Sprint("z", i%3), workerOptions{Unframed: true}); err != nil {
+			return nil, nil, errors.Join(errCannotRun, err)
+		}
+	}
+	go f.beat(ctx)
+	if err := f.startRouters(ctx); err != nil {
+		return nil, nil, errors.Join(errCannotRun, err)
+	}
+	l := &load{fleet: f}
+	var err error
+	if l.fronts, err = f.resolve(ctx); err != nil || len(l.fronts) == 0 {
+		return nil, nil, errors.Join(errCannotRun, err)
+	}
+	loadCtx, stop := context.WithCancel(ctx)
+	go l.run(loadCtx, perSecond, streamLoad)
+	return l, stop, nil
+}
+
+// judgeUnframed ends the load and returns the successes that are not whole.
+func judgeUnframed(l *load, stop context.CancelFunc) ([]string, error) {
+	stop()
+	time.Sleep(200 * time.Millisecond)
+	l.wait.Wait()
+	l.fleet.record.addf("%d requests sent, %d answered with a complete success", l.sent.Load(), l.served.Load())
+	if l.served.Load() < l.sent.Load()/2 {
+		return nil, fmt.Errorf("%w: only %d of %d requests served", errCannotRun, l.served.Load(), l.sent.Load())
+	}
+	var broken []string
+	for _, o := range l.falselyComplete() {
+		events, _ := plan(o.path)
+		broken = append(broken, fmt.Sprintf("request %s: status 200 of worker %s, the answer ends as complete after %d of %d events", o.id, o.worker, o.events, events))
+	}
+	return broken, nil
+}
+
+// playCrash crashes one of four workers.
+func playCrash(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
+	l, stop, err := startUnframed(ctx, f, 150)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(8 * time.Second)
+	if trouble {
+		f.crash(f.anyWorker("pool"))
+		time.Sleep(3 * time.Second)
+		if err := f.startWorker(ctx, "pool", "z0", workerOptions{Unframed: true}); err != nil {
+			return nil, errors.Join(errCannotRun, err)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	return judgeUnframed(l, stop)
+}
+
+// playDrain empties one of four workers, which exits drain_ms and a little after the store
+// has accepted its report.
+func playDrain(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
+	l, stop, err := startUnframed(ctx, f, 60)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(8 * time.Second)
+	if trouble {
+		p := f.anyWorker("pool")
+		f.drain(p)
+		time.Sleep(2500 * time.Millisecond)
+		f.unlist(p)
+		f.record.addf("worker %s exits", p.options.ID)
+		_ = p.command.Process.Kill()
+	}
+	time.Sleep(4 * time.Second)
+	return judgeUnframed(l, stop)
+}
