--- a/review/reviewkit/client.go
+++ b/review/reviewkit/client.go
@@ -21,7 +21,17 @@
 	kind, key    string
 	events, step int
 	deadline     time.Duration
-	lastEvent    string
+	// path is used in place of one that holds the kind and the ID; empty for none.
+	path string
+}
+
+// parts describes the prompt: a part that other requests share, and one of its own. The
+// prompt of a request that comes again is the same each time.
+func (q *request) parts(id string) string {
+	if q.path != "" {
+		return "77:200,78:400"
+	}
+	return fmt.Sprintf("%x:200,%s:400", rand.IntN(40)+1, id[:8])
 }
 
 // outcome is what a client saw.
@@ -52,6 +62,9 @@
 func (l *load) send(ctx context.Context, q request) outcome {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	o := outcome{id: id, path: fmt.Sprintf("/%s/%d/%d/%s", q.kind, q.events, q.step, id)}
+	if q.path != "" {
+		o.path = q.path
+	}
 	front := l.fronts[rand.IntN(len(l.fronts))]
 	l.fleet.record.addf("sent %s %s to %s", id, o.path, front)
 	ctx, cancel := context.WithTimeout(ctx, q.deadline)
@@ -77,7 +90,7 @@
 		r.Header.Set(contract.HeaderKey, q.key)
 		r.Header.Set("Model", "m")
 		r.Header.Set(contract.HeaderTokenCounts, fmt.Sprintf("600,%d", 5*q.events))
-		r.Header.Set(contract.HeaderPromptParts, fmt.Sprintf("%x:200,%s:400", rand.IntN(40)+1, o.id[:8]))
+		r.Header.Set(contract.HeaderPromptParts, q.parts(o.id))
 	}
 	response, err := l.fleet.client.Do(r)
 	if err != nil {
--- a/review/reviewkit/fleet.go
+++ b/review/reviewkit/fleet.go
@@ -34,6 +34,8 @@
 	frontPort, readyPort, directoryPort = 8783, 8780, 8789
 	// leadTime is the time between the start of the routers and that of the traffic.
 	leadTime = 6 * time.Second
+	// restartTime is the time after which a worker that has crashed is back.
+	restartTime = 3 * time.Second
 )
 
 // record writes what was sent, answered and run.
@@ -45,14 +47,14 @@
 func (r *record) addf(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, time.Now().Format(stampFormat)+" "+format+"\n", args...)
+	_, _ = fmt.Fprintf(r.file, time.Now().Format(stampFormat)+" "+format+"\n", args...)
 }
 
 // raw writes lines that bear their own time.
 func (r *record) raw(line string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintln(r.file, line)
+	_, _ = fmt.Fprintln(r.file, line)
 }
 
 // fleet is a small deployment: routers and workers as processes, and the platform's store.
@@ -69,9 +71,12 @@
 	version int
 	// noTenants is set once the configuration holds no tenant any more.
 	noTenants bool
-	workers map[string]*workerProcess
-	runs    map[string][]string // the workers that ran a request, by its ID
-	closed  bool
+	workers   map[string]*workerProcess
+	runs      map[string][]string // the workers that ran a request, by its ID
+	// poisonRuns are the times at which workers began to run the request that crashes
+	// them.
+	poisonRuns []time.Time
+	closed     bool
 }
 
 // workerProcess is a worker with its entry in the store.
@@ -261,6 +266,10 @@
 	go f.readRuns(out)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.closed {
+		_ = c.Process.Kill()
+		return errCannotRun
+	}
 	f.workers[o.ID] = &workerProcess{options: o, service: service, zone: zone, command: c, born: time.Now().UnixMilli(), listed: true}
 	f.record.addf("worker %s of %s starts at %s", o.ID, service, o.Address)
 	return nil
@@ -271,9 +280,13 @@
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
 		f.record.raw(lines.Text())
-		if fields := strings.Fields(lines.Text()); len(fields) > 3 {
+		if fields := strings.Fields(lines.Text()); len(fields) > 4 {
 			f.mu.Lock()
 			f.runs[fields[3]] = append(f.runs[fields[3]], fields[2])
+			if strings.Contains(fields[4], poisonPart) {
+				f.poisonRuns = append(f.poisonRuns, time.Now())
+				go f.crashed(fields[2])
+			}
 			f.mu.Unlock()
 		}
 	}
@@ -298,6 +311,21 @@
 	time.AfterFunc(3*heartbeat, func() { f.unlist(p) })
 }
 
+// crashed removes the entry of a worker that has crashed by itself, and starts another one
+// some seconds later.
+func (f *fleet) crashed(id string) {
+	f.mu.Lock()
+	p := f.workers[id]
+	f.mu.Unlock()
+	f.record.addf("worker %s has crashed", id)
+	time.AfterFunc(3*heartbeat, func() { f.unlist(p) })
+	time.AfterFunc(restartTime, func() {
+		if err := f.startWorker(context.Background(), p.service, p.zone, workerOptions{Unframed: p.options.Unframed}); err != nil {
+			f.record.addf("the worker does not start again: %v", err)
+		}
+	})
+}
+
 func (f *fleet) unlist(p *workerProcess) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -314,12 +342,6 @@
 	f.record.addf("worker %s is draining", p.options.ID)
 }
 
-// signalRouter sends a signal to a router.
-func (f *fleet) signalRouter(i int, s syscall.Signal) {
-	f.record.addf("router edge-%d gets signal %v", i, s)
-	_ = f.routers[i].Process.Signal(s)
-}
-
 // close ends all processes that the fleet started.
 func (f *fleet) close() {
 	f.mu.Lock()
--- a/review/reviewkit/main.go
+++ b/review/reviewkit/main.go
@@ -20,9 +20,10 @@
 
 // scenes are the cases by name. They return what broke the rule.
 var scenes = map[string]func(ctx context.Context, f *fleet, trouble bool) ([]string, error){
-	"crash": playCrash,
-	"drain": playDrain,
+	"crash":  playCrash,
+	"drain":  playDrain,
 	"revoke": playRevoke,
+	"poison": playPoison,
 }
 
 func main() {
--- a/review/reviewkit/revoke.go
+++ b/review/reviewkit/revoke.go
@@ -59,5 +59,16 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	// A key that no configuration ever held must never admit a request.
+	q.key = "key-of-nobody"
+	for range 10 {
+		o := l.send(ctx, q)
+		f.mu.Lock()
+		ran := f.runs[o.id]
+		f.mu.Unlock()
+		if len(ran) > 0 {
+			broken = append(broken, fmt.Sprintf("request %s, whose key no configuration ever held, ran at %v", o.id, ran))
+		}
+	}
 	return broken, nil
 }
--- a/review/reviewkit/unframed.go
+++ b/review/reviewkit/unframed.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// streamLoad returns the mix of streams of the small deployment: short ones, and some long
+// streamLoad describes streams of the small deployment: short ones, and a share of long
 // ones that are under way when a worker ends.
-func streamLoad() request {
-	if rand.IntN(4) > 0 {
+func streamLoad(long float64) request {
+	if rand.Float64() >= long {
 		return request{kind: "short", key: "key-clinic-1", events: 5, step: 20, deadline: 3 * time.Second}
 	}
 	return request{kind: "long", key: "key-depot-1", events: 76, step: 50, deadline: 15 * time.Second}
@@ -19,7 +19,7 @@
 
 // startUnframed starts four workers whose answers end with their connection, the routers
 // and the load.
-func startUnframed(ctx context.Context, f *fleet, perSecond float64) (*load, context.CancelFunc, error) {
+func startUnframed(ctx context.Context, f *fleet, perSecond, long float64) (*load, context.CancelFunc, error) {
 	for i := range 4 {
 		if err := f.startWorker(ctx, "pool", fmt.Sprint("z", i%3), workerOptions{Unframed: true}); err != nil {
 			return nil, nil, errors.Join(errCannotRun, err)
@@ -35,7 +35,7 @@
 		return nil, nil, errors.Join(errCannotRun, err)
 	}
 	loadCtx, stop := context.WithCancel(ctx)
-	go l.run(loadCtx, perSecond, streamLoad)
+	go l.run(loadCtx, perSecond, func() request { return streamLoad(long) })
 	return l, stop, nil
 }
 
@@ -58,7 +58,7 @@
 
 // playCrash crashes one of four workers.
 func playCrash(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 150)
+	l, stop, err := startUnframed(ctx, f, 100, 0.25)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 // playDrain empties one of four workers, which exits drain_ms and a little after the store
 // has accepted its report.
 func playDrain(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 60)
+	l, stop, err := startUnframed(ctx, f, 60, 0.25)
 	if err != nil {
 		return nil, err
 	}
--- a/review/reviewkit/worker.go
+++ b/review/reviewkit/worker.go
@@ -12,11 +12,15 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"hyssopreach/platform/contract"
 )
 
+// poisonPart is the part of a path that crashes the worker.
+const poisonPart = "poison"
+
 // workerOptions describe a worker process.
 type workerOptions struct {
 	ID, Address string
@@ -64,15 +68,19 @@
 		return
 	}
 	w.out.Lock()
-	fmt.Fprintf(os.Stdout, "%s run %s %s %s\n", time.Now().Format(stampFormat), w.options.ID, id, r.RequestURI)
+	_, _ = fmt.Fprintf(os.Stdout, "%s run %s %s %s\n", time.Now().Format(stampFormat), w.options.ID, id, r.RequestURI)
 	w.out.Unlock()
+	if strings.Contains(r.URL.Path, poisonPart) {
+		// The request crashes the process that runs it.
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
 	events, step := plan(r.URL.Path)
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get(contract.HeaderLastEvent)); err == nil {
 		first = last + 1
 	}
 	if w.options.Unframed {
-		w.writeUnframed(rw, r.Context(), id, first, events, step)
+		w.writeUnframed(r.Context(), rw, id, first, events, step)
 		return
 	}
 	rw.Header().Set("Content-Type", "text/event-stream")
@@ -98,7 +106,7 @@
 }
 
 // writeUnframed sends a stream that ends with its connection.
-func (w *worker) writeUnframed(rw http.ResponseWriter, ctx context.Context, id string, first, events int, step time.Duration) {
+func (w *worker) writeUnframed(ctx context.Context, rw http.ResponseWriter, id string, first, events int, step time.Duration) {
 	conn, _, err := rw.(http.Hijacker).Hijack()
 	if err != nil {
 		return
