--- a/review/reviewkit/client.go
+++ b/review/reviewkit/client.go
@@ -78,12 +78,13 @@
 }
 
 func (l *load) exchange(ctx context.Context, front netip.AddrPort, q *request, o *outcome) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front.String()+o.path, strings.NewReader(strings.Repeat("x", 600)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front.String(), strings.NewReader(strings.Repeat("x", 600)))
 	if err != nil {
 		o.err = err
 		return
 	}
-	r.Host = "desk.example"
+	// The path is sent as it stands, without another encoding.
+	r.URL.Opaque, r.Host = o.path, "desk.example"
 	r.Header.Set(contract.HeaderAttempt, o.id)
 	r.Header.Set(contract.HeaderDeadline, strconv.FormatInt(q.deadline.Milliseconds(), 10))
 	if q.key != "" {
--- a/review/reviewkit/fleet.go
+++ b/review/reviewkit/fleet.go
@@ -73,6 +73,8 @@
 	noTenants bool
 	workers   map[string]*workerProcess
 	runs      map[string][]string // the workers that ran a request, by its ID
+	// paths are the paths and queries with which a request ran, by its ID.
+	paths map[string]string
 	// poisonRuns are the times at which workers began to run the request that crashes
 	// them.
 	poisonRuns []time.Time
@@ -98,7 +100,7 @@
 		return nil, err
 	}
 	f := &fleet{
-		record: r, templates: templates, directory: directory, version: 1, workers: map[string]*workerProcess{}, runs: map[string][]string{},
+		record: r, templates: templates, directory: directory, version: 1, workers: map[string]*workerProcess{}, runs: map[string][]string{}, paths: map[string]string{},
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 256}},
 	}
 	return f, f.startStore(ctx)
@@ -283,6 +285,7 @@
 		if fields := strings.Fields(lines.Text()); len(fields) > 4 {
 			f.mu.Lock()
 			f.runs[fields[3]] = append(f.runs[fields[3]], fields[2])
+			f.paths[fields[3]] = fields[4]
 			if strings.Contains(fields[4], poisonPart) {
 				f.poisonRuns = append(f.poisonRuns, time.Now())
 				go f.crashed(fields[2])
--- a/review/reviewkit/main.go
+++ b/review/reviewkit/main.go
@@ -24,6 +24,7 @@
 	"drain":  playDrain,
 	"revoke": playRevoke,
 	"poison": playPoison,
+	"path":   playPath,
 }
 
 func main() {
