--- a/review/reviewkit/poison.go
+++ b/review/reviewkit/poison.go
@@ -13,13 +13,13 @@
 	// contactTime after the third crash.
 	maxLateRetries = 3
 	// poisonInterval is the time between two retries of the request that crashes workers.
-	poisonInterval, poisonFor = 4 * time.Second, 76 * time.Second
+	poisonInterval, poisonFor = 3200 * time.Millisecond, 76 * time.Second
 )
 
 // playPoison sends a request that crashes the worker that runs it, again and again with
 // the same path, caller and body, beside the streams of other callers.
 func playPoison(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 200, 0.1)
+	l, stop, err := startUnframed(ctx, f, 3, 200, 0.1)
 	if err != nil {
 		return nil, err
 	}
--- a/review/reviewkit/unframed.go
+++ b/review/reviewkit/unframed.go
@@ -17,10 +17,10 @@
 	return request{kind: "long", key: "key-depot-1", events: 76, step: 50, deadline: 15 * time.Second}
 }
 
-// startUnframed starts four workers whose answers end with their connection, the routers
-// and the load.
-func startUnframed(ctx context.Context, f *fleet, perSecond, long float64) (*load, context.CancelFunc, error) {
-	for i := range 4 {
+// startUnframed starts workers whose answers end with their connection, the routers and the
+// load.
+func startUnframed(ctx context.Context, f *fleet, workers int, perSecond, long float64) (*load, context.CancelFunc, error) {
+	for i := range workers {
 		if err := f.startWorker(ctx, "pool", fmt.Sprint("z", i%3), workerOptions{Unframed: true}); err != nil {
 			return nil, nil, errors.Join(errCannotRun, err)
 		}
@@ -58,7 +58,7 @@
 
 // playCrash crashes one of four workers.
 func playCrash(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 100, 0.25)
+	l, stop, err := startUnframed(ctx, f, 4, 200, 0.25)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +77,7 @@
 // playDrain empties one of four workers, which exits drain_ms and a little after the store
 // has accepted its report.
 func playDrain(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 60, 0.25)
+	l, stop, err := startUnframed(ctx, f, 4, 60, 0.25)
 	if err != nil {
 		return nil, err
 	}
