--- a/review/reviewkit/fleet.go
+++ b/review/reviewkit/fleet.go
@@ -90,6 +90,7 @@
 	born     int64
 	listed   bool
 	leaving  bool
+	killed   bool
 	sequence int
 }
 
@@ -295,12 +296,13 @@
 	}
 }
 
-// anyWorker returns a worker of the service that runs.
-func (f *fleet) anyWorker(service string) *workerProcess {
+// unframedWorker returns a worker of the service that ends some answers with their
+// connection.
+func (f *fleet) unframedWorker(service string) *workerProcess {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.workers {
-		if p.service == service && p.listed && !p.leaving {
+		if p.service == service && p.options.Unframed > 0 && !p.killed {
 			return p
 		}
 	}
@@ -309,6 +311,9 @@
 
 // crash kills a worker. Its entry is removed after three heartbeats.
 func (f *fleet) crash(p *workerProcess) {
+	f.mu.Lock()
+	p.killed = true
+	f.mu.Unlock()
 	f.record.addf("worker %s crashes", p.options.ID)
 	_ = p.command.Process.Kill()
 	time.AfterFunc(3*heartbeat, func() { f.unlist(p) })
--- a/review/reviewkit/unframed.go
+++ b/review/reviewkit/unframed.go
@@ -14,14 +14,18 @@
 	if rand.Float64() >= long {
 		return request{kind: "short", key: "key-clinic-1", events: 5, step: 20, deadline: 3 * time.Second}
 	}
-	return request{kind: "long", key: "key-depot-1", events: 76, step: 50, deadline: 15 * time.Second}
+	return request{kind: "long", key: "key-depot-1", events: 76, step: 80, deadline: 15 * time.Second}
 }
 
-// startUnframed starts workers whose answers end with their connection, the routers and the
-// load.
+// unframedShare is the share of the streams of every other worker that end with their
+// connection: the dose of the site file, for half of the workers.
+const unframedShare = 0.05
+
+// startUnframed starts workers, of which half end some answers with their connection, the
+// routers and the load.
 func startUnframed(ctx context.Context, f *fleet, workers int, perSecond, long float64) (*load, context.CancelFunc, error) {
 	for i := range workers {
-		if err := f.startWorker(ctx, "pool", fmt.Sprint("z", i%3), workerOptions{Unframed: true}); err != nil {
+		if err := f.startWorker(ctx, "pool", fmt.Sprint("z", i%3), workerOptions{Unframed: unframedShare * float64((i+1)%2)}); err != nil {
 			return nil, nil, errors.Join(errCannotRun, err)
 		}
 	}
@@ -56,40 +60,48 @@
 	return broken, nil
 }
 
-// playCrash crashes one of four workers.
+// crashes is the number of crashes, of one of four workers at a time.
+const crashes = 6
+
+// playCrash crashes one of four workers, and again some seconds after it is back.
 func playCrash(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 4, 200, 0.25)
+	l, stop, err := startUnframed(ctx, f, 4, 160, 0.4)
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(8 * time.Second)
-	if trouble {
-		f.crash(f.anyWorker("pool"))
-		time.Sleep(3 * time.Second)
-		if err := f.startWorker(ctx, "pool", "z0", workerOptions{Unframed: true}); err != nil {
-			return nil, errors.Join(errCannotRun, err)
+	for range crashes {
+		if trouble {
+			f.crash(f.unframedWorker("pool"))
+		}
+		time.Sleep(restartTime)
+		if trouble {
+			if err := f.startWorker(ctx, "pool", "z0", workerOptions{Unframed: unframedShare}); err != nil {
+				return nil, errors.Join(errCannotRun, err)
+			}
 		}
+		time.Sleep(2 * time.Second)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 	return judgeUnframed(l, stop)
 }
 
 // playDrain empties one of four workers, which exits drain_ms and a little after the store
 // has accepted its report.
 func playDrain(ctx context.Context, f *fleet, trouble bool) ([]string, error) {
-	l, stop, err := startUnframed(ctx, f, 4, 60, 0.25)
+	l, stop, err := startUnframed(ctx, f, 4, 160, 0.4)
 	if err != nil {
 		return nil, err
 	}
 	time.Sleep(8 * time.Second)
 	if trouble {
-		p := f.anyWorker("pool")
+		p := f.unframedWorker("pool")
 		f.drain(p)
 		time.Sleep(2500 * time.Millisecond)
 		f.unlist(p)
 		f.record.addf("worker %s exits", p.options.ID)
 		_ = p.command.Process.Kill()
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 	return judgeUnframed(l, stop)
 }
--- a/review/reviewkit/worker.go
+++ b/review/reviewkit/worker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -24,9 +25,9 @@
 // workerOptions describe a worker process.
 type workerOptions struct {
 	ID, Address string
-	// Unframed makes the worker send its streams with neither a length nor chunks: they
-	// end with their connection.
-	Unframed bool
+	// Unframed is the share of its streams that the worker sends with neither a length nor
+	// chunks: they end with their connection.
+	Unframed float64
 	// PauseAt and PauseMillis make the worker silent for a while in each stream, before
 	// the event with the number PauseAt.
 	PauseAt, PauseMillis int
@@ -79,7 +80,7 @@
 	if last, err := strconv.Atoi(r.Header.Get(contract.HeaderLastEvent)); err == nil {
 		first = last + 1
 	}
-	if w.options.Unframed {
+	if rand.Float64() < w.options.Unframed {
 		w.writeUnframed(r.Context(), rw, id, first, events, step)
 		return
 	}
