Bound the memory of all unfinished heads and events together

What callers saw: a faulty endpoint sends a head, or an event of a stream, that never ends. Each attempt holds it until its own bound (64 KiB, 256 KiB) or its deadline. A router that runs some hundred such attempts takes more than the memory of its process, and the requests of all others on it end.

Cause: there are bounds for each answer but none for all of them.

Why it works: memory.Limiter is shared by all answers of a router and has an eighth of the memory of the process. The connection counts the head as it arrives (bytes and, for the maps of net/http, fields), and the buffer of events counts its capacity. A head up to 16 KiB so counted and a buffer up to 32 KiB are free, so usual answers never depend on others. Where the limit is reached the attempt fails like one that breaks off: sent, its connection closed, and retried only where that is allowed. The text's router has the same limiter.

--- a/internal/transport/endpoint/answer.go
+++ b/internal/transport/endpoint/answer.go
@@ -24,6 +24,8 @@
 	// undelimited is set if the answer has neither a length nor chunked
 	// encoding and the client's options do not allow that.
 	undelimited bool
+	// head accounts for the memory of the head; nil if nothing does.
+	head *headMeter
 }
 
 func newAnswer(endpoint netip.AddrPort, response *http.Response, model, allowCloseDelimited bool) *Answer {
@@ -91,4 +93,9 @@
 }
 
 // Close discards the rest of the answer.
-func (a *Answer) Close() error { return a.response.Body.Close() }
+func (a *Answer) Close() error {
+	if a.head != nil {
+		a.head.release()
+	}
+	return a.response.Body.Close()
+}
--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hyssopreach/internal/protocol/platform"
+	"hyssopreach/internal/transport/memory"
 )
 
 const (
@@ -49,6 +50,9 @@
 	IdleTimeout time.Duration
 	// ConnsPerEndpoint bounds the connections to one endpoint.
 	ConnsPerEndpoint int
+	// HeadMemory limits the memory of the heads of all answers; nil to limit only that
+	// of each.
+	HeadMemory *memory.Limiter
 }
 
 // defaultOptions are the options for endpoints listed in this project's own
@@ -120,6 +124,14 @@
 // with dial; nil means a net.Dialer.
 func NewClient(dial Dial) *Client { return NewClientWithOptions(dial, defaultOptions) }
 
+// NewClientWithMemory is like NewClient, with a limit on the memory of the heads of all
+// answers.
+func NewClientWithMemory(dial Dial, heads *memory.Limiter) *Client {
+	o := defaultOptions
+	o.HeadMemory = heads
+	return NewClientWithOptions(dial, o)
+}
+
 // NewClientWithOptions is like NewClient, with the given options.
 func NewClientWithOptions(dial Dial, o Options) *Client {
 	if dial == nil {
@@ -169,25 +181,31 @@
 		// The attempt's own answer may still come, on a connection that net/http takes
 		// for idle.
 		d.seal()
+		d.head.release()
 		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: err}
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		d.recordRefusal()
 	}
-	return newAnswer(address, response, a.Model, c.options.AllowCloseDelimited), nil
+	answer := newAnswer(address, response, a.Model, c.options.AllowCloseDelimited)
+	answer.head = &d.head
+	return answer, nil
 }
 
 // roundTrip sends the attempt and returns once the head of an answer has arrived.
 func (c *Client) roundTrip(ctx context.Context, transport *http.Transport, address netip.AddrPort, a *Attempt) (*http.Response, *writeTracker, error) {
 	d := &writeTracker{id: xxhash.Sum64String(a.ID), singleConn: !a.Idempotent, mayWrite: a.MayWrite}
+	d.head.holding = c.options.HeadMemory.NewHolding(freeHeadBytes)
 	request, err := c.newRequest(address, a)
 	if err != nil {
 		return nil, d, &Error{Step: "build request", Endpoint: address, Err: err}
 	}
 	response, err := transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
+		d.head.release()
 		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
 	}
+	d.head.end()
 	return response, d, nil
 }
 
--- a/internal/transport/endpoint/conn.go
+++ b/internal/transport/endpoint/conn.go
@@ -46,6 +46,8 @@
 	singleConn bool
 	// mayWrite is Attempt.MayWrite.
 	mayWrite func() error
+	// head accounts for the memory of the heads that arrive.
+	head headMeter
 	// sent is set before the first byte is handed to the operating system.
 	sent atomic.Bool
 
@@ -58,6 +60,23 @@
 	avoided bool
 }
 
+// Read reads, and fails if there is no memory for the head of the answer to the owner.
+func (c *trackedConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 {
+		// The owner may have changed while the read waited.
+		c.mu.Lock()
+		owner := c.owner
+		c.mu.Unlock()
+		if owner != nil {
+			if headErr := owner.head.add(data[:n]); headErr != nil {
+				return 0, headErr
+			}
+		}
+	}
+	return n, err
+}
+
 // Write writes on behalf of the owner; it fails if there is none, or if the owner
 // may not write any more.
 func (c *trackedConn) Write(data []byte) (int, error) {
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -9,11 +9,14 @@
 	"time"
 
 	"hyssopreach/internal/coordination/schedule"
+	"hyssopreach/internal/transport/memory"
 )
 
 const (
 	// maxEventBytes bounds the size of an event of a stream.
 	maxEventBytes = 256 << 10
+	// freeEventBytes is the size of the buffer of a stream that counts towards no limit.
+	freeEventBytes = 2 * copyBytes
 	// reportInterval is the minimum time between two progress reports on a
 	// stream.
 	reportInterval = 100 * time.Millisecond
@@ -26,11 +29,18 @@
 )
 
 // eventBuffer buffers the bytes of a stream until they form whole events.
-type eventBuffer struct{ buffered []byte }
+type eventBuffer struct {
+	buffered []byte
+	// holding accounts for the memory of the buffer.
+	holding memory.Holding
+}
 
 // add appends part and returns all whole events in the buffer. The returned
 // slice is valid until the next call of a method.
 func (b *eventBuffer) add(part []byte) ([]byte, error) {
+	if err := b.grow(len(b.buffered) + len(part)); err != nil {
+		return nil, err
+	}
 	b.buffered = append(b.buffered, part...)
 	end := bytes.LastIndex(b.buffered, eventEnd)
 	if end < 0 {
@@ -66,8 +76,30 @@
 	}
 }
 
-// discard removes the first n bytes from the buffer.
-func (b *eventBuffer) discard(n int) { b.buffered = b.buffered[:copy(b.buffered, b.buffered[n:])] }
+// grow makes room for size bytes in the buffer.
+func (b *eventBuffer) grow(size int) error {
+	if size <= cap(b.buffered) {
+		return nil
+	}
+	capacity := max(size, 2*cap(b.buffered))
+	if err := b.holding.Resize(int64(capacity)); err != nil {
+		return fmt.Errorf("read an event of the stream: %w", err)
+	}
+	b.buffered = append(make([]byte, 0, capacity), b.buffered...)
+	return nil
+}
+
+// discard removes the first n bytes from the buffer. It returns the memory that only a
+// large event needs.
+func (b *eventBuffer) discard(n int) {
+	rest := b.buffered[n:]
+	if cap(b.buffered) <= freeEventBytes || len(rest) > copyBytes {
+		b.buffered = b.buffered[:copy(b.buffered, rest)]
+		return
+	}
+	b.buffered = append(make([]byte, 0, copyBytes), rest...)
+	b.holding.Release()
+}
 
 // copyEvents forwards whole events to the caller as they arrive. It sends the
 // head of the answer, and comments before the first event, only with that event,
@@ -76,7 +108,8 @@
 func (r *Runner) copyEvents(ctx context.Context, answer Answer, reporter *streamReporter, watch *silenceWatch, out *sinkTracker, p *progress) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(pooled)
-	var buffer eventBuffer
+	buffer := eventBuffer{holding: r.AnswerMemory.NewHolding(freeEventBytes)}
+	defer buffer.holding.Release()
 	joint, err := newContinuation(out, answer, p)
 	if err != nil {
 		return err
--- a/internal/transport/execution/events_test.go
+++ b/internal/transport/execution/events_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"hyssopreach/internal/coordination/suspect"
 	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/text"
+	"hyssopreach/internal/transport/memory"
 )
 
 // rejectableAnswer is an answer whose endpoint may state that it has not run
@@ -239,3 +241,55 @@
 	call.Prompt.Parts = make([]schedule.PromptPart, 1000)
 	is.Equal(len(call.PartFingerprints()), maxPartFingerprints)
 }
+
+// TestUnfinishedEventsCountTowardsTheirMemory guards against events of streams that are
+// each within their bound and together take more memory than there is.
+func TestUnfinishedEventsCountTowardsTheirMemory(t *testing.T) {
+	is := is.New(t)
+	const total = 200 << 10
+	events := memory.NewLimiter(total)
+	buffers := make([]eventBuffer, 10)
+	part := make([]byte, copyBytes)
+	failed := 0
+	for i := range buffers {
+		b := &buffers[i]
+		b.holding = events.NewHolding(freeEventBytes)
+		for range 6 {
+			if _, err := b.add(part); err != nil {
+				is.True(errors.Is(err, memory.ErrExhausted))
+				failed++
+				break
+			}
+		}
+	}
+	taken := 0
+	for i := range buffers {
+		taken += max(cap(buffers[i].buffered)-freeEventBytes, 0)
+	}
+	is.True(failed > 0 && failed < len(buffers))
+	is.True(taken <= total)
+	// A stream returns the memory once it has passed on the event.
+	for i := range buffers {
+		b := &buffers[i]
+		b.discard(len(b.buffered) - 5)
+		is.Equal(len(b.buffered), 5)
+	}
+	whole := events.NewHolding(0)
+	is.NoErr(whole.Resize(total))
+}
+
+// TestStreamEndsWithoutMemoryForItsEvent guards against a stream that is passed on in part
+// as if it were complete when there is no memory for an event.
+func TestStreamEndsWithoutMemoryForItsEvent(t *testing.T) {
+	is := is.New(t)
+	large := "id: 2\ndata: " + strings.Repeat("x", 100<<10)
+	call := testCall(true)
+	call.Events, call.Stream, call.MaxAttempts = true, true, 1
+	r := newTestRunner(t, &scriptedBackend{exchanges: []scriptedExchange{{status: http.StatusOK, body: "id: 1\ndata: a\n\n" + large + "\n\n"}}})
+	r.AnswerMemory = memory.NewLimiter(10)
+	var sink recordingSink
+	err := r.Run(t.Context(), call, &sink)
+	is.True(errors.Is(err, memory.ErrExhausted))
+	is.Equal(sink.String(), "id: 1\ndata: a\n\n")
+	is.True(!sink.complete)
+}
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -17,6 +17,7 @@
 	"hyssopreach/internal/protocol/caller"
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/memory"
 )
 
 const (
@@ -110,6 +111,9 @@
 	// Survived is called for a stream whose endpoint has sent events for SurvivalTime;
 	// nil to call nothing.
 	Survived func(*Call)
+	// AnswerMemory limits the memory of the unfinished events of all streams; nil to limit
+	// only that of each.
+	AnswerMemory *memory.Limiter
 }
 
 // NewRunner returns a Runner. The gate and the budget have no defaults, so that a
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -19,6 +19,7 @@
 	"hyssopreach/internal/transport/connlimit"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
+	"hyssopreach/internal/transport/memory"
 )
 
 const (
@@ -77,6 +78,10 @@
 // Table returns the configuration in force; nil before the first one is read.
 func (c *Core) Table() *route.Table { return c.sources.current.Load().table }
 
+// AnswerMemory returns the limiter of the memory for parts of answers that are not passed
+// on at once.
+func (c *Core) AnswerMemory() *memory.Limiter { return c.answers }
+
 // Bodies returns the limiter of the memory for callers' bodies.
 func (c *Core) Bodies() *entry.BodyLimiter { return c.bodies }
 
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -27,6 +27,7 @@
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
 	"hyssopreach/internal/transport/lateness"
+	"hyssopreach/internal/transport/memory"
 	"hyssopreach/internal/transport/peer"
 )
 
@@ -150,10 +151,12 @@
 // Core is the part of a hosted router that is available to the platform's
 // adapter.
 type Core struct {
-	fleet       *fleet
-	runner      *execution.Runner
-	sources     *sources
-	bodies      *entry.BodyLimiter
+	fleet   *fleet
+	runner  *execution.Runner
+	sources *sources
+	bodies  *entry.BodyLimiter
+	// answers limits the memory of the parts of answers that are not passed on at once.
+	answers     *memory.Limiter
 	scheduling  *execution.Scheduling
 	started     time.Time
 	stopStarted atomic.Pointer[time.Time]
@@ -201,7 +204,8 @@
 	r.members = startMembers(
 		membership.Options{Self: r.self, Seeds: s.Peers, Random: random(h.Incarnation, "membership")}, r.fleet, p, h.Logger)
 	r.core = &Core{
-		fleet: r.fleet, scheduling: scheduling, bodies: entry.NewBodyLimiter(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
+		answers: memory.NewLimiter(h.Resources.answerBytes(s.Limits.WaitingBytes)),
+		fleet:   r.fleet, scheduling: scheduling, bodies: entry.NewBodyLimiter(h.Resources.bodyBytes(s.Limits.WaitingBytes)),
 		started: time.Now(), options: &r.options, overload: &r.overload, logger: h.Logger,
 	}
 	r.core.ending, r.core.end = context.WithCancel(context.WithoutCancel(ctx))
@@ -213,6 +217,7 @@
 	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, r.suspects,
 		&fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}, h.Logger)
 	r.core.runner.EndpointsAge, r.core.runner.Late = r.sources.listAge, r.lateness.Late
+	r.core.runner.AnswerMemory = r.core.answers
 	r.core.runner.Prober = newProber(h.Network, h.Registry)
 	r.core.runner.Survived, r.core.runner.ReopensAt = r.suspects.Survived, r.core.reopensAt
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
--- a/internal/transport/router/resources.go
+++ b/internal/transport/router/resources.go
@@ -13,6 +13,9 @@
 	// bodyMemoryDivisor divides the process's memory to give the memory that
 	// callers' bodies may take.
 	bodyMemoryDivisor = 4
+	// answerShare divides the memory for callers' bodies to give the memory that parts of
+	// answers may take which are not passed on at once.
+	answerShare = 2
 	// callerConnectionsDivisor divides the number of descriptors to give the
 	// number of callers' connections; the other descriptors are for endpoints,
 	// the other routers and the store. defaultConnections is the number of
@@ -53,6 +56,10 @@
 	return r.MemoryBytes / bodyMemoryDivisor
 }
 
+// answerBytes returns the memory that parts of answers may take which are not passed on
+// at once.
+func (r Resources) answerBytes(configured int64) int64 { return r.bodyBytes(configured) / answerShare }
+
 // connections returns the maximum number of callers' connections.
 func (r Resources) connections() int {
 	if r.Descriptors <= 0 {
--- a/internal/transport/router/router.go
+++ b/internal/transport/router/router.go
@@ -20,6 +20,7 @@
 	"hyssopreach/internal/transport/endpoint"
 	"hyssopreach/internal/transport/entry"
 	"hyssopreach/internal/transport/execution"
+	"hyssopreach/internal/transport/memory"
 	"hyssopreach/internal/transport/peer"
 	"hyssopreach/internal/transport/rehearsal"
 )
@@ -108,7 +109,8 @@
 	r.fleet = newFleet(r.self)
 	links := peer.NewLinks(r.self.ID, o.Incarnation, o.Network, o.Registry, o.Logger)
 	r.peers = &peers{fleet: r.fleet, links: links, logger: o.Logger, receivers: make(map[string]receiver)}
-	r.client = endpoint.NewClient(o.Network.DialContext)
+	answers := memory.NewLimiter(Resources{}.answerBytes(o.Settings.Limits.WaitingBytes))
+	r.client = endpoint.NewClientWithMemory(o.Network.DialContext, answers)
 	r.scheduling = execution.NewScheduling(o.Scheduler, r.peers, o.Logger)
 	r.peers.receiveScheduler = func(d schedule.Delivery) { r.scheduling.Input(d) }
 	r.fleet.watch(func(s *view.Snapshot) {
@@ -120,6 +122,7 @@
 	r.startComponents()
 	r.fleet.watch(func(s *view.Snapshot) { r.scheduling.Input(schedule.Change{View: s}) })
 	runner := execution.NewRunner(r.scheduling, &backend{r.client}, r.fleet, r.demand, execution.NewBudget(), o.Logger, r.watchers...)
+	runner.AnswerMemory = answers
 	r.claims.executor = runner
 	r.entry = entry.New(r.self.ID, r.limits(), r.fleet, r.fleet, r.claims, o.Registry, o.Logger)
 	if r.server, err = peer.Serve(listeners.peers, r.peers, o.Registry, o.Logger); err != nil {
