Bound the text of errors that quote an answer

What callers saw: the refusal, and three log lines, quoted a line of an endpoint's answer that was no HTTP, four bytes for each of it.

Cause: net/http puts the whole malformed line, up to 64 KiB, into its error with %q. The error was kept, logged and sent as it came. The error of a control request held the whole answer, up to 1 MiB.

Evidence, TestErrorTextIsBounded before: "204919 bytes", "not true: len(err.Error()) < 1000"; after: 363 bytes.

Why it works: an error with a longer text is replaced by one with the beginning of it where the client of endpoints creates its own error. Errors that callers of the client examine are shorter than the bound and keep their causes.

--- a/internal/transport/endpoint/answer.go
+++ b/internal/transport/endpoint/answer.go
@@ -68,7 +68,7 @@
 			return n, io.EOF
 		}
 	}
-	return n, &Error{Step: "read answer", Endpoint: a.endpoint, Sent: true, Err: err}
+	return n, &Error{Step: "read answer", Endpoint: a.endpoint, Sent: true, Err: limitedError(err)}
 }
 
 // checkComplete returns an error if the body has ended but the answer cannot be
--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -203,7 +203,7 @@
 	response, err := transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
 		d.head.release()
-		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
+		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: limitedError(err)}
 	}
 	d.head.end()
 	return response, d, nil
--- a/internal/transport/endpoint/control.go
+++ b/internal/transport/endpoint/control.go
@@ -74,7 +74,8 @@
 // StatusError reports a status other than success in the answer to a control
 // request.
 type StatusError struct {
-	Status  int
+	Status int
+	// Message is the beginning of the answer.
 	Message string
 }
 
@@ -107,7 +108,7 @@
 	request.Header.Del(c.options.AttemptHeader)
 	response, err := c.transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
-		return &Error{Step: step, Endpoint: address, Sent: d.seal(), Err: err}
+		return &Error{Step: step, Endpoint: address, Sent: d.seal(), Err: limitedError(err)}
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := checkStatus(response); err != nil {
@@ -115,7 +116,8 @@
 	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxControlAnswerBytes))
 	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
-		err = &StatusError{response.StatusCode, string(bytes.TrimSpace(answer))}
+		message := bytes.TrimSpace(answer)
+		err = &StatusError{response.StatusCode, string(message[:min(len(message), maxErrorBytes)])}
 	}
 	if err == nil && result != nil {
 		err = json.Unmarshal(answer, result)
--- a/internal/transport/endpoint/head.go
+++ b/internal/transport/endpoint/head.go
@@ -14,6 +14,9 @@
 	// headFieldBytes is the memory that net/http takes for a header field in addition
 	// to its bytes, of which it holds a copy beside its buffers.
 	headFieldBytes, headByteCopies = 200, 2
+	// maxErrorBytes bounds the text of an error, in which net/http quotes whole lines of
+	// an answer.
+	maxErrorBytes = 300
 )
 
 var lineEnd = []byte("\n")
@@ -76,3 +79,13 @@
 	m.ended = true
 	m.holding.Release()
 }
+
+// limitedError returns an error whose text is bounded: the given one, or one with the
+// beginning of its text.
+func limitedError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorBytes {
+		return err
+	}
+	return fmt.Errorf("%.*s... (%d bytes)", maxErrorBytes, text, len(text))
+}
--- a/internal/transport/endpoint/head_test.go
+++ b/internal/transport/endpoint/head_test.go
@@ -77,6 +77,31 @@
 	is.NoErr(whole.Resize(total))
 }
 
+// TestErrorTextIsBounded guards against errors that quote whole lines of an answer, which
+// are logged and sent to callers.
+func TestErrorTextIsBounded(t *testing.T) {
+	for _, line := range []string{strings.Repeat("\x00", 50<<10), "HTTP/1.1 200 OK\r\n" + strings.Repeat("\x01", 50<<10)} {
+		is := is.New(t)
+		client := NewClient(nil)
+		_, err := client.Do(context.Background(), answerOnce(t, line+"\r\n\r\n"), &Attempt{ID: "a", Method: "POST", Path: "/"})
+		is.True(err != nil)
+		t.Logf("%d bytes", len(err.Error()))
+		is.True(len(err.Error()) < 1000)
+		is.NoErr(client.Close())
+	}
+}
+
+// TestControlErrorTextIsBounded is the same for the answers to control requests.
+func TestControlErrorTextIsBounded(t *testing.T) {
+	is := is.New(t)
+	client := NewClient(nil)
+	defer client.Close()
+	_, err := client.Load(context.Background(), answerOnce(t, "HTTP/1.1 500 No\r\nContent-Length: 50000\r\n\r\n"+strings.Repeat("x", 50_000)))
+	is.True(err != nil)
+	is.Equal(statusOf(err), http.StatusInternalServerError)
+	is.True(len(err.Error()) < 1000)
+}
+
 // answerOnce starts an endpoint that sends the answer to one request.
 func answerOnce(t *testing.T, answer string) netip.AddrPort {
 	t.Helper()
