Send path and query to endpoints byte for byte, or refuse the request

Callers saw a request run at the endpoint with another path than theirs: "/a/hall%2F3|4" ran as "/a/hall/3%7C4", so that an encoded slash became a real one, and the route and its key were chosen by other bytes than the endpoint got.

Cause: endpoint.newRequest parsed the path with url.ParseRequestURI and let net/http write it from the URL. As soon as the path holds one byte that net/url would encode ("|", quotes, "#", bytes above 127), URL.EscapedPath drops the original form and encodes the decoded path anew.

Fix: the target is sent as URL.Opaque, which net/http writes as it stands. An Opaque that begins with two slashes would be written with the scheme, so such a target is sent as a parsed path if net/url writes that unchanged, and is refused with 400 otherwise. So are absolute-form targets, "*" (net/http's server answered OPTIONS * itself with 200) and the authority of a CONNECT, which were 404 before, and could be forwarded only in another form. The check compares what net/http would write with what was received, so that no list of characters decides.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strings"
 	"time"
 
@@ -65,7 +64,7 @@
 	// ID identifies the attempt; the endpoint repeats it in its answer.
 	ID     string
 	Method string
-	// Path is the path and query.
+	// Path is the path and query. It is sent byte for byte; see CheckTarget.
 	Path string
 	// Host is the Host header of the request; if it is empty, the endpoint's
 	// address is sent instead.
@@ -220,11 +219,10 @@
 // newRequest builds the request. It leaves GetBody unset, since GetBody would
 // allow net/http to send the body again.
 func (c *Client) newRequest(address netip.AddrPort, a *Attempt) (*http.Request, error) {
-	target, err := url.ParseRequestURI(a.Path)
+	target, err := targetURL(address, a.Path)
 	if err != nil {
 		return nil, err
 	}
-	target.Scheme, target.Host = "http", address.String()
 	host := a.Host
 	if host == "" {
 		host = target.Host
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -240,8 +240,9 @@
 	}
 	s := &http.Server{
 		Handler: f.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: r.options.IdleTimeout,
-		MaxHeaderBytes: int(r.options.Settings.Limits.HeaderBytes),
-		ErrorLog:       stdlog.New(&serverLog{r.options.Logger.WithField("Face", f.Name)}, "", 0),
+		MaxHeaderBytes:               int(r.options.Settings.Limits.HeaderBytes),
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     stdlog.New(&serverLog{r.options.Logger.WithField("Face", f.Name)}, "", 0),
 	}
 	if f.LimitConnections {
 		bounded := connlimit.New(l, r.options.Resources.connections(), newRejecter(&r.overload, r.core.identifier(f.Identify), f.Rejection, r.options.Logger, r.options.Registry))
