--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -9,13 +9,13 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"hyssopreach/internal/protocol/platform"
+	"hyssopreach/internal/transport/memory"
 )
 
 const (
@@ -49,6 +49,9 @@
 	IdleTimeout time.Duration
 	// ConnsPerEndpoint bounds the connections to one endpoint.
 	ConnsPerEndpoint int
+	// HeadMemory limits the memory of the heads of all answers; nil to limit only that
+	// of each.
+	HeadMemory *memory.Limiter
 }
 
 // defaultOptions are the options for endpoints listed in this project's own
@@ -65,7 +68,7 @@
 	// ID identifies the attempt; the endpoint repeats it in its answer.
 	ID     string
 	Method string
-	// Path is the path and query.
+	// Path is the path and query. It is sent byte for byte; see CheckTarget.
 	Path string
 	// Host is the Host header of the request; if it is empty, the endpoint's
 	// address is sent instead.
@@ -120,6 +123,14 @@
 // with dial; nil means a net.Dialer.
 func NewClient(dial Dial) *Client { return NewClientWithOptions(dial, defaultOptions) }
 
+// NewClientWithMemory is like NewClient, with a limit on the memory of the heads of all
+// answers.
+func NewClientWithMemory(dial Dial, heads *memory.Limiter) *Client {
+	o := defaultOptions
+	o.HeadMemory = heads
+	return NewClientWithOptions(dial, o)
+}
+
 // NewClientWithOptions is like NewClient, with the given options.
 func NewClientWithOptions(dial Dial, o Options) *Client {
 	if dial == nil {
@@ -169,25 +180,31 @@
 		// The attempt's own answer may still come, on a connection that net/http takes
 		// for idle.
 		d.seal()
+		d.head.release()
 		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: err}
 	}
 	if response.StatusCode >= http.StatusBadRequest {
 		d.recordRefusal()
 	}
-	return newAnswer(address, response, a.Model, c.options.AllowCloseDelimited), nil
+	answer := newAnswer(address, response, a.Model, c.options.AllowCloseDelimited)
+	answer.head = &d.head
+	return answer, nil
 }
 
 // roundTrip sends the attempt and returns once the head of an answer has arrived.
 func (c *Client) roundTrip(ctx context.Context, transport *http.Transport, address netip.AddrPort, a *Attempt) (*http.Response, *writeTracker, error) {
 	d := &writeTracker{id: xxhash.Sum64String(a.ID), singleConn: !a.Idempotent, mayWrite: a.MayWrite}
+	d.head.holding = c.options.HeadMemory.NewHolding(freeHeadBytes)
 	request, err := c.newRequest(address, a)
 	if err != nil {
 		return nil, d, &Error{Step: "build request", Endpoint: address, Err: err}
 	}
 	response, err := transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
-		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: err}
+		d.head.release()
+		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: limitedError(err)}
 	}
+	d.head.end()
 	return response, d, nil
 }
 
@@ -220,11 +237,10 @@
 // newRequest builds the request. It leaves GetBody unset, since GetBody would
 // allow net/http to send the body again.
 func (c *Client) newRequest(address netip.AddrPort, a *Attempt) (*http.Request, error) {
-	target, err := url.ParseRequestURI(a.Path)
+	target, err := targetURL(address, a.Path)
 	if err != nil {
 		return nil, err
 	}
-	target.Scheme, target.Host = "http", address.String()
 	host := a.Host
 	if host == "" {
 		host = target.Host
