Search each byte of an event once, however it arrives

What callers saw: late answers of all others at a router, while an endpoint sent an event without end in small parts.

Cause: each part that arrived made the router search the whole buffer of the event, and comments before the first event were examined again as well. 128 KiB that arrive byte by byte took 14.7 s of processor time for one stream; an event may have twice as much.

Why it works: the buffer searches only the part that has arrived, with the byte before it, and records the end of the last whole event and how much of the buffer is known to be comments. What is passed on, and when, is unchanged.

--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -31,25 +31,35 @@
 // eventBuffer buffers the bytes of a stream until they form whole events.
 type eventBuffer struct {
 	buffered []byte
+	// end is the end of the last whole event in the buffer.
+	end int
+	// checked is the size of the whole events at its beginning that have been examined
+	// and are held back, since they are comments only.
+	checked int
 	// holding accounts for the memory of the buffer.
 	holding memory.Holding
 }
 
-// add appends part and returns all whole events in the buffer. The returned
-// slice is valid until the next call of a method.
-func (b *eventBuffer) add(part []byte) ([]byte, error) {
+// add appends part and returns all whole events in the buffer; nil if part completes none,
+// unless the stream has ended with it. The returned slice is valid until the next call of a
+// method.
+func (b *eventBuffer) add(part []byte, ended bool) ([]byte, error) {
+	from := max(len(b.buffered)-len(eventEnd)+1, 0)
 	if err := b.grow(len(b.buffered) + len(part)); err != nil {
 		return nil, err
 	}
 	b.buffered = append(b.buffered, part...)
-	end := bytes.LastIndex(b.buffered, eventEnd)
-	if end < 0 {
-		if len(b.buffered) > maxEventBytes {
-			return nil, errEventTooLong
-		}
-		return nil, nil
+	last := bytes.LastIndex(b.buffered[from:], eventEnd)
+	if last >= 0 {
+		b.end = from + last + len(eventEnd)
+	}
+	switch {
+	case last >= 0 || ended && b.end > 0:
+		return b.buffered[:b.end], nil
+	case b.end == 0 && len(b.buffered) > maxEventBytes:
+		return nil, errEventTooLong
 	}
-	return b.buffered[:end+len(eventEnd)], nil
+	return nil, nil
 }
 
 // headStart begins the head of an answer, and no line of an event.
@@ -92,6 +102,7 @@
 // discard removes the first n bytes from the buffer. It returns the memory that only a
 // large event needs.
 func (b *eventBuffer) discard(n int) {
+	b.end, b.checked = max(b.end-n, 0), 0
 	rest := b.buffered[n:]
 	if cap(b.buffered) <= freeEventBytes || len(rest) > copyBytes {
 		b.buffered = b.buffered[:copy(b.buffered, rest)]
@@ -119,14 +130,16 @@
 		if n > 0 {
 			reporter.dataReceived(time.Now())
 		}
-		whole, err := buffer.add(pooled[:n])
+		whole, err := buffer.add(pooled[:n], readErr != nil)
 		if err != nil {
 			return err
 		}
-		whole, foreign := beforeHead(whole)
+		held := min(buffer.checked, len(whole))
+		added, foreign := beforeHead(whole[held:])
 		complete := errors.Is(readErr, io.EOF) && foreign == nil
-		events, invalid := joint.valid(whole, complete)
-		ids := readEventIDs(events)
+		added, invalid := joint.valid(added, complete)
+		ids := readEventIDs(added)
+		events := whole[:held+len(added)]
 		if err := watch.eventsArrived(ids.count, complete); err != nil {
 			return err
 		}
@@ -144,6 +157,8 @@
 			}
 		case len(buffer.buffered) > maxEventBytes:
 			return errEventTooLong
+		default:
+			buffer.checked = max(buffer.checked, len(events))
 		}
 		if err := errors.Join(invalid, foreign); err != nil {
 			return err
--- a/internal/transport/execution/events_test.go
+++ b/internal/transport/execution/events_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -255,7 +257,7 @@
 		b := &buffers[i]
 		b.holding = events.NewHolding(freeEventBytes)
 		for range 6 {
-			if _, err := b.add(part); err != nil {
+			if _, err := b.add(part, false); err != nil {
 				is.True(errors.Is(err, memory.ErrExhausted))
 				failed++
 				break
@@ -293,3 +295,35 @@
 	is.Equal(sink.String(), "id: 1\ndata: a\n\n")
 	is.True(!sink.complete)
 }
+
+// TestUnfinishedEventCostsTimePerByte guards against an event that arrives in small parts,
+// of which each made the router search all bytes of the event again.
+func TestUnfinishedEventCostsTimePerByte(t *testing.T) {
+	for _, unit := range []string{"x", ":\n\n"} {
+		is := is.New(t)
+		cost := func(size int) time.Duration {
+			best := time.Duration(math.MaxInt64)
+			for range 3 {
+				r, call := newTestRunner(t, &scriptedBackend{}), testCall(true)
+				call.Events, call.Stream, call.MaxAttempts = true, true, 1
+				answer := &dripAnswer{scriptedAnswer{status: http.StatusOK, rest: []byte(strings.Repeat(unit, size/len(unit))), end: io.ErrUnexpectedEOF}}
+				p := &progress{call: call, lastEventAt: time.Now()}
+				ctx, watch := r.watchSilence(t.Context(), p, "e", false)
+				begun := time.Now()
+				err := r.copyEvents(ctx, answer, newStreamReporter(begun, r.Scheduling, 1, nil), watch, &sinkTracker{Sink: &recordingSink{}}, p)
+				best = min(best, time.Since(begun))
+				watch.stop()
+				is.True(errors.Is(err, io.ErrUnexpectedEOF))
+			}
+			return best
+		}
+		small, large := cost(16<<10), cost(128<<10)
+		t.Logf("%q: %v for 16 KiB, %v for 128 KiB", unit, small, large)
+		is.True(large < 24*small) // eight times the bytes
+	}
+}
+
+// dripAnswer is an answer that arrives byte by byte.
+type dripAnswer struct{ scriptedAnswer }
+
+func (a *dripAnswer) Read(p []byte) (int, error) { return a.scriptedAnswer.Read(p[:1]) }
