Break off a stream whose event has an ID beyond all use

What callers saw: nothing in one stream. A router kept the ID of the last event of each stream, up to 250 KB, for as long as the stream ran, wrote it into its log at each retry, and sent it as a header field to the endpoint that was to continue.

Cause: an event has a bound of 256 KiB, its ID had none of its own, and it outlives the buffer of the event.

Why it works: an ID of more than 4 KiB ends the attempt like an event that is too long. The events before it are passed on, and a stream that may be resumed continues after the last of them at another endpoint (TestLongEventIDBreaksOff).

--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -15,6 +15,9 @@
 const (
 	// maxEventBytes bounds the size of an event of a stream.
 	maxEventBytes = 256 << 10
+	// maxEventIDBytes bounds the ID of an event, which is kept, logged and sent to the
+	// endpoint that continues the stream.
+	maxEventIDBytes = 4 << 10
 	// freeEventBytes is the size of the buffer of a stream that counts towards no limit.
 	freeEventBytes = 2 * copyBytes
 	// reportInterval is the minimum time between two progress reports on a
@@ -24,6 +27,7 @@
 
 var (
 	errEventTooLong   = errors.New("an event of the stream is too long")
+	errEventIDTooLong = errors.New("the ID of an event of the stream is too long")
 	errEventTruncated = errors.New("the stream ended inside an event")
 	errHeadInStream   = errors.New("the stream holds the head of another answer")
 )
@@ -86,6 +90,23 @@
 	}
 }
 
+// beforeLongID returns the events before the first one whose ID is too long.
+func beforeLongID(events []byte) ([]byte, error) {
+	if len(events) <= maxEventIDBytes {
+		return events, nil
+	}
+	size := 0
+	for event := range bytes.SplitAfterSeq(events, eventEnd) {
+		if len(event) > maxEventIDBytes {
+			if id, _ := readEvent(event); len(id) > maxEventIDBytes {
+				return events[:size], errEventIDTooLong
+			}
+		}
+		size += len(event)
+	}
+	return events, nil
+}
+
 // grow makes room for size bytes in the buffer.
 func (b *eventBuffer) grow(size int) error {
 	if size <= cap(b.buffered) {
@@ -136,6 +157,8 @@
 		}
 		held := min(buffer.checked, len(whole))
 		added, foreign := beforeHead(whole[held:])
+		added, long := beforeLongID(added)
+		foreign = errors.Join(foreign, long)
 		complete := errors.Is(readErr, io.EOF) && foreign == nil
 		added, invalid := joint.valid(added, complete)
 		ids := readEventIDs(added)
--- a/internal/transport/execution/events_test.go
+++ b/internal/transport/execution/events_test.go
@@ -296,6 +296,23 @@
 	is.True(!sink.complete)
 }
 
+// TestLongEventIDBreaksOff guards against an ID that the router keeps for each stream, writes
+// into the log and sends as a header field, whatever its length.
+func TestLongEventIDBreaksOff(t *testing.T) {
+	is := is.New(t)
+	const first, third = "id: 1\ndata: a\n\n", "id: 3\ndata: c\n\n"
+	long := "id: 2" + strings.Repeat("x", 100<<10) + "\ndata: b\n\n"
+	backend := &streamBackend{scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{
+		{status: http.StatusOK, body: first + long}, {status: http.StatusOK, body: "id: 2\ndata: b\n\n" + third},
+	}}}
+	r, call := newTestRunner(t, backend), testCall(true)
+	call.Events, call.Stream, call.Resumable, call.MaxAttempts, call.AttemptID = true, true, true, 2, "fixed"
+	var sink recordingSink
+	is.NoErr(r.Run(t.Context(), call, &sink))
+	is.Equal(sink.String(), first+"id: 2\ndata: b\n\n"+third)
+	is.Equal(backend.lastEvents, []string{"", "1"})
+}
+
 // TestUnfinishedEventCostsTimePerByte guards against an event that arrives in small parts,
 // of which each made the router search all bytes of the event again.
 func TestUnfinishedEventCostsTimePerByte(t *testing.T) {
