Reserve memory for bodies as they arrive

What callers saw: 503, "the router holds as many bodies as it may", while the router held a few kilobytes: some callers sent a chunked body, or one of the largest length, slowly.

Cause: the memory for a body was reserved before its first byte, for a body without a length as much as the largest may have.

Evidence, TestSlowBodiesReserveWhatHasArrived before (1 MiB for bodies, 20 callers with 1,000 bytes each so far, bodies of up to 256 KiB): "another body: status 503, the router holds as many bodies as it may", with and without a length; after: served.

Why it works: the buffer begins with 16 KiB and doubles, and each step is reserved first, so that all bodies together never have more than the limit. A body for which a step can't be reserved is refused: 503 with a time, not run. A complete body holds its length.

--- a/internal/transport/entry/bodies.go
+++ b/internal/transport/entry/bodies.go
@@ -18,51 +18,136 @@
 // NewBodyLimiter returns a BodyLimiter that allows at most total bytes.
 func NewBodyLimiter(total int64) *BodyLimiter { return &BodyLimiter{semaphore.NewWeighted(total)} }
 
-// Read reads a complete body of at most limit bytes by the deadline. The
-// returned function releases the memory reserved for the body.
+// firstBodyBytes is the size of the first buffer for a body.
+const firstBodyBytes = 16 << 10
+
+var errBodiesFull = errors.New("the router holds as many bodies as it may")
+
+// Read reads a complete body of at most limit bytes by the deadline. Memory is reserved
+// as the body arrives, so that slow callers reserve little; a body for which there is no
+// more is refused. The returned function releases the memory.
 func (b *BodyLimiter) Read(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, func(), *caller.Problem) {
 	if r.ContentLength > limit {
 		return nil, nil, NewRefusal(http.StatusRequestEntityTooLarge, "Read", fmt.Sprintf("the body has %d bytes; at most %d are allowed", r.ContentLength, limit))
 	}
-	reserved := r.ContentLength
-	if reserved < 0 {
-		reserved = limit
-	}
-	if !b.memory.TryAcquire(reserved) {
-		p := NewRefusal(http.StatusServiceUnavailable, "Read", "the router holds as many bodies as it may")
-		p.RetryAt = time.Now().Add(time.Second)
-		return nil, nil, p
-	}
-	held := reserved
-	release := func() { b.memory.Release(held) }
 	// Only the response recorders of tests do not support deadlines.
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(deadline)
-	body, err := readBody(w, r, limit)
+	body := &growingBody{memory: b.memory, size: limit}
+	var err error
+	if r.ContentLength < 0 {
+		err = body.read(http.MaxBytesReader(w, r.Body, limit))
+	} else {
+		body.size = r.ContentLength
+		err = body.readFull(r.Body)
+	}
 	_ = controller.SetReadDeadline(time.Time{})
 	if err != nil {
-		release()
-		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
+		body.release()
+		return nil, nil, bodyRefusal(err)
+	}
+	body.clip()
+	return body.data, body.release, nil
+}
+
+func bodyRefusal(err error) *caller.Problem {
+	if errors.Is(err, errBodiesFull) {
+		p := NewRefusal(http.StatusServiceUnavailable, "Read", err.Error())
+		p.RetryAt = time.Now().Add(time.Second)
+		return p
+	}
+	status := http.StatusBadRequest
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		status = http.StatusRequestEntityTooLarge
+	}
+	return NewRefusal(status, "Read", fmt.Sprintf("read the body: %v", err))
+}
+
+// growingBody is a body whose buffer grows as it arrives, up to size.
+type growingBody struct {
+	memory *semaphore.Weighted
+	size   int64
+	data   []byte
+	// held is the memory that is reserved for the buffer.
+	held int64
+}
+
+// read reads until the reader ends, which it must do before it has returned more than size
+// bytes.
+func (g *growingBody) read(r io.Reader) error {
+	for {
+		err := g.fill(r)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
 		}
-		return nil, nil, NewRefusal(status, "Read", fmt.Sprintf("read the body: %v", err))
+		// Whether the body ends here is known only from another read.
+		var next [1]byte
+		switch _, err := io.ReadFull(r, next[:]); {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
+		if err := g.grow(); err != nil {
+			return err
+		}
+		g.data = append(g.data, next[0])
 	}
-	// For a body of unknown length, limit bytes were reserved; from now on
-	// reserve only its actual length.
-	held = int64(len(body))
-	b.memory.Release(reserved - held)
-	return body, release, nil
 }
 
-// readBody reads the body; if its length is known, it allocates the buffer at
-// once.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength < 0 {
-		return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+// readFull reads size bytes.
+func (g *growingBody) readFull(r io.Reader) error {
+	for int64(len(g.data)) < g.size {
+		if err := g.grow(); err != nil {
+			return err
+		}
+		if err := g.fill(r); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// fill reads until the buffer is full.
+func (g *growingBody) fill(r io.Reader) error {
+	for len(g.data) < cap(g.data) {
+		n, err := r.Read(g.data[len(g.data):cap(g.data)])
+		g.data = g.data[:len(g.data)+n]
+		if err != nil && (len(g.data) < cap(g.data) || !errors.Is(err, io.EOF)) {
+			return err
+		}
 	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
+	return nil
+}
+
+// grow reserves memory for a buffer of twice the size and copies the body to it.
+func (g *growingBody) grow() error {
+	size := min(max(2*int64(cap(g.data)), firstBodyBytes), g.size)
+	if !g.memory.TryAcquire(size - g.held) {
+		return errBodiesFull
+	}
+	g.held = size
+	g.data = append(make([]byte, 0, size), g.data...)
+	return nil
+}
+
+// clip returns the memory that the complete body does not need.
+func (g *growingBody) clip() {
+	if spare := g.held - int64(len(g.data)); spare > 0 {
+		g.data = append(make([]byte, 0, len(g.data)), g.data...)
+		g.memory.Release(spare)
+		g.held -= spare
+	}
+}
+
+func (g *growingBody) release() {
+	g.memory.Release(g.held)
+	g.held = 0
 }
