--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -15,6 +15,9 @@
 const (
 	// maxEventBytes bounds the size of an event of a stream.
 	maxEventBytes = 256 << 10
+	// maxEventIDBytes bounds the ID of an event, which is kept, logged and sent to the
+	// endpoint that continues the stream.
+	maxEventIDBytes = 4 << 10
 	// freeEventBytes is the size of the buffer of a stream that counts towards no limit.
 	freeEventBytes = 2 * copyBytes
 	// reportInterval is the minimum time between two progress reports on a
@@ -24,6 +27,7 @@
 
 var (
 	errEventTooLong   = errors.New("an event of the stream is too long")
+	errEventIDTooLong = errors.New("the ID of an event of the stream is too long")
 	errEventTruncated = errors.New("the stream ended inside an event")
 	errHeadInStream   = errors.New("the stream holds the head of another answer")
 )
@@ -31,25 +35,35 @@
 // eventBuffer buffers the bytes of a stream until they form whole events.
 type eventBuffer struct {
 	buffered []byte
+	// end is the end of the last whole event in the buffer.
+	end int
+	// checked is the size of the whole events at its beginning that have been examined
+	// and are held back, since they are comments only.
+	checked int
 	// holding accounts for the memory of the buffer.
 	holding memory.Holding
 }
 
-// add appends part and returns all whole events in the buffer. The returned
-// slice is valid until the next call of a method.
-func (b *eventBuffer) add(part []byte) ([]byte, error) {
+// add appends part and returns all whole events in the buffer; nil if part completes none,
+// unless the stream has ended with it. The returned slice is valid until the next call of a
+// method.
+func (b *eventBuffer) add(part []byte, ended bool) ([]byte, error) {
+	from := max(len(b.buffered)-len(eventEnd)+1, 0)
 	if err := b.grow(len(b.buffered) + len(part)); err != nil {
 		return nil, err
 	}
 	b.buffered = append(b.buffered, part...)
-	end := bytes.LastIndex(b.buffered, eventEnd)
-	if end < 0 {
-		if len(b.buffered) > maxEventBytes {
-			return nil, errEventTooLong
-		}
-		return nil, nil
+	last := bytes.LastIndex(b.buffered[from:], eventEnd)
+	if last >= 0 {
+		b.end = from + last + len(eventEnd)
+	}
+	switch {
+	case last >= 0 || ended && b.end > 0:
+		return b.buffered[:b.end], nil
+	case b.end == 0 && len(b.buffered) > maxEventBytes:
+		return nil, errEventTooLong
 	}
-	return b.buffered[:end+len(eventEnd)], nil
+	return nil, nil
 }
 
 // headStart begins the head of an answer, and no line of an event.
@@ -76,6 +90,23 @@
 	}
 }
 
+// beforeLongID returns the events before the first one whose ID is too long.
+func beforeLongID(events []byte) ([]byte, error) {
+	if len(events) <= maxEventIDBytes {
+		return events, nil
+	}
+	size := 0
+	for event := range bytes.SplitAfterSeq(events, eventEnd) {
+		if len(event) > maxEventIDBytes {
+			if id, _ := readEvent(event); len(id) > maxEventIDBytes {
+				return events[:size], errEventIDTooLong
+			}
+		}
+		size += len(event)
+	}
+	return events, nil
+}
+
 // grow makes room for size bytes in the buffer.
 func (b *eventBuffer) grow(size int) error {
 	if size <= cap(b.buffered) {
@@ -92,6 +123,7 @@
 // discard removes the first n bytes from the buffer. It returns the memory that only a
 // large event needs.
 func (b *eventBuffer) discard(n int) {
+	b.end, b.checked = max(b.end-n, 0), 0
 	rest := b.buffered[n:]
 	if cap(b.buffered) <= freeEventBytes || len(rest) > copyBytes {
 		b.buffered = b.buffered[:copy(b.buffered, rest)]
@@ -119,14 +151,18 @@
 		if n > 0 {
 			reporter.dataReceived(time.Now())
 		}
-		whole, err := buffer.add(pooled[:n])
+		whole, err := buffer.add(pooled[:n], readErr != nil)
 		if err != nil {
 			return err
 		}
-		whole, foreign := beforeHead(whole)
+		held := min(buffer.checked, len(whole))
+		added, foreign := beforeHead(whole[held:])
+		added, long := beforeLongID(added)
+		foreign = errors.Join(foreign, long)
 		complete := errors.Is(readErr, io.EOF) && foreign == nil
-		events, invalid := joint.valid(whole, complete)
-		ids := readEventIDs(events)
+		added, invalid := joint.valid(added, complete)
+		ids := readEventIDs(added)
+		events := whole[:held+len(added)]
 		if err := watch.eventsArrived(ids.count, complete); err != nil {
 			return err
 		}
@@ -144,6 +180,8 @@
 			}
 		case len(buffer.buffered) > maxEventBytes:
 			return errEventTooLong
+		default:
+			buffer.checked = max(buffer.checked, len(events))
 		}
 		if err := errors.Join(invalid, foreign); err != nil {
 			return err
