Ask the instance itself whether an answer without a length has ended

Callers got 200 and a regular end for streams that were cut in the middle, when their endpoint had crashed or had exited after it had drained: an answer that ended with its connection counted as complete if the host accepted a TCP connection, if an earlier probe had succeeded within 100 ms, or if the endpoint was leaving.

The end is now withheld until the endpoint has answered a question over HTTP on a new connection that was sent 5 ms after the end or later. Any answer shows life unless it names another instance or another start (421, Instance-Id, born); a refused connection shows that the process has gone. Questions without an answer are repeated (packets are lost, full endpoints reset connections), for 1.5 s at most; without any answer the end is broken, also for an endpoint that leaves. A process that ends can't answer, whatever its kernel accepts. Attempts share a question that is sent after all of their ends. The search for a continuation asks the same question instead of opening a connection.

Replaced checks: TestAnswerCutByCrashIsNotComplete took the end at a leaving endpoint that had gone for complete, which is case 2; it now wants it broken, and complete where that endpoint answers. Stand-ins answer the question, and don't count it as a run.

--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -82,6 +82,8 @@
 	// TokensPerEvent is the number of tokens in one event of a stream; zero if
 	// unknown.
 	TokensPerEvent float64
+	// ProbePath is the path of a call by which an endpoint shows that it runs.
+	ProbePath string
 }
 
 // Organisation is an organisation with its caller keys.
--- a/internal/tool/soak/dialect.go
+++ b/internal/tool/soak/dialect.go
@@ -30,6 +30,8 @@
 	// and ParseRouterList parses the answer.
 	RouterListURL(directory netip.AddrPort) string
 	ParseRouterList(r io.Reader) ([]netip.AddrPort, error)
+	// AsksInstance reports whether a request only asks an endpoint which instance it is.
+	AsksInstance(r *http.Request) bool
 }
 
 // HeaderNames holds the names of header fields.
--- a/internal/tool/soak/endpoint.go
+++ b/internal/tool/soak/endpoint.go
@@ -201,6 +201,9 @@
 	if e.leaving(s) {
 		w.Header().Set(names.Leaving, "1")
 	}
+	if e.dialect.AsksInstance(r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // The router has closed the connection; nothing runs.
--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -114,6 +114,8 @@
 	transport *http.Transport
 	// unpooled opens a connection for each attempt.
 	unpooled *http.Transport
+	// questions opens a connection for each question, however many attempts are open.
+	questions *http.Transport
 }
 
 // NewClient returns a Client with the default options that opens its connections
@@ -145,7 +147,9 @@
 	}
 	unpooled := transport.Clone()
 	unpooled.DisableKeepAlives = true
-	return &Client{options: o, transport: transport, unpooled: unpooled}
+	questions := unpooled.Clone()
+	questions.MaxConnsPerHost = 0
+	return &Client{options: o, transport: transport, unpooled: unpooled, questions: questions}
 }
 
 // Close closes the connections that no attempt uses.
--- a/internal/transport/endpoint/control.go
+++ b/internal/transport/endpoint/control.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -130,3 +131,38 @@
 	}
 	return json.Marshal(body)
 }
+
+// ControlAnswer is an answer to a question about the endpoint itself.
+type ControlAnswer struct {
+	Status int
+	Header http.Header
+	// Body is the part of the body that has arrived, if it is in JSON and marks its end.
+	Body []byte
+}
+
+// Ask sends a question about the endpoint itself on a new connection and returns its answer,
+// whatever its status. Every error is an *Error.
+func (c *Client) Ask(ctx context.Context, address netip.AddrPort, path string, header http.Header) (*ControlAnswer, error) {
+	step := "ask " + path
+	d := &writeTracker{}
+	request, err := c.newRequest(address, &Attempt{Method: http.MethodGet, Path: path, Header: header})
+	if err != nil {
+		return nil, &Error{Step: step, Endpoint: address, Err: err}
+	}
+	request.Header.Del(c.options.AttemptHeader)
+	response, err := c.questions.RoundTrip(request.WithContext(d.withTrace(ctx)))
+	if err != nil {
+		return nil, &Error{Step: step, Endpoint: address, Sent: d.seal(), Err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := checkStatus(response); err != nil {
+		return nil, &Error{Step: step, Endpoint: address, Sent: true, Err: err}
+	}
+	a := &ControlAnswer{Status: response.StatusCode, Header: response.Header}
+	mediaType, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err == nil && mediaType == "application/json" && (response.ContentLength > 0 || len(response.TransferEncoding) > 0) {
+		// The head alone shows that the endpoint has answered.
+		a.Body, _ = io.ReadAll(io.LimitReader(response.Body, maxControlAnswerBytes))
+	}
+	return a, nil
+}
--- a/internal/transport/execution/backend.go
+++ b/internal/transport/execution/backend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/text"
@@ -109,9 +110,10 @@
 const (
 	// ProcessUnknown means that neither of the others could be shown.
 	ProcessUnknown ProcessState = iota
-	// ProcessAlive means that the process accepts connections.
+	// ProcessAlive means that the instance of the endpoint itself has answered.
 	ProcessAlive
-	// ProcessGone means that the host of the endpoint refuses connections to it.
+	// ProcessGone means that the host of the endpoint refuses connections to it, or that
+	// another instance answers at its address.
 	ProcessGone
 )
 
@@ -130,5 +132,7 @@
 // Prober finds out whether the process of an endpoint still runs. It distinguishes a
 // crash from a connection that broke for another reason.
 type Prober interface {
-	Probe(ctx context.Context, e *view.Endpoint) ProcessState
+	// Probe returns what the answer to a question shows that was sent to the endpoint at
+	// notBefore or later. It returns ProcessUnknown if there is none when the context ends.
+	Probe(ctx context.Context, e *view.Endpoint, notBefore time.Time) ProcessState
 }
--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -174,6 +174,8 @@
 	FirstEventAt time.Time
 	// CloseDelimited is set if the answer ends with its connection.
 	CloseDelimited bool
+	// EndedAt is when the answer ended or broke off, before the endpoint was examined.
+	EndedAt time.Time
 }
 
 // Address returns the address that the attempt is sent to.
--- a/internal/transport/execution/crash_test.go
+++ b/internal/transport/execution/crash_test.go
@@ -24,26 +24,31 @@
 func (closingAnswer) CloseDelimited() bool { return true }
 
 // TestAnswerCutByCrashIsNotComplete guards against an answer without a length that looks
-// complete although its endpoint crashed, and against one that looks broken since its
-// endpoint, which leaves, has ended after it.
+// complete although its endpoint crashed, or does not answer any more, also one that leaves;
+// and against one that looks broken although its endpoint, which leaves, lives.
 func TestAnswerCutByCrashIsNotComplete(t *testing.T) {
 	for _, test := range []struct {
 		name            string
 		events, leaving bool
+		state           ProcessState
 		complete        bool
 		want            string
 		results         []schedule.Result
 	}{
-		{"stream", true, false, true, "id: 1\n\nid: 2\n\n", []schedule.Result{schedule.ResultBroken, schedule.ResultFinished}},
-		{"plain", false, false, false, "id: 1\n\n", []schedule.Result{schedule.ResultBroken}},
-		{"stream of a leaving endpoint", true, true, true, "id: 1\n\n", []schedule.Result{schedule.ResultFinished}},
+		{"stream", true, false, ProcessGone, true, "id: 1\n\nid: 2\n\n", []schedule.Result{schedule.ResultBroken, schedule.ResultFinished}},
+		{"plain", false, false, ProcessGone, false, "id: 1\n\n", []schedule.Result{schedule.ResultBroken}},
+		{"plain without an answer", false, false, ProcessUnknown, false, "id: 1\n\n", []schedule.Result{schedule.ResultBroken}},
+		{"plain of a living endpoint", false, false, ProcessAlive, true, "id: 1\n\n", []schedule.Result{schedule.ResultFinished}},
+		{"plain of a leaving endpoint that has ended", false, true, ProcessGone, false, "id: 1\n\n", []schedule.Result{schedule.ResultBroken}},
+		{"stream of a leaving endpoint that has ended", true, true, ProcessGone, true, "id: 1\n\nid: 2\n\n", []schedule.Result{schedule.ResultBroken, schedule.ResultFinished}},
+		{"stream of a leaving endpoint", true, true, ProcessAlive, true, "id: 1\n\n", []schedule.Result{schedule.ResultFinished}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			backend := &timedBackend{exchanges: []timedExchange{{parts: []timedPart{{0, "id: 1\n\n"}}}, {parts: []timedPart{{0, "id: 2\n\n"}}}}}
 			scheduler := &scriptedScheduler{decisions: []view.EndpointID{"e1", "e2"}}
 			r, stop := newTimedRunner(t, closingBackend{backend}, scheduler)
-			r.Prober = scriptedProber{"e1": ProcessGone, "e2": ProcessAlive}
+			r.Prober = scriptedProber{"e1": test.state, "e2": ProcessAlive}
 			call := silentCall(test.events)
 			if test.leaving {
 				call.MaxAttempts = 0
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -280,7 +280,7 @@
 		a.ID = uuid.NewString()
 	}
 	result, err := schedule.ResultNotSent, error(nil)
-	crashed := false
+	state, leaving := ProcessUnknown, false
 	if e, ok := r.Views.View().Endpoint(start.Endpoint); ok && (c.MaxAttempts == 0 || !e.Leaving) {
 		a.Endpoint = *e
 		r.logStart(a, start)
@@ -291,8 +291,13 @@
 		for _, w := range r.Watchers {
 			w.AttemptEnded(a, result, err)
 		}
+		if a.EndedAt.IsZero() {
+			a.EndedAt = time.Now()
+		}
 		if result == schedule.ResultBroken {
-			crashed = r.examineBreak(ctx, a, meter.begin)
+			// A crashed endpoint may no longer be listed when its crash is recognised.
+			leaving = r.isLeaving(a.Endpoint.ID)
+			state = r.examineBreak(ctx, a, meter.begin, leaving)
 		}
 	} else {
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
@@ -306,7 +311,7 @@
 		ID: start.ID, Result: completed, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
 	return Outcome{
-		Endpoint: start.Endpoint, Result: result, Status: a.Status, Crashed: crashed,
+		Endpoint: start.Endpoint, Result: result, Status: a.Status, Crashed: state == ProcessGone && !leaving,
 		BeganAt: meter.begin, AnsweredAt: a.AnsweredAt, FirstEventAt: a.FirstEventAt,
 	}, err
 }
@@ -339,7 +344,7 @@
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, r.newRejectedError(a, answer)
 	}
-	answer = r.examineEnd(ctx, a, answer)
+	answer = r.examineEnd(ctx, a, answer, watch)
 	watch.resume(p, out.started)
 	retry := false
 	if r.mayRetryAnswer(answer, p) {
--- a/internal/transport/execution/silence.go
+++ b/internal/transport/execution/silence.go
@@ -229,8 +229,7 @@
 }
 
 // checkReachable returns an error if the call may not be sent to the endpoint, and
-// otherwise whether the endpoint accepts connections. Without a Prober, it is taken
-// to do so.
+// otherwise whether the endpoint answers. Without a Prober, it is taken to do so.
 func (r *Runner) checkReachable(ctx context.Context, c *Call, id view.EndpointID) (ProcessState, error) {
 	if checker, ok := r.Backend.(SendChecker); ok {
 		if err := checker.CheckSend(c, id); err != nil {
@@ -244,7 +243,9 @@
 	case r.Prober == nil:
 		return ProcessAlive, nil
 	default:
-		return r.Prober.Probe(ctx, e), nil
+		ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+		defer cancel()
+		return r.Prober.Probe(ctx, e, time.Now().Add(-reachableFor)), nil
 	}
 }
 
--- a/internal/transport/execution/silence_test.go
+++ b/internal/transport/execution/silence_test.go
@@ -325,7 +325,7 @@
 // scriptedProber reports endpoints as alive unless they are listed.
 type scriptedProber map[view.EndpointID]ProcessState
 
-func (p scriptedProber) Probe(_ context.Context, e *view.Endpoint) ProcessState {
+func (p scriptedProber) Probe(_ context.Context, e *view.Endpoint, _ time.Time) ProcessState {
 	if state, listed := p[e.ID]; listed {
 		return state
 	}
--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -37,6 +37,8 @@
 
 const (
 	headerAttempt, headerInstance = "X-Attempt", "X-Instance"
+	// pathInstance is the path of the question to an endpoint which instance it is.
+	pathInstance = "/instance"
 	// crashRestartTime is the time after which a crashed endpoint starts again.
 	crashRestartTime = time.Second
 	// bodyCrash and bodyCrashLate are the bodies of requests that crash endpoints
@@ -125,6 +127,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == pathInstance {
+		return
+	}
 	body, _ := io.ReadAll(r.Body)
 	if e.options.ran != nil {
 		e.options.ran(string(body))
@@ -245,7 +250,7 @@
 	return all, nil
 }
 
-func (p *crashPlatform) Backend(*Core) execution.Backend {
+func (p *crashPlatform) Backend(*Core) HostedBackend {
 	return &crashBackend{endpoint.NewClientWithOptions(nil, endpoint.Options{AttemptHeader: headerAttempt, AllowCloseDelimited: true, IdleTimeout: time.Minute, ConnsPerEndpoint: 100})}
 }
 
@@ -269,6 +274,15 @@
 	}
 }
 
+// AskInstance implements InstanceAsker.
+func (b *crashBackend) AskInstance(ctx context.Context, e *view.Endpoint) (bool, error) {
+	a, err := b.client.Ask(ctx, e.Address, pathInstance, http.Header{headerInstance: {string(e.ID)}})
+	if err != nil {
+		return false, err
+	}
+	return a.Status != http.StatusMisdirectedRequest, nil
+}
+
 type crashAnswer struct{ *endpoint.Answer }
 
 func (a crashAnswer) Rejected() bool { return a.Status() == http.StatusMisdirectedRequest }
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -61,11 +61,26 @@
 	ParseConfiguration(data []byte) (*route.Table, error)
 	ParseEndpoints(data []byte) ([]view.Endpoint, error)
 	// Backend returns the backend that sends attempts to endpoints.
-	Backend(core *Core) execution.Backend
+	Backend(core *Core) HostedBackend
 	// HTTPServices returns the HTTP services for callers and operators.
 	HTTPServices(core *Core) []HTTPService
 }
 
+// HostedBackend sends attempts to the endpoints of a platform and asks them which
+// instances they are.
+type HostedBackend interface {
+	execution.Backend
+	InstanceAsker
+}
+
+// InstanceAsker asks endpoints which instances they are.
+type InstanceAsker interface {
+	// AskInstance asks on a new connection and returns whether the endpoint itself, not
+	// another instance at its address, has answered. An error means that there is no answer;
+	// it wraps syscall.ECONNREFUSED if the host refuses connections.
+	AskInstance(ctx context.Context, e *view.Endpoint) (same bool, err error)
+}
+
 // Reading is what a read of the store returns.
 type Reading struct {
 	Data []byte
@@ -138,6 +153,7 @@
 	sources *sources
 	// suspects limits the endpoints that a request can crash.
 	suspects *suspects
+	prober   *prober
 	// lateness measures whether this process gets the processor time that it
 	// needs.
 	lateness *lateness.Meter
@@ -210,10 +226,12 @@
 	r.sources = startSources(r, p)
 	r.core.sources = r.sources
 	r.fleet.watch(func(v *view.Snapshot) { scheduling.Input(schedule.Change{View: v}) })
-	r.core.runner = execution.NewRunner(scheduling, h.Platform.Backend(r.core), r.fleet, r.suspects,
+	backend := h.Platform.Backend(r.core)
+	r.prober = newProber(backend, h.Registry)
+	r.core.runner = execution.NewRunner(scheduling, backend, r.fleet, r.suspects,
 		&fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}, h.Logger)
 	r.core.runner.EndpointsAge, r.core.runner.Late = r.sources.listAge, r.lateness.Late
-	r.core.runner.Prober = newProber(h.Network, h.Registry)
+	r.core.runner.Prober = r.prober
 	r.core.runner.Survived, r.core.runner.ReopensAt = r.suspects.Survived, r.core.reopensAt
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
 		r.closeComponents()
@@ -336,6 +354,7 @@
 	r.core.end()
 	r.sources.Close()
 	r.members.Close()
+	r.prober.Close()
 	r.suspects.Close()
 	r.core.scheduling.Close()
 	r.links.Close()
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -25,7 +25,6 @@
 	"hyssopreach/internal/state/text"
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/clock"
-	"hyssopreach/internal/transport/execution"
 )
 
 // store is a platform's store that can refuse the reads of some routers.
@@ -120,7 +119,7 @@
 	return view.Endpoint{ID: id, Pool: "s", Address: netip.MustParseAddrPort(address)}
 }
 
-func (p *hostedPlatform) Backend(*Core) execution.Backend { return nil }
+func (p *hostedPlatform) Backend(*Core) HostedBackend { return nil }
 
 func (p *hostedPlatform) HTTPServices(*Core) []HTTPService { return nil }
 
--- a/internal/transport/router/prober.go
+++ b/internal/transport/router/prober.go
@@ -8,89 +8,252 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/singleflight"
 
 	"hyssopreach/internal/state/view"
 	"hyssopreach/internal/transport/execution"
 )
 
 const (
-	// probeTimeout bounds a probe, and with it the delay of a retry after a
-	// connection broke. A host answers within a round trip.
-	probeTimeout = 100 * time.Millisecond
-	// probeLifetime is the time for which the result of a probe is reused: all
-	// attempts at an endpoint break within this time when it crashes.
-	probeLifetime = 100 * time.Millisecond
-	// maxProbeResults bounds the results that are retained.
-	maxProbeResults = 256
-	// MetricProbes counts the connections that were opened to find out whether an
+	// questionSpacing is the minimum time between two questions to one endpoint that no
+	// repetition causes: all attempts that end meanwhile share the next one.
+	questionSpacing = 5 * time.Millisecond
+	// questionTimeout bounds one question, and maxQuestions those that are open at an
+	// endpoint.
+	questionTimeout = time.Second
+	maxQuestions    = 4
+	// repeatUnanswered is the time after which a question without an answer is repeated
+	// on another connection, since a packet may be lost; it doubles with each repetition.
+	repeatUnanswered = 300 * time.Millisecond
+	// repeatFailed is the time after which a question is repeated if its connection broke:
+	// an endpoint that is full resets connections too. It doubles with each repetition.
+	repeatFailed = 20 * time.Millisecond
+	// maxProbeAnswers bounds the answers that are retained.
+	maxProbeAnswers = 256
+	// MetricProbes counts the questions that were sent to find out whether an
 	// endpoint still runs.
 	MetricProbes = "EndpointProbes"
 )
 
-// prober probes endpoints by opening a connection. It opens one connection for
-// all attempts that break at an endpoint at the same time.
+// prober asks endpoints which instances they are. Attempts share a question that is sent
+// after the instants that all of them state.
 type prober struct {
-	network Network
+	asker   InstanceAsker
 	probes  metrics.Counter
-	flights singleflight.Group
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
 
-	mu      sync.Mutex
-	results map[view.EndpointID]probeResult // guarded by mu
+	mu        sync.Mutex
+	inquiries map[view.EndpointID]*inquiry    // guarded by mu
+	answers   map[view.EndpointID]probeAnswer // guarded by mu
 }
 
-type probeResult struct {
-	state execution.ProcessState
-	until time.Time
+// probeAnswer is what a question that was sent at askedAt has shown.
+type probeAnswer struct {
+	state   execution.ProcessState
+	askedAt time.Time
 }
 
-func newProber(n Network, r metrics.Registry) *prober {
-	return &prober{network: n, probes: metrics.GetOrRegisterCounter(MetricProbes, r), results: map[view.EndpointID]probeResult{}}
+// inquiry asks one endpoint as long as somebody waits for an answer.
+type inquiry struct {
+	endpoint view.Endpoint
+	waiters  map[*probeWaiter]struct{} // guarded by prober.mu
+	// changed holds an element if there is a new waiter, or one less.
+	changed chan struct{}
+
+	// The other fields belong to the goroutine of the inquiry.
+	askedAt  time.Time
+	repeatAt time.Time
+	// open is the number of questions without a result.
+	open       int
+	unanswered time.Duration
+	failed     time.Duration
+}
+
+// probeWaiter waits for the answer to a question that is sent at notBefore or later.
+type probeWaiter struct {
+	notBefore time.Time
+	state     chan execution.ProcessState
+}
+
+func newProber(a InstanceAsker, r metrics.Registry) *prober {
+	p := &prober{
+		asker: a, probes: metrics.GetOrRegisterCounter(MetricProbes, r),
+		inquiries: map[view.EndpointID]*inquiry{}, answers: map[view.EndpointID]probeAnswer{},
+	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	return p
+}
+
+// Close ends all inquiries.
+func (p *prober) Close() {
+	p.mu.Lock()
+	p.cancel()
+	p.mu.Unlock()
+	p.running.Wait()
 }
 
 // Probe implements execution.Prober.
-func (p *prober) Probe(ctx context.Context, e *view.Endpoint) execution.ProcessState {
-	if s, ok := p.recent(e.ID); ok {
+func (p *prober) Probe(ctx context.Context, e *view.Endpoint, notBefore time.Time) execution.ProcessState {
+	w := &probeWaiter{notBefore: notBefore, state: make(chan execution.ProcessState, 1)}
+	p.join(e, w)
+	select {
+	case s := <-w.state:
+		return s
+	case <-p.ctx.Done():
+		return execution.ProcessUnknown
+	case <-ctx.Done():
+	}
+	p.leave(e.ID, w)
+	select {
+	case s := <-w.state:
 		return s
+	default:
+		return execution.ProcessUnknown
 	}
-	result, _, _ := p.flights.Do(string(e.ID), func() (any, error) {
-		// The result serves other attempts too, so the end of this one must not
-		// end the probe.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-		defer cancel()
-		s := p.dial(ctx, e)
-		p.keep(e.ID, s)
-		return s, nil
-	})
-	return result.(execution.ProcessState)
 }
 
-func (p *prober) dial(ctx context.Context, e *view.Endpoint) execution.ProcessState {
-	p.probes.Inc(1)
-	conn, err := p.network.DialContext(ctx, "tcp", e.Address.String())
-	switch {
-	case err == nil:
-		_ = conn.Close()
-		return execution.ProcessAlive
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return execution.ProcessGone
+// join adds a waiter to the inquiry about the endpoint, unless an answer is known.
+func (p *prober) join(e *view.Endpoint, w *probeWaiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a, ok := p.answers[e.ID]; ok && !a.askedAt.Before(w.notBefore) {
+		w.state <- a.state
+		return
+	}
+	q := p.inquiries[e.ID]
+	if q == nil {
+		if p.ctx.Err() != nil {
+			return
+		}
+		q = &inquiry{
+			endpoint: *e, waiters: map[*probeWaiter]struct{}{}, changed: make(chan struct{}, 1),
+			unanswered: repeatUnanswered, failed: repeatFailed,
+		}
+		p.inquiries[e.ID] = q
+		p.running.Go(func() { p.run(q) })
+	}
+	q.waiters[w] = struct{}{}
+	q.notify()
+}
+
+func (p *prober) leave(id view.EndpointID, w *probeWaiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q := p.inquiries[id]; q != nil {
+		delete(q.waiters, w)
+		q.notify()
+	}
+}
+
+func (q *inquiry) notify() {
+	select {
+	case q.changed <- struct{}{}:
 	default:
-		return execution.ProcessUnknown
 	}
 }
 
-func (p *prober) recent(id view.EndpointID) (execution.ProcessState, bool) {
+// run asks the endpoint until nobody waits for an answer.
+func (p *prober) run(q *inquiry) {
+	ctx, cancel := context.WithCancel(p.ctx)
+	defer cancel()
+	answers := make(chan probeAnswer, maxQuestions)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		at, waited := p.nextQuestion(q)
+		if !waited {
+			return
+		}
+		due := timer.C
+		if q.open == maxQuestions {
+			due = nil
+		}
+		timer.Reset(time.Until(at))
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.changed:
+		case a := <-answers:
+			q.open--
+			p.answered(q, a)
+		case <-due:
+			q.open++
+			now := time.Now()
+			q.askedAt, q.repeatAt = now, now.Add(q.unanswered)
+			q.unanswered *= 2
+			p.probes.Inc(1)
+			p.running.Go(func() { answers <- p.ask(ctx, &q.endpoint, now) })
+		}
+	}
+}
+
+// nextQuestion returns when to ask next. It returns false, and ends the inquiry, if nobody
+// waits.
+func (p *prober) nextQuestion(q *inquiry) (at time.Time, waited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r, ok := p.results[id]
-	return r.state, ok && time.Now().Before(r.until)
+	if len(q.waiters) == 0 {
+		delete(p.inquiries, q.endpoint.ID)
+		return time.Time{}, false
+	}
+	for w := range q.waiters {
+		due := q.repeatAt
+		if w.notBefore.After(q.askedAt) {
+			due = w.notBefore
+			if spaced := q.askedAt.Add(questionSpacing); due.Before(spaced) {
+				due = spaced
+			}
+		}
+		if at.IsZero() || due.Before(at) {
+			at = due
+		}
+	}
+	return at, true
 }
 
-func (p *prober) keep(id view.EndpointID, s execution.ProcessState) {
+// answered passes an answer to all waiters whose instants lie before its question. Without
+// one, it brings the repetition of the question forward.
+func (p *prober) answered(q *inquiry, a probeAnswer) {
+	if a.state == execution.ProcessUnknown {
+		now := time.Now()
+		if now.Sub(a.askedAt) >= questionTimeout {
+			return
+		}
+		if at := now.Add(q.failed); at.Before(q.repeatAt) {
+			q.repeatAt = at
+		}
+		q.failed *= 2
+		return
+	}
+	q.unanswered, q.failed = repeatUnanswered, repeatFailed
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.results) >= maxProbeResults {
-		clear(p.results)
+	if len(p.answers) >= maxProbeAnswers {
+		clear(p.answers)
+	}
+	if a.askedAt.After(p.answers[q.endpoint.ID].askedAt) {
+		p.answers[q.endpoint.ID] = a
+	}
+	for w := range q.waiters {
+		if !a.askedAt.Before(w.notBefore) {
+			w.state <- a.state
+			delete(q.waiters, w)
+		}
+	}
+}
+
+// ask sends one question.
+func (p *prober) ask(ctx context.Context, e *view.Endpoint, askedAt time.Time) probeAnswer {
+	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
+	defer cancel()
+	same, err := p.asker.AskInstance(ctx, e)
+	switch {
+	case err == nil && same:
+		return probeAnswer{execution.ProcessAlive, askedAt}
+	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
+		return probeAnswer{execution.ProcessGone, askedAt}
+	default:
+		return probeAnswer{execution.ProcessUnknown, askedAt}
 	}
-	p.results[id] = probeResult{s, time.Now().Add(probeLifetime)}
 }
