Let a late router take waiting connections beside used ones, and reject by time

Causes: a late router samples its lateness every 0.2 s in place of 0.05 s, and each sample adds 0.15 at most to the part that it rejects. Requests on used connections are read first, and are rejected only beside an organisation that is known and rejected. Of organisations that receive about the same, the one that receives a little less got all.

Now a late sample counts for its time while connections wait, used connections are rejected while connections wait of one that receives less, or of callers that are not known since none was accepted, and organisations that receive about the same get even parts. A process that was late while nobody waited rejects no more than before. Observe gets the time in the queue apart from the lateness of the process for this, which changes the calls in tests, not what they require.

--- a/internal/coordination/admission/slowrouter_test.go
+++ b/internal/coordination/admission/slowrouter_test.go
@@ -138,7 +138,7 @@
 		}
 		f.input(i, schedule.Rejections{Requests: r.rejected})
 		r.rejected = nil
-		r.controller.Observe(lateness, func(organisation string) float64 { return r.received[organisation] })
+		r.controller.Observe(0, lateness, func(organisation string) float64 { return r.received[organisation] })
 	}
 }
 
--- a/internal/coordination/overload/controller.go
+++ b/internal/coordination/overload/controller.go
@@ -16,6 +16,9 @@
 	// target, in proportion to the excess for other samples, and at most
 	// maxRise. Each sample that is not late subtracts fallStep.
 	riseStep, maxRise, fallStep = 0.05, 0.15, 0.02
+	// sampleInterval is the time between two samples of a process that is on time, and
+	// maxSamples bounds the number that a late one stands for.
+	sampleInterval, maxSamples = 50 * time.Millisecond, 4
 	// maxFraction leaves some connections, by whose requests the router learns
 	// who still calls it.
 	maxFraction = 0.99
@@ -58,19 +61,44 @@
 	usedFraction, usedRemainder float64
 }
 
-// Observe adjusts the fraction to a sample of the router's lateness. received
-// returns the rate of the work that an organisation receives from the whole fleet;
-// nil if no rate is known.
-func (c *Controller) Observe(lateness time.Duration, received func(organisation string) float64) {
+// Observe adjusts the fraction to a sample of the router's lateness and of the time for
+// which connections have waited to be accepted. received returns the rate of the work
+// that an organisation receives from the whole fleet; nil if no rate is known.
+func (c *Controller) Observe(process, queue time.Duration, received func(organisation string) float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	lateness := max(process, queue)
 	if lateness <= targetLateness {
 		c.fraction = max(c.fraction-fallStep, 0)
 	} else {
 		excess := float64(lateness-targetLateness) / float64(targetLateness)
-		c.fraction = min(c.fraction+min(riseStep*excess, maxRise), maxFraction)
+		c.fraction = min(c.fraction+min(riseStep*excess, maxRise)*samples(process, queue), maxFraction)
 	}
-	c.divide(received)
+	taken := c.takeSample()
+	entries := c.entries(received)
+	divideConnections(entries, c.fraction)
+	waiting := 0.0
+	if queue > targetLateness {
+		waiting = c.fraction
+	}
+	divideUsed(entries, waiting)
+	if !taken {
+		// Requests on used connections leave no time to learn whose connections wait.
+		for i := range entries {
+			entries[i].usedFraction = max(entries[i].usedFraction, waiting)
+		}
+	}
+}
+
+// samples returns the number of samples that a late one stands for: the process takes the
+// next one after sampleInterval, so that connections wait the longer before they are
+// rejected the later it is. A process that was stopped while no connection waited has
+// rejected too few for no time.
+func samples(process, queue time.Duration) float64 {
+	if queue <= targetLateness {
+		return 1
+	}
+	return min(1+float64(min(process, queue))/float64(sampleInterval), maxSamples)
 }
 
 // entry is an organisation with the rate of the work that it receives from the whole
@@ -82,36 +110,46 @@
 	kept float64
 }
 
-// divide decides how much is rejected of each organisation. It requires that mu is
-// held.
-func (c *Controller) divide(received func(organisation string) float64) {
-	var entries []entry
+// takeSample updates the mean numbers of connections and requests, and reports whether
+// any connection has been accepted or rejected since the last sample. It requires that mu
+// is held.
+func (c *Controller) takeSample() (taken bool) {
 	for name, o := range c.organisations {
+		taken = taken || o.connections > 0
 		o.offered += offeredWeight * (o.connections - o.offered)
 		o.offeredUsed += offeredWeight * (o.used - o.offeredUsed)
 		o.connections, o.used = 0, 0
-		switch {
-		case o.offered < minOffered && o.offeredUsed < minOffered:
+		if o.offered < minOffered && o.offeredUsed < minOffered {
 			delete(c.organisations, name)
-		case name == Unknown:
+		}
+	}
+	return taken
+}
+
+// entries returns the organisations among which the rejections are divided. It requires
+// that mu is held.
+func (c *Controller) entries(received func(organisation string) float64) []entry {
+	var entries []entry
+	for name, o := range c.organisations {
+		if name == Unknown {
 			o.fraction = c.fraction
-		default:
-			rate := 0.0
-			if received != nil {
-				rate = received(name)
-			}
-			entries = append(entries, entry{name, rate, o, 0})
+			continue
+		}
+		rate := 0.0
+		if received != nil {
+			rate = received(name)
 		}
+		entries = append(entries, entry{name, rate, o, 0})
 	}
-	divideConnections(entries, c.fraction)
-	divideUsed(entries)
+	return entries
 }
 
 // divideConnections divides the connections that are not rejected between the
 // organisations, and sorts the entries by what they receive. A part is divided evenly,
 // so that none takes all of the router's processor time by requests that count little
 // work. Of the others, organisations that receive least from the fleet get as many as
-// they open, since their callers may have no other router. Connections of unknown
+// they open, since their callers may have no other router; those that receive about the
+// same get even parts. Connections of unknown
 // callers are rejected in the mean proportion, which is the given fraction.
 func divideConnections(entries []entry, fraction float64) {
 	total := 0.0
@@ -130,28 +168,55 @@
 	slices.SortFunc(entries, func(a, b entry) int {
 		return cmp.Or(cmp.Compare(a.received, b.received), strings.Compare(a.name, b.name))
 	})
+	for first := 0; first < len(entries); {
+		end := first + 1
+		for end < len(entries) && entries[end].received <= clearlyMore*entries[first].received {
+			end++
+		}
+		remaining -= keepEvenly(entries[first:end], remaining)
+		first = end
+	}
 	for i := range entries {
 		e := &entries[i]
-		more := min(e.offered-e.kept, remaining)
-		remaining -= more
 		e.fraction = 0
 		if e.offered > 0 {
-			e.fraction = min(1-(e.kept+more)/e.offered, maxFraction)
+			e.fraction = min(1-e.kept/e.offered, maxFraction)
 		}
 	}
 }
 
+// keepEvenly divides further connections evenly between the entries, none of which gets
+// more than it opens. It returns the number of connections that have been divided.
+func keepEvenly(entries []entry, connections float64) float64 {
+	byRest := make([]*entry, 0, len(entries))
+	for i := range entries {
+		byRest = append(byRest, &entries[i])
+	}
+	slices.SortFunc(byRest, func(a, b *entry) int { return cmp.Compare(a.offered-a.kept, b.offered-b.kept) })
+	divided := 0.0
+	for i, e := range byRest {
+		more := min(e.offered-e.kept, (connections-divided)/float64(len(byRest)-i))
+		e.kept += more
+		divided += more
+	}
+	return divided
+}
+
 // divideUsed sets the part of the requests on used connections that is rejected. These
 // are read ahead of new connections, so an organisation whose callers hold many would
-// leave no processor time to one that receives less and whose connections are rejected.
+// leave no processor time to one that receives less and whose connections are rejected,
+// or wait to be accepted: waiting is the part that is rejected for these, 0 if none wait.
 // Without such an organisation nothing is gained by rejecting what has been read. The
 // entries are sorted by what they receive.
-func divideUsed(entries []entry) {
+func divideUsed(entries []entry, waiting float64) {
 	for i := range entries {
 		e := &entries[i]
 		e.usedFraction = 0
 		for k := 0; k < i && entries[k].received*clearlyMore < e.received; k++ {
 			e.usedFraction = max(e.usedFraction, entries[k].fraction)
+			if entries[k].offered >= minOffered {
+				e.usedFraction = max(e.usedFraction, waiting)
+			}
 		}
 	}
 }
--- a/internal/coordination/overload/controller_test.go
+++ b/internal/coordination/overload/controller_test.go
@@ -28,7 +28,7 @@
 		}
 	}
 	r.backlog = max(0, r.backlog-r.capacity)
-	r.controller.Observe(time.Duration(r.backlog/r.capacity*float64(50*time.Millisecond)), nil)
+	r.controller.Observe(0, time.Duration(r.backlog/r.capacity*float64(50*time.Millisecond)), nil)
 }
 
 // TestOverloadedRouterStaysOnTime guards against a router that falls further
@@ -64,7 +64,7 @@
 		if c.Fraction() < 0.8 {
 			lateness = 3 * targetLateness
 		}
-		c.Observe(lateness, func(organisation string) float64 { return received[organisation] })
+		c.Observe(0, lateness, func(organisation string) float64 { return received[organisation] })
 		for name, n := range offered {
 			for range n {
 				if !c.Reject(name) && i >= 200 {
@@ -115,7 +115,7 @@
 		if c.Fraction() < 0.8 {
 			lateness = 3 * targetLateness
 		}
-		c.Observe(lateness, func(organisation string) float64 { return received[organisation] })
+		c.Observe(0, lateness, func(organisation string) float64 { return received[organisation] })
 		for name, n := range offered {
 			for range n {
 				if !c.Reject(name) && i >= 200 {
@@ -136,7 +136,7 @@
 	var c Controller
 	received := map[string]float64{"lone": 100, "similar": 90}
 	sample := func() {
-		c.Observe(time.Second, func(name string) float64 { return received[name] })
+		c.Observe(time.Second, time.Second, func(name string) float64 { return received[name] })
 	}
 	offer := func(names ...string) (rejectedUsed int) {
 		for range 100 {
@@ -156,3 +156,65 @@
 	received["similar"] = 10
 	is.True(offer("lone", "similar") > 50)
 }
+
+// TestOrganisationsThatReceiveTheSameGetEvenParts guards against rejections that change
+// from one organisation to the other with each sample, since a small difference of what
+// they receive decides who is served.
+func TestOrganisationsThatReceiveTheSameGetEvenParts(t *testing.T) {
+	is := is.New(t)
+	var c Controller
+	received := map[string]float64{"single": 100, "flood": 110}
+	offered := map[string]int{"single": 20, "flood": 40}
+	for range 100 {
+		lateness := targetLateness
+		if c.Fraction() < 0.8 {
+			lateness = 3 * targetLateness
+		}
+		c.Observe(0, lateness, func(organisation string) float64 { return received[organisation] })
+		for name, n := range offered {
+			for range n {
+				c.Reject(name)
+			}
+		}
+	}
+	single, flood := 20*(1-c.FractionOf("single")), 40*(1-c.FractionOf("flood"))
+	t.Logf("kept between two samples: single %.1f, flood %.1f", single, flood)
+	is.True(single > 0.8*flood && flood > 0.8*single)
+}
+
+// TestWaitingConnectionsAreTakenBesideUsedOnes guards against a router that reads requests
+// on used connections only, so that it never learns which other organisations' connections
+// wait, and against rejections of such requests while no connection waits.
+func TestWaitingConnectionsAreTakenBesideUsedOnes(t *testing.T) {
+	is := is.New(t)
+	received := func(string) float64 { return 100 }
+	rejected := func(process, queue time.Duration) int {
+		var c Controller
+		n := 0
+		for range 40 {
+			c.Observe(process, queue, received)
+			if c.RejectUsed("flood") {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(rejected(0, time.Second) > 20)
+	is.Equal(rejected(time.Second, 0), 0)
+}
+
+// TestLateSamplesRaiseTheFractionByTheirTime guards against a flood that finds a router
+// which rejects little for more than a second, since a late router samples seldom, and
+// against a high fraction after a process was stopped while no connection waited.
+func TestLateSamplesRaiseTheFractionByTheirTime(t *testing.T) {
+	is := is.New(t)
+	const lateness = 3 * sampleInterval
+	var c Controller
+	for range 3 { // 0.6 s
+		c.Observe(lateness, lateness, nil)
+	}
+	is.True(c.Fraction() > 0.9)
+	var stopped Controller
+	stopped.Observe(2*time.Second, 0, nil)
+	is.True(stopped.Fraction() <= maxRise)
+}
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -197,7 +197,7 @@
 	r := startHostedFleet(t, &store{version: 1, refused: map[view.RouterID]bool{}}, 1)[0]
 	const samples = 40
 	for range samples {
-		r.overload.Controller.Observe(time.Second, func(organisation string) float64 {
+		r.overload.Controller.Observe(time.Second, time.Second, func(organisation string) float64 {
 			return map[string]float64{"o": 100, "less": 10}[organisation]
 		})
 		r.overload.Reject("less")
--- a/internal/transport/router/overload.go
+++ b/internal/transport/router/overload.go
@@ -48,7 +48,7 @@
 	c.mu.Lock()
 	received := c.received
 	c.mu.Unlock()
-	c.Controller.Observe(max(lateness, c.recentBacklog()), func(organisation string) float64 { return received[organisation] })
+	c.Controller.Observe(lateness, c.recentBacklog(), func(organisation string) float64 { return received[organisation] })
 }
 
 // recentBacklog returns the time for which the accept queue had not been empty;
