Bound others within a second at the onset of a flood, and for small organisations

Causes: no bound on others applied for an organisation that asks less than the fair rate, nor while it would be below a fifth of what the best served one gets, which is so at an onset. Mean rates lacked the part before the first request, so that no fair rate and no bound were known for two seconds. A shortage was reported with the next report only, and refused work by a mean that is low between two bursts of a late router, which ended the bound for a second. Callers that return counted as demand. An organisation just below the bound started all that it was asked for until the next reports. A fall of what is received showed in a mean over 1.5 s.

The new tests fail without their change.

--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -18,17 +18,26 @@
 	// maxServedShare is the part of its requests that an organisation receives at
 	// most if it counts as one that is refused a large part.
 	maxServedShare = 0.6
+	// minServedShare is the part of its requests that an organisation receives at least
+	// if it is not short; see usageRates.isShort. It is below the half that operators
+	// require, since requests of callers that return at another router count again.
+	minServedShare = 0.45
+	// maxUnservedRatio is the ratio of lately refused to received work from which on an
+	// organisation is short.
+	maxUnservedRatio = 2
 	// returnedShare is the part of the refused and rejected requests that are taken
-	// to be the same requests again, sent by callers that return.
-	returnedShare = 0.5
-	// minBoundShare is the part of the fair rate, and of what the best served
-	// organisation receives, below which no bound applies: it would leave most
-	// capacity idle.
+	// to be the same requests again, sent by callers that return at another router.
+	returnedShare = 0.25
+	// minBoundShare is the part of the fair rate that the bound for an organisation
+	// exceeds if it applies: a lower one would leave most capacity idle. It is also the part
+	// of what the best served organisation receives below which no bound goes, so that it
+	// takes effect in steps; and without a fair rate, none applies below that part.
 	minBoundShare = 0.2
 	// heldThreshold is the part of the bound from which on an organisation is held to
 	// it. It is below 1, so that an organisation that has reached the bound remains
-	// held while its mean rate varies.
-	heldThreshold = 0.9
+	// held while its mean rate and the bound vary: one that is not held starts all its
+	// requests until the next reports.
+	heldThreshold = 0.8
 	// maxStartInterval is the longest time between two starts of an organisation at a
 	// router because of the bound. The router's part of the bound may be less than
 	// one request in that time.
@@ -60,15 +69,16 @@
 	for _, o := range rates {
 		best = max(best, o.received)
 	}
-	minBound := minBoundShare * best
+	minLimit := minBoundShare * best
 	if !math.IsInf(s.fairRate, 1) {
-		minBound = max(minBound, minBoundShare*s.fairRate)
+		minLimit = minBoundShare * s.fairRate
 	}
 	for name, o := range rates {
 		limit := maxGap * o.received
-		if limit <= minBound || !s.isMostlyRefused(o, best) {
+		if limit <= minLimit || !s.isMostlyRefused(o, best) {
 			continue
 		}
+		limit = max(limit, minBoundShare*best)
 		if limit < s.bound || limit == s.bound && name < s.leastServed {
 			s.bound, s.leastServed = limit, name
 		}
@@ -77,12 +87,13 @@
 }
 
 // isMostlyRefused reports whether an organisation is refused a large part of what it
-// requests while others may be in its way: it requests no less than the fair rate,
-// or than the best served one receives. The requests of any other organisation come
-// first at the engines.
+// requests while others may be in its way: it requests no less than the fair rate, or
+// than the best served one receives. The requests of any other organisation come first at
+// the engines, and it counts only if it is short: a router may have no processor time for
+// its requests.
 func (s *shares) isMostlyRefused(o usageRates, best float64) bool {
 	demand := o.received + (1-returnedShare)*max(o.requested-o.received, o.unserved)
-	if demand < min(s.fairRate, best) {
+	if demand < min(s.fairRate, best) && !o.isShort() {
 		return false
 	}
 	// The rates of requested and received work are means over seconds, which single
--- a/internal/coordination/admission/peerrates.go
+++ b/internal/coordination/admission/peerrates.go
@@ -60,6 +60,15 @@
 	delete(f.peers, from)
 }
 
+// requested returns the work that peers reported to be requested of them by an
+// organisation.
+func (f *fleetSums) requested(organisation string) float64 {
+	if s := f.sums[organisation]; s != nil {
+		return s.requested
+	}
+	return 0
+}
+
 // retain removes the rates reported by peers that are not among the routers.
 func (f *fleetSums) retain(routers map[view.RouterID]bool) {
 	for id := range f.peers {
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -56,6 +56,7 @@
 	loadedBy         map[view.RouterID][]*endpoint
 	returning        returning
 	nextPulseAt      time.Time
+	lastPulseAt      time.Time
 	nextCheckAt      time.Time
 	nextPeerExpiryAt time.Time
 	out              []schedule.Output
@@ -144,6 +145,7 @@
 				p.usage.addUnserved(now, r.Organisation, r.Work)
 			}
 		}
+		p.advancePulse(now, in.Requests)
 		p.emitRates(now)
 	case schedule.Pause:
 		p.pause(now, in)
--- a/internal/coordination/admission/pulse.go
+++ b/internal/coordination/admission/pulse.go
@@ -12,6 +12,9 @@
 const (
 	// minPulseInterval is the minimum time between two broadcasts of a Pulse.
 	minPulseInterval = 100 * time.Millisecond
+	// minShortageInterval is the minimum time between a Pulse and an early one, which
+	// reports that a shortage has begun.
+	minShortageInterval = 200 * time.Millisecond
 	// maxPulsesPerSecond is the maximum number of Pulse messages that a router
 	// sends per second, one for each peer and broadcast. In a large fleet the
 	// broadcasts are therefore less frequent.
@@ -57,6 +60,7 @@
 		return
 	}
 	m := p.pulse(now)
+	p.lastPulseAt = now
 	for i := range p.view.Routers {
 		if id := p.view.Routers[i].ID; id != p.view.Self {
 			p.emit(schedule.Send{To: id, Message: m})
@@ -64,6 +68,27 @@
 	}
 }
 
+// shortageInterval returns the time between a Pulse and an early one. However often
+// shortages begin, a router sends no more than twice the usual number of messages.
+func (p *Policy) shortageInterval() time.Duration {
+	return max(minShortageInterval, p.pulseInterval()/2)
+}
+
+// advancePulse lets the next Pulse be sent early if an organisation is short since the
+// last one, so that the bound on others does not begin an interval later.
+func (p *Policy) advancePulse(now time.Time, rejected []schedule.RejectedRequest) {
+	at := p.lastPulseAt.Add(p.shortageInterval())
+	if !at.Before(p.nextPulseAt) {
+		return
+	}
+	for i := range rejected {
+		if p.usage.shortageBegins(now, rejected[i].Organisation) {
+			p.nextPulseAt = at
+			return
+		}
+	}
+}
+
 // pulse returns the Pulse of this router, sorted by endpoint and organisation.
 // The samples in it are those taken since the last call.
 func (p *Policy) pulse(now time.Time) *schedule.Pulse {
@@ -81,9 +106,10 @@
 		return strings.Compare(string(a.Endpoint), string(b.Endpoint))
 	})
 	for name, a := range p.usage.own {
-		own := a.rates(now)
+		own := p.usage.ownRates(now, name, a)
+		own.unserved = max(own.unserved, a.takeRefused(now, p.lastPulseAt))
 		o := schedule.OrganisationUse{Organisation: name, Requested: own.requested, Received: own.received, Unserved: own.unserved}
-		a.reported = own.requested
+		a.reported, a.reportedShort = own.requested, p.usage.isShort(name, own)
 		if o.Requested >= 1 {
 			m.Organisations = append(m.Organisations, o)
 		}
--- a/internal/coordination/admission/returning.go
+++ b/internal/coordination/admission/returning.go
@@ -9,10 +9,10 @@
 	// maxRemembered is the number of requests after which the older half is forgotten
 	// early: a router reads and rejects some thousands in a second.
 	maxRemembered = 1 << 15
-	// maxCounted is the number of times that a request counts as demand. The first
-	// return counts, since returnedShare allows for one: callers may return at another
-	// router, where the request is not remembered.
-	maxCounted = 2
+	// maxCounted is the number of times that a request counts as demand at this router.
+	// Callers may return at another router, where the request is not remembered, which
+	// returnedShare allows for.
+	maxCounted = 1
 )
 
 // requestIdentity identifies a request of an organisation that its caller may send
