Bound the memory of the heads of all requests together

What callers saw: nothing yet. 500 connections on which a request with many short header fields does not end, each within its 32 KiB, take as much memory as a router has.

Cause: the one of the heads of answers, on the other side: a bound for each head, none for all, and net/http takes some 100 bytes for a field of five.

Why it works: the connection of a caller counts the head as it arrives, as that of an endpoint does (the meter moves to package memory), and holds it until the connection is idle or closed. Where the limit is reached the caller gets the answer of a router that rejects unread: 503, not run, with a time (TestHeadsWithoutMemoryAreRejected). HeadsRejected counts them. Heads up to 16 KiB so counted are free.

--- a/internal/transport/connlimit/listener.go
+++ b/internal/transport/connlimit/listener.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -11,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"hyssopreach/internal/transport/memory"
 )
 
 const (
@@ -36,6 +39,8 @@
 	// since a process that is not running makes single calls long.
 	emptyWait    = 500 * time.Microsecond
 	emptyAccepts = 2
+	// maxDiscarded bounds what is read of a request for whose head there is no memory.
+	maxDiscarded = 64 << 10
 )
 
 // Overload decides which new connections are rejected before anything is read
@@ -75,6 +80,10 @@
 	backlog         time.Duration
 	// newConnTimeout is the constant of that name; tests use a longer time.
 	newConnTimeout time.Duration
+	// heads limits the memory of the heads of requests; nil to limit only that of each.
+	// headRejection returns the answer to a request for whose head there is none.
+	heads         *memory.Limiter
+	headRejection func() []byte
 	// yield lets all other goroutines that can run have a turn.
 	yield func()
 
@@ -101,6 +110,13 @@
 	return l
 }
 
+// LimitHeads limits the memory of the heads of all requests. A request for whose head there
+// is none gets the rejection, which may be called concurrently. LimitHeads must be called
+// before the first Accept.
+func (l *Listener) LimitHeads(m *memory.Limiter, rejection func() []byte) {
+	l.heads, l.headRejection = m, rejection
+}
+
 // Accept waits for a connection, and until the limits allow another one. It must
 // not be called concurrently.
 func (l *Listener) Accept() (net.Conn, error) {
@@ -120,6 +136,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: inner, listener: l}
+	c.head.LimitRequest(l.heads)
 	c.newConnTimer = time.AfterFunc(l.newConnTimeout, c.releaseNewSlot)
 	return c, nil
 }
@@ -227,8 +244,11 @@
 		if !ok {
 			return
 		}
-		if state == http.StateActive {
+		switch state {
+		case http.StateActive:
 			accepted.requests.Add(1)
+		case http.StateIdle:
+			accepted.head.Restart()
 		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -330,6 +350,8 @@
 	closeOnce    sync.Once
 	// requests is the number of requests that have begun.
 	requests atomic.Int64
+	// head accounts for the memory of the head of the current request.
+	head memory.HeadMeter
 	// evicted is set once the connection is to be closed for a new one; guarded
 	// by the listener's mu.
 	evicted bool
@@ -337,15 +359,37 @@
 
 // Read reads from the connection, and fails if the connection has been evicted.
 // It marks the connection as active as soon as data arrives, which is before the
-// server reports the state.
+// server reports the state. If there is no memory for the head of the request, it answers
+// like one that is rejected unread, and fails.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.listener.markActive(c) {
 		return 0, net.ErrClosed
 	}
+	if headErr := c.head.Add(p[:n]); headErr != nil {
+		c.head.Release()
+		c.reject()
+		// The server closes the connection without an answer of its own.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: headErr}
+	}
 	return n, err
 }
 
+// reject answers that no request on the connection has run. It reads what the caller has
+// sent, since the close of the connection would otherwise discard the answer.
+func (c *conn) reject() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = tcp.SetDeadline(time.Now().Add(rejectWriteTimeout))
+	if _, err := tcp.Write(c.listener.headRejection()); err != nil {
+		return
+	}
+	_ = tcp.CloseWrite()
+	_, _ = io.CopyN(io.Discard, tcp, maxDiscarded)
+}
+
 // markActive removes the connection from the idle ones. It returns false if the
 // connection has been evicted.
 func (l *Listener) markActive(c *conn) bool {
@@ -366,6 +410,7 @@
 	err := c.Conn.Close()
 	c.closeOnce.Do(func() {
 		c.newConnTimer.Stop()
+		c.head.Release()
 		c.releaseNewSlot()
 		<-c.listener.openSlots
 	})
--- a/internal/transport/endpoint/answer.go
+++ b/internal/transport/endpoint/answer.go
@@ -6,6 +6,8 @@
 	"mime"
 	"net/http"
 	"net/netip"
+
+	"hyssopreach/internal/transport/memory"
 )
 
 // errUndelimited reports an answer with neither a length nor chunked encoding,
@@ -25,7 +27,7 @@
 	// encoding and the client's options do not allow that.
 	undelimited bool
 	// head accounts for the memory of the head; nil if nothing does.
-	head *headMeter
+	head *memory.HeadMeter
 }
 
 func newAnswer(endpoint netip.AddrPort, response *http.Response, model, allowCloseDelimited bool) *Answer {
@@ -95,7 +97,7 @@
 // Close discards the rest of the answer.
 func (a *Answer) Close() error {
 	if a.head != nil {
-		a.head.release()
+		a.head.Release()
 	}
 	return a.response.Body.Close()
 }
--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -181,7 +181,7 @@
 		// The attempt's own answer may still come, on a connection that net/http takes
 		// for idle.
 		d.seal()
-		d.head.release()
+		d.head.Release()
 		return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: err}
 	}
 	if response.StatusCode >= http.StatusBadRequest {
@@ -195,17 +195,17 @@
 // roundTrip sends the attempt and returns once the head of an answer has arrived.
 func (c *Client) roundTrip(ctx context.Context, transport *http.Transport, address netip.AddrPort, a *Attempt) (*http.Response, *writeTracker, error) {
 	d := &writeTracker{id: xxhash.Sum64String(a.ID), singleConn: !a.Idempotent, mayWrite: a.MayWrite}
-	d.head.holding = c.options.HeadMemory.NewHolding(freeHeadBytes)
+	d.head.LimitAnswer(c.options.HeadMemory)
 	request, err := c.newRequest(address, a)
 	if err != nil {
 		return nil, d, &Error{Step: "build request", Endpoint: address, Err: err}
 	}
 	response, err := transport.RoundTrip(request.WithContext(d.withTrace(ctx)))
 	if err != nil {
-		d.head.release()
+		d.head.Release()
 		return nil, d, &Error{Step: "send request", Endpoint: address, Sent: d.seal(), Err: limitedError(err)}
 	}
-	d.head.end()
+	d.head.End()
 	return response, d, nil
 }
 
--- a/internal/transport/endpoint/conn.go
+++ b/internal/transport/endpoint/conn.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"hyssopreach/internal/transport/memory"
 )
 
 // maxRefusals bounds the hashes that a connection retains.
@@ -47,7 +49,7 @@
 	// mayWrite is Attempt.MayWrite.
 	mayWrite func() error
 	// head accounts for the memory of the heads that arrive.
-	head headMeter
+	head memory.HeadMeter
 	// sent is set before the first byte is handed to the operating system.
 	sent atomic.Bool
 
@@ -69,7 +71,7 @@
 		owner := c.owner
 		c.mu.Unlock()
 		if owner != nil {
-			if headErr := owner.head.add(data[:n]); headErr != nil {
+			if headErr := owner.head.Add(data[:n]); headErr != nil {
 				return 0, headErr
 			}
 		}
--- a/internal/transport/endpoint/control.go
+++ b/internal/transport/endpoint/control.go
@@ -99,8 +99,8 @@
 		return &Error{Step: step, Endpoint: address, Err: err}
 	}
 	d := &writeTracker{}
-	d.head.holding = c.options.HeadMemory.NewHolding(freeHeadBytes)
-	defer d.head.release()
+	d.head.LimitAnswer(c.options.HeadMemory)
+	defer d.head.Release()
 	request, err := c.newRequest(address, &Attempt{Method: method, Path: path, Body: data})
 	if err != nil {
 		return &Error{Step: step, Endpoint: address, Err: err}
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/rcrowley/go-metrics"
 
 	"hyssopreach/internal/coordination/admission"
 	"hyssopreach/internal/coordination/listing"
@@ -49,6 +50,11 @@
 	// stopPollInterval is the time between two checks of whether a stopping
 	// router is idle.
 	stopPollInterval = 50 * time.Millisecond
+	// headRetryDelay is the delay that a caller is asked to wait if there is no memory for
+	// the head of its request.
+	headRetryDelay = time.Second
+	// MetricHeadsRejected counts these requests.
+	MetricHeadsRejected = "HeadsRejected"
 )
 
 // Platform adapts a hosted router to its platform. It supplies the
@@ -250,6 +256,12 @@
 	}
 	if f.LimitConnections {
 		bounded := connlimit.New(l, r.options.Resources.connections(), newRejecter(&r.overload, r.core.identifier(f.Identify), f.Rejection, r.options.Logger, r.options.Registry))
+		rejected := metrics.GetOrRegisterCounter(MetricHeadsRejected, r.options.Registry)
+		bounded.LimitHeads(memory.NewLimiter(r.options.Resources.headBytes(r.options.Settings.Limits.WaitingBytes)), func() []byte {
+			rejected.Inc(1)
+			now := time.Now()
+			return f.Rejection(now, now.Add(headRetryDelay))
+		})
 		bounded.InstallHooks(s)
 		l = bounded
 	}
--- a/internal/transport/router/resources.go
+++ b/internal/transport/router/resources.go
@@ -14,8 +14,9 @@
 	// callers' bodies may take.
 	bodyMemoryDivisor = 4
 	// answerShare divides the memory for callers' bodies to give the memory that parts of
-	// answers may take which are not passed on at once.
-	answerShare = 2
+	// answers may take which are not passed on at once, and headShare to give that for the
+	// heads of callers' requests.
+	answerShare, headShare = 2, 2
 	// callerConnectionsDivisor divides the number of descriptors to give the
 	// number of callers' connections; the other descriptors are for endpoints,
 	// the other routers and the store. defaultConnections is the number of
@@ -60,6 +61,9 @@
 // at once.
 func (r Resources) answerBytes(configured int64) int64 { return r.bodyBytes(configured) / answerShare }
 
+// headBytes returns the memory that the heads of callers' requests may take.
+func (r Resources) headBytes(configured int64) int64 { return r.bodyBytes(configured) / headShare }
+
 // connections returns the maximum number of callers' connections.
 func (r Resources) connections() int {
 	if r.Descriptors <= 0 {
