Take no answer that was on a connection before its attempt

What callers saw: 502 for a request that had never been sent, said to have been: "match answer (sent=true): the answer doesn't name this attempt", on a busy host, after an endpoint had answered the attempt before with a foreign refusal and its own answer together.

Cause: net/http puts the connection into its pool when a refusal without a body has arrived, and the next attempt may get it before it is closed. The attempt may not be written there, but net/http takes what is left in its buffer for the answer, so the client saw no error and did not go on to a connection of its own.

Why it works: an answer to an attempt of which nothing was written, on a connection that it may not use, is discarded whatever it holds, and the attempt is written on a new connection like one whose write failed there. It also could have borne the ID of an earlier attempt.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -170,7 +170,12 @@
 // Every error is an *Error. The caller must close the answer.
 func (c *Client) Do(ctx context.Context, address netip.AddrPort, a *Attempt) (*Answer, error) {
 	response, d, err := c.roundTrip(ctx, c.transport, address, a)
-	if err != nil && d.mustAvoidPool() {
+	if d.mustAvoidPool() {
+		if err == nil {
+			// It was on the connection before the attempt, of which nothing was written.
+			_ = response.Body.Close()
+			d.head.Release()
+		}
 		response, d, err = c.roundTrip(ctx, c.unpooled, address, a)
 	}
 	if err != nil {
--- a/internal/transport/endpoint/stale_test.go
+++ b/internal/transport/endpoint/stale_test.go
@@ -296,3 +296,37 @@
 		})
 	}
 }
+
+// TestAnswerBeforeItsAttemptIsNone guards against an attempt that is given an answer which
+// was on a connection that it may not use, and of which nothing was written: the late answer
+// to the attempt before it, which came together with a foreign one.
+func TestAnswerBeforeItsAttemptIsNone(t *testing.T) {
+	is := is.New(t)
+	address := serveRaw(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get(platform.HeaderRequestID)
+		answer := answerStart + id + "\r\n\r\nok"
+		if strings.HasPrefix(id, "odd") {
+			answer = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" + answer
+		}
+		_, _ = io.WriteString(conn, answer)
+		return true
+	})
+	client := NewClient(nil)
+	defer client.Close()
+	failed := 0
+	for n := range 3000 {
+		id := fmt.Sprint([]string{"even", "odd"}[n%2], n)
+		answer, err := client.Do(t.Context(), address, &Attempt{ID: id, Method: http.MethodPost, Path: "/", Body: []byte("x")})
+		switch {
+		case n%2 == 1:
+			is.True(errors.Is(err, errAnswerMismatch))
+		case err != nil:
+			failed++
+			t.Log(err)
+		default:
+			_, err = readAll(t, answer)
+			is.NoErr(err)
+		}
+	}
+	is.Equal(failed, 0)
+}
