Pass on a server error with a large header in place of retaining it

A server error is retained, while its call is retried, for up to half of the time that is left. Its body has a bound of 16 KiB, its header none of its own, and its memory no longer counts once the answer has been closed.

Evidence, TestServerErrorWithLargeHeaderIsNotRetained before: "true != false // discarded in favour of a certain retry" (the answer was retained).

Why it works: an answer whose header takes more than the bound is treated like one whose body does: it is held open until another attempt is certain, and passed on otherwise.

--- a/internal/transport/execution/retained.go
+++ b/internal/transport/execution/retained.go
@@ -12,10 +12,11 @@
 
 	"hyssopreach/internal/coordination/schedule"
 	"hyssopreach/internal/state/view"
+	"hyssopreach/internal/transport/memory"
 )
 
 // maxRetainedBytes bounds the body of an answer that is retained while its call is
-// retried.
+// retried, and the memory of its header.
 const maxRetainedBytes = copyBytes
 
 // retainedAnswer is a whole answer with a server error. The caller gets it if the retry
@@ -63,7 +64,7 @@
 	}
 	certain := !watch.hold()
 	admitBy := time.Now().Add(time.Until(p.call.Deadline) / 2)
-	if len(body) <= maxRetainedBytes {
+	if len(body) <= maxRetainedBytes && memory.HeaderBytes(answer.Header()) <= maxRetainedBytes {
 		if certain || r.retryDenied(p.afterAttempt(schedule.ResultFailed), schedule.ResultFailed) == "" {
 			p.retryReserved = !certain
 			p.retained = &retainedAnswer{status: answer.Status(), header: answer.Header(), body: body, admitBy: admitBy}
--- a/internal/transport/execution/retained_test.go
+++ b/internal/transport/execution/retained_test.go
@@ -259,3 +259,58 @@
 		})
 	}
 }
+
+// headerBackend plays answers with a header.
+type headerBackend struct {
+	scriptedBackend
+	header http.Header
+}
+
+type headerAnswer struct {
+	*scriptedAnswer
+	header http.Header
+}
+
+func (a headerAnswer) Header() http.Header { return a.header }
+
+func (b *headerBackend) Send(ctx context.Context, a *Attempt) (Answer, error) {
+	answer, err := b.scriptedBackend.Send(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return headerAnswer{answer.(*scriptedAnswer), b.header}, nil
+}
+
+// TestServerErrorWithLargeHeaderIsNotRetained guards against headers that are held for each
+// call which waits for its retry, after their answers have been closed. The caller still gets
+// that answer if the retry is refused, and the retry otherwise.
+func TestServerErrorWithLargeHeaderIsNotRetained(t *testing.T) {
+	header := http.Header{}
+	for i := range 1000 {
+		header.Add(fmt.Sprint("X-", i), "")
+	}
+	for _, admitted := range []bool{false, true} {
+		is := is.New(t)
+		decisions, status, want := []view.EndpointID{"e1", ""}, http.StatusInternalServerError, "no"
+		if admitted {
+			decisions, status, want = []view.EndpointID{"e1", "e2"}, http.StatusOK, "yes"
+		}
+		backend := &headerBackend{header: header, scriptedBackend: scriptedBackend{exchanges: []scriptedExchange{{status: 500, body: "no"}, {status: 200, body: "yes"}}}}
+		r, stop := newTimedRunner(t, backend, &scriptedScheduler{decisions: slices.Concat(decisions, decisions)})
+		out := &recordingSink{}
+		is.NoErr(r.Run(t.Context(), retriedCall(), out))
+		is.Equal(out.status, status)
+		is.Equal(out.String(), want)
+		is.True(out.complete)
+
+		backend.attempts = 0
+		p := &progress{call: retriedCall()}
+		start, err := r.admit(t.Context(), p)
+		is.NoErr(err)
+		_, err = r.attempt(t.Context(), p, start, &sinkTracker{Sink: &recordingSink{}})
+		is.Equal(err != nil, admitted) // discarded in favour of a certain retry
+		is.True(p.retained == nil)
+		r.releaseContinuation(p)
+		stop()
+	}
+}
--- a/internal/transport/memory/head.go
+++ b/internal/transport/memory/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"sync"
 )
 
@@ -20,6 +21,17 @@
 	answerStart    = []byte("HTTP/1.")
 )
 
+// HeaderBytes returns the approximate memory that a header takes.
+func HeaderBytes(h http.Header) int {
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += headFieldBytes + len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // HeadMeter accounts for the memory of the head of an HTTP request, or of the heads of the
 // answers to one: informational ones and the last. It is safe for concurrent use.
 type HeadMeter struct {
