Count the headers of the answers that are kept for keys

What callers saw: nothing yet. A router keeps answers for idempotency keys up to KeptAnswerBytes, for ten minutes and up to 200,000 of them; only their bodies counted, so that headers of up to 64 KiB each had no bound.

Evidence, TestHeadersCountTowardsTheLimit before: "not true: retained <= 6" (all of 20 answers with a thousand fields were retained under a limit of 1 MiB).

Why it works: Begin reserves the memory of the header like Write that of the body, and it is returned when the answer is evicted.

--- a/internal/transport/answer/answer_test.go
+++ b/internal/transport/answer/answer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -202,3 +203,38 @@
 	found, _ = f.Find(claim.ID{1})
 	is.True(found == nil)
 }
+
+// TestHeadersCountTowardsTheLimit guards against retained headers that take more memory than
+// the bodies may, since only the bodies were counted.
+func TestHeadersCountTowardsTheLimit(t *testing.T) {
+	is := is.New(t)
+	header := http.Header{}
+	for i := range 1000 {
+		header.Add(fmt.Sprint("X-", i), "")
+	}
+	const limit = 1 << 20
+	f := newFixture(limit)
+	var attempts []*Attempt
+	for i := range byte(20) {
+		a, _ := f.Attach(claim.Digest{i}, 1, nil)
+		f.SetClaim(a, claim.ID{i})
+		a.MarkSent()
+		is.NoErr(a.Begin(http.StatusOK, header))
+		is.NoErr(a.End())
+		a.Detach()
+		attempts = append(attempts, a)
+	}
+	retained := 0
+	for _, a := range attempts {
+		if end, begun, _ := a.CopyTo(t.Context(), &recorder{}); end == EndComplete {
+			is.True(begun)
+			retained++
+		}
+	}
+	is.True(retained > 0)
+	is.True(retained <= 6) // of a thousand fields of 200 bytes
+	is.True(f.Bytes() <= limit)
+	f.clock = f.clock.Add(bodyRetention + time.Second)
+	f.complete(is, 100, "x")
+	is.Equal(f.Bytes(), int64(1)) // all has been returned
+}
--- a/internal/transport/answer/attempt.go
+++ b/internal/transport/answer/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hyssopreach/internal/state/claim"
+	"hyssopreach/internal/transport/memory"
 )
 
 // End is the way in which an attempt ended.
@@ -53,10 +54,12 @@
 	began   bool          // guarded by mu
 	status  int           // guarded by mu
 	header  http.Header   // guarded by mu
-	body    []byte        // guarded by mu
-	end     End           // guarded by mu
-	err     error         // guarded by mu
-	endedAt time.Time     // guarded by mu
+	// headerBytes is the memory reserved for the header. Guarded by mu.
+	headerBytes int64
+	body        []byte    // guarded by mu
+	end         End       // guarded by mu
+	err         error     // guarded by mu
+	endedAt     time.Time // guarded by mu
 }
 
 // Key returns the digest of the request's key.
@@ -90,14 +93,20 @@
 	return a.sent
 }
 
-// Begin stores the status and the header of the response.
+// Begin stores the status and the header of the response. It fails if the store has no
+// room for the header.
 func (a *Attempt) Begin(status int, header http.Header) error {
+	size := int64(memory.HeaderBytes(header))
+	if !a.store.reserve(size) {
+		return errTooLarge
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.end != EndNone {
+		a.store.bytes.Add(-size)
 		return errEnded
 	}
-	a.began, a.status, a.header = true, status, header.Clone()
+	a.began, a.status, a.header, a.headerBytes = true, status, header.Clone(), a.headerBytes+size
 	a.notifyReaders()
 	return nil
 }
@@ -158,8 +167,8 @@
 	if a.readers > 0 {
 		return false, false
 	}
-	a.store.bytes.Add(-int64(len(a.body)))
-	a.body, a.header = nil, nil
+	a.store.bytes.Add(-int64(len(a.body)) - a.headerBytes)
+	a.body, a.header, a.headerBytes = nil, nil, 0
 	if a.end == EndComplete {
 		a.end = EndEvicted
 	}
--- a/internal/transport/answer/store.go
+++ b/internal/transport/answer/store.go
@@ -194,5 +194,5 @@
 	}
 }
 
-// Bytes returns the total size of the retained response bodies.
+// Bytes returns the total size of the retained response bodies and headers.
 func (s *Store) Bytes() int64 { return s.bytes.Load() }
