Count crashes that are recognised late

A request, or a part of prompts, that crashes endpoints went on to crash them: a crash is evidence only if the question after the broken attempt shows it, and that question was asked once. It showed nothing while the listener of the dying process was open, and after bytes that are no answer, since the endpoint crashes only after them.

A retry still waits 0.1 s for the answer. Whether the answer ended soon enough is judged by the time of its end, not by that of the report, and whether the endpoint was leaving by the list at the break.

--- a/internal/transport/execution/crash.go
+++ b/internal/transport/execution/crash.go
@@ -21,10 +21,13 @@
 	// settleTime is the time between the end of an answer and the question whether its
 	// endpoint lives: the listener of a process that ends may be open for a moment.
 	settleTime = 5 * time.Millisecond
+	// malformedSettleTime is the same after bytes that are no answer, after which the endpoint
+	// has not closed the connection, and may crash.
+	malformedSettleTime = 50 * time.Millisecond
 	// endTimeout bounds the time for which the end of an answer that ends with its connection
 	// is withheld. Sound endpoints may be silent for a second.
 	endTimeout = 1500 * time.Millisecond
-	// breakTimeout bounds the delay of a retry after an attempt broke off.
+	// breakTimeout bounds the delay of a retry after an attempt broke off; see probeLater.
 	breakTimeout = 100 * time.Millisecond
 	// reachTimeout bounds the question whether another endpoint can continue a stream, and
 	// reachableFor is the age up to which the answer to an earlier one serves.
@@ -97,14 +100,18 @@
 // examineBreak returns what is known about the endpoint of an attempt that broke off there,
 // and logs it. The fingerprint in the log shows which attempts were sent for the same
 // request. The end of the call does not end the probe, since other calls need the evidence.
-func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time, leaving bool) ProcessState {
+func (r *Runner) examineBreak(ctx context.Context, a *Attempt, begin time.Time, leaving bool, err error) ProcessState {
 	if r.Prober == nil {
 		return ProcessUnknown
 	}
 	elapsed := a.EndedAt.Sub(begin)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), breakTimeout)
 	defer cancel()
-	state := r.Prober.Probe(ctx, &a.Endpoint, a.EndedAt.Add(settleTime))
+	settle := settleTime
+	if !connectionEnded(err) {
+		settle = malformedSettleTime
+	}
+	state := r.Prober.Probe(ctx, &a.Endpoint, a.EndedAt.Add(settle))
 	fields := log.Fields{
 		"RequestID": a.Call.RequestID, "Organisation": a.Call.Organisation.Name, "Service": a.Call.Service.Name,
 		"Fingerprint": strconv.FormatUint(a.Call.Fingerprint(), 16), "Endpoint": a.Endpoint.ID, "Process": state,
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -75,6 +75,8 @@
 	// Crashed is set if the process of the endpoint is known to have ended,
 	// unplanned, while it ran the attempt.
 	Crashed bool
+	// EndedAt is when the answer ended or broke off; zero if nothing was sent.
+	EndedAt time.Time
 	// Status is the status of the answer; zero if its head has not arrived.
 	Status int
 	// BeganAt is when the attempt began, AnsweredAt when its answer did, and
@@ -107,9 +109,14 @@
 	// ReopensAt returns the earliest instant at which an endpoint of a pool takes requests,
 	// zero if one does so now; nil if endpoints never ask for time.
 	ReopensAt func(pool string) time.Time
+	// CrashedLate is called for an attempt that broke off at an endpoint whose crash was
+	// recognised only after the attempt had been reported to the gate; nil to call nothing.
+	CrashedLate func(*Call, *Outcome)
 	// Survived is called for a stream whose endpoint has sent events for SurvivalTime;
 	// nil to call nothing.
 	Survived func(*Call)
+
+	late lateProbes
 }
 
 // NewRunner returns a Runner. The gate and the budget have no defaults, so that a
@@ -297,7 +304,7 @@
 		if result == schedule.ResultBroken {
 			// A crashed endpoint may no longer be listed when its crash is recognised.
 			leaving = r.isLeaving(a.Endpoint.ID)
-			state = r.examineBreak(ctx, a, meter.begin, leaving)
+			state = r.examineBreak(ctx, a, meter.begin, leaving, err)
 		}
 	} else {
 		err = fmt.Errorf("endpoint %s has gone from the view", start.Endpoint)
@@ -310,10 +317,14 @@
 	r.Scheduling.Input(schedule.Completion{
 		ID: start.ID, Result: completed, Service: meter.unreportedService(now), Elapsed: now.Sub(meter.begin),
 	})
-	return Outcome{
+	o := Outcome{
 		Endpoint: start.Endpoint, Result: result, Status: a.Status, Crashed: state == ProcessGone && !leaving,
-		BeganAt: meter.begin, AnsweredAt: a.AnsweredAt, FirstEventAt: a.FirstEventAt,
-	}, err
+		BeganAt: meter.begin, AnsweredAt: a.AnsweredAt, FirstEventAt: a.FirstEventAt, EndedAt: a.EndedAt,
+	}
+	if result == schedule.ResultBroken && state != ProcessGone && !leaving {
+		r.probeLater(a, o, state, err)
+	}
+	return o, err
 }
 
 func (r *Runner) logStart(a *Attempt, start schedule.Start) {
--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -50,9 +50,12 @@
 	bodyCrash, bodyCrashLate, bodyReset = "crash", "crash late", "reset"
 	bodyCrashPart, bodyCrashPartEvent   = "part", "part after event"
 	bodyCrashPartClose                  = "part without length"
-	lateCrashTime                       = crashDelay + 100*time.Millisecond
-	streamEventCount                    = 20
-	streamEventPause                    = 20 * time.Millisecond
+	// bodyCrashPartMalformed and bodyCrashMalformed are the same for an endpoint that
+	// first writes bytes that are no answer.
+	bodyCrashPartMalformed, bodyCrashMalformed = "part after malformed bytes", "malformed"
+	lateCrashTime                              = crashDelay + 100*time.Millisecond
+	streamEventCount                           = 20
+	streamEventPause                           = 20 * time.Millisecond
 )
 
 // crashFleet is a set of endpoints that crash and start again, with routers in
@@ -70,6 +73,9 @@
 	routers, endpoints, slots int
 	// downFor is the time after which a crashed endpoint starts again.
 	downFor time.Duration
+	// listensFor is the time for which the listener of a crashed endpoint stays open, as
+	// that of a process that the host has not taken down yet.
+	listensFor time.Duration
 	// ran is called for each request that begins to run at an endpoint; nil to call
 	// nothing.
 	ran func(body string)
@@ -86,12 +92,15 @@
 	mu     sync.Mutex
 	starts int          // guarded by mu
 	server *http.Server // guarded by mu; nil while the endpoint is down
+	// listener is that of the server. Guarded by mu.
+	listener net.Listener
 }
 
 func (e *crashingEndpoint) start(l net.Listener) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.starts++
+	e.listener = l
 	start := e.starts
 	e.server = &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.serve(w, r, start)
@@ -108,8 +117,14 @@
 		return
 	}
 	e.server = nil
-	e.mu.Unlock()
 	e.crashes.Add(1)
+	if e.options.listensFor > 0 {
+		// A second descriptor keeps the listener open, which nobody serves.
+		if f, err := e.listener.(*net.TCPListener).File(); err == nil {
+			time.AfterFunc(e.options.listensFor, func() { _ = f.Close() })
+		}
+	}
+	e.mu.Unlock()
 	_ = s.Close()
 	time.AfterFunc(e.options.downFor, func() {
 		if e.stopped.Load() {
@@ -144,6 +159,10 @@
 		events = math.MaxInt
 	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if s := string(body); strings.HasPrefix(s, bodyCrashPartMalformed) || s == bodyCrashMalformed {
+		e.crashAfterMalformed(w, start, first)
+		return
+	}
 	if strings.HasPrefix(string(body), bodyCrashPartClose) {
 		e.crashWithoutLength(w, start, first)
 		return
@@ -202,6 +221,24 @@
 	e.crash(start)
 }
 
+// crashAfterMalformed writes the beginning of an answer and bytes that belong to none, and
+// crashes when the router has ended the connection.
+func (e *crashingEndpoint) crashAfterMalformed(w http.ResponseWriter, start, first int) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	if w.Header().Get("Content-Type") != "" {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: %s\r\n\r\nid: %d\ndata: 1\n\nHTTP/1.1 500 x\n\n",
+			headerAttempt, w.Header().Get(headerAttempt), w.Header().Get("Content-Type"), first+1)
+	} else {
+		_, _ = io.WriteString(conn, "no answer\r\n\r\n")
+	}
+	time.Sleep(streamEventPause)
+	e.crash(start)
+}
+
 func (e *crashingEndpoint) id(start int) view.EndpointID {
 	return view.EndpointID(fmt.Sprint(e.address, "#", start))
 }
--- a/internal/transport/router/hosted.go
+++ b/internal/transport/router/hosted.go
@@ -231,7 +231,7 @@
 	r.core.runner = execution.NewRunner(scheduling, backend, r.fleet, r.suspects,
 		&fleetBudget{budget: retry.New(h.RetryLimits), views: r.fleet}, h.Logger)
 	r.core.runner.EndpointsAge, r.core.runner.Late = r.sources.listAge, r.lateness.Late
-	r.core.runner.Prober = r.prober
+	r.core.runner.Prober, r.core.runner.CrashedLate = r.prober, r.suspects.CrashedLate
 	r.core.runner.Survived, r.core.runner.ReopensAt = r.suspects.Survived, r.core.reopensAt
 	if r.server, err = peer.Serve(listener, p, h.Registry, h.Logger); err != nil {
 		r.closeComponents()
@@ -354,6 +354,7 @@
 	r.core.end()
 	r.sources.Close()
 	r.members.Close()
+	r.core.runner.Close()
 	r.prober.Close()
 	r.suspects.Close()
 	r.core.scheduling.Close()
--- a/internal/transport/router/hosted_crash_test.go
+++ b/internal/transport/router/hosted_crash_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +30,41 @@
 	}
 }
 
+// TestLateCrashCountsAgainstItsRequest guards against the loss of the evidence where a crash
+// is recognised only some time after the attempt broke off: the listener of the endpoint
+// stays open for a while, or the endpoint crashes after bytes that are no answer.
+func TestLateCrashCountsAgainstItsRequest(t *testing.T) {
+	for _, tt := range []struct {
+		path, body string
+		listensFor time.Duration
+		crashes    int
+	}{
+		{"/once/x", bodyCrash, 50 * time.Millisecond, 2},
+		{"/safe/x", bodyCrash, 50 * time.Millisecond, 2},
+		{"/stream/x", bodyCrash, 50 * time.Millisecond, 2},
+		{"/stream/x", bodyCrashPartClose, 50 * time.Millisecond, 2},
+		// A retry may begin before the crash is recognised.
+		{"/once/x", bodyCrash, 150 * time.Millisecond, 3},
+		{"/safe/x", bodyCrash, 150 * time.Millisecond, 3},
+		{"/stream/x", bodyCrash, 150 * time.Millisecond, 3},
+		{"/once/x", bodyCrashMalformed, 0, 2},
+		{"/safe/x", bodyCrashMalformed, 0, 2},
+		{"/stream/x", bodyCrashMalformed, 0, 2},
+	} {
+		t.Run(fmt.Sprint(tt.path, " ", tt.body, " ", tt.listensFor), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := startCrashFleetWith(t, crashOptions{routers: 2, endpoints: 8, slots: 6, downFor: crashRestartTime, listensFor: tt.listensFor})
+			for send := range 20 {
+				is.True(!f.send(send, tt.path, tt.body))
+				time.Sleep(100 * time.Millisecond)
+			}
+			t.Logf("%d endpoints crashed", f.crashes())
+			is.True(f.crashes() <= tt.crashes)
+		})
+	}
+}
+
 // TestStartingRouterRejectsBeforeItServes guards against a router that starts empty
 // and runs a request that the others reject, before they have noticed its start.
 func TestStartingRouterRejectsBeforeItServes(t *testing.T) {
--- a/internal/transport/router/hosted_crashpart_test.go
+++ b/internal/transport/router/hosted_crashpart_test.go
@@ -203,6 +203,7 @@
 		{"without a byte", bodyCrashPart, 1},
 		{"after the first event", bodyCrashPartEvent, 1},
 		{"without a length", bodyCrashPartClose, 1},
+		{"after malformed bytes", bodyCrashPartMalformed, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			checkPart(t, tt.crashing, tt.copies)
--- a/internal/transport/router/suspects.go
+++ b/internal/transport/router/suspects.go
@@ -333,12 +333,7 @@
 
 // Done implements execution.Gate.
 func (s *suspects) Done(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
-	switch {
-	case s.isEvidence(time.Now(), c, o):
-		confirmed = s.reportFailure(c, o)
-	case o.Crashed:
-		s.driver.Input(suspect.LateFailure{Fingerprint: fingerprint(c), Endpoint: o.Endpoint})
-	}
+	confirmed = s.recordCrash(c, o)
 	if s.isolates && confirmed != nil {
 		// A retry needs a permit, and its owner has to know why.
 		confirmed(context.Background())
@@ -353,6 +348,21 @@
 	return confirmed
 }
 
+// recordCrash reports the outcome of an attempt as evidence if it is some.
+func (s *suspects) recordCrash(c *execution.Call, o *execution.Outcome) (confirmed func(context.Context)) {
+	switch {
+	case s.isEvidence(c, o):
+		return s.reportFailure(c, o)
+	case o.Crashed:
+		s.driver.Input(suspect.LateFailure{Fingerprint: fingerprint(c), Endpoint: o.Endpoint})
+	}
+	return nil
+}
+
+// CrashedLate records a crash that was recognised after the end of its attempt. Nobody
+// waits until the other routers have the evidence.
+func (s *suspects) CrashedLate(c *execution.Call, o *execution.Outcome) { s.recordCrash(c, o) }
+
 // Survived records that an endpoint has answered on the prompt of a call for
 // execution.SurvivalTime.
 func (s *suspects) Survived(c *execution.Call) {
@@ -363,9 +373,10 @@
 
 // isEvidence reports whether the outcome of an attempt is evidence against its
 // request. Where endpoints are polled, each broken answer is, until a poll shows
-// that the endpoint did not restart. Otherwise the crash must be known, and recent
-// enough for the request to have caused it.
-func (s *suspects) isEvidence(now time.Time, c *execution.Call, o *execution.Outcome) bool {
+// that the endpoint did not restart. Otherwise the crash must be known, and the answer
+// must have ended soon enough for the request to have caused it, however late the crash
+// was recognised.
+func (s *suspects) isEvidence(c *execution.Call, o *execution.Outcome) bool {
 	if s.isolates {
 		return o.Result == schedule.ResultBroken
 	}
@@ -373,5 +384,5 @@
 	if c.Events && o.Status < http.StatusMultipleChoices {
 		began = o.FirstEventAt
 	}
-	return o.Crashed && (began.IsZero() || now.Sub(began) < crashDelay)
+	return o.Crashed && (began.IsZero() || o.EndedAt.Sub(began) < crashDelay)
 }
