Admit nobody where the tenants are empty, and refuse unsettled forms

Callers with removed keys, with any text as a key and with none were served once a version had taken the last keys away with their tenants ("tenants":[]).

Cause: Table.RequiresKey took the number of organisations for the need for a key, and parseConfiguration decoded absent and empty tenants to the same table. The same mistake stood elsewhere: an empty key in api_keys admitted requests without a key, an absent path_prefix matched each path, null counted as absent in each field, and a record of the store without data confirmed the configuration in force.

Fix: a table needs keys (New) or does not (NewKeyless), which absent tenants state and nothing else. Fields that are null, repeated, or spelled in another case are refused, and so are those that would admit more if absent or empty. Null in an endpoint's entry names no endpoint. A refused configuration is logged once (ConfigurationRefused) and leaves the last accepted one in force: reading it confirms the version that was confirmed shortly before it came, unless another router accepts it. Routers still relay the bytes that were read, so the wire form is unchanged.

crashfleet_test.go builds its table with NewKeyless: its requests carry no keys, and it had relied on a table without organisations asking for none.

--- a/internal/state/route/route.go
+++ b/internal/state/route/route.go
@@ -62,6 +62,8 @@
 	// Services are indexed by name.
 	Services map[string]Service
 
+	// keyless is set if requests need no caller key.
+	keyless       bool
 	hosts         map[string][]*Route
 	organisations map[string]*text.Organisation
 	byKey         map[string]*text.Organisation
@@ -90,7 +92,15 @@
 	Keys []string
 }
 
-// New builds a table.
+// NewKeyless builds a table by which requests need no caller key on any route.
+func NewKeyless(version uint64, routes []Route, services map[string]Service, limits Limits) *Table {
+	t := New(version, routes, services, nil, limits)
+	t.keyless = true
+	return t
+}
+
+// New builds a table by which requests need the key of an organisation on routes that
+// are not anonymous, even if there is no organisation.
 func New(version uint64, routes []Route, services map[string]Service, organisations []Organisation, limits Limits) *Table {
 	t := &Table{
 		Version: version, Limits: limits, Services: services, hosts: make(map[string][]*Route),
@@ -124,8 +134,8 @@
 }
 
 // RequiresKey reports whether requests need a caller key on routes that are not
-// anonymous. They do if any organisation is configured.
-func (t *Table) RequiresKey() bool { return len(t.organisations) > 0 }
+// anonymous.
+func (t *Table) RequiresKey() bool { return !t.keyless }
 
 // Organisation returns the organisation that the caller key belongs to; nil if
 // the key is unknown.
--- a/internal/state/settings/settings_test.go
+++ b/internal/state/settings/settings_test.go
@@ -55,3 +55,25 @@
 		}
 	})
 }
+
+// TestNullAndEmptySettings guards against a setting that is null or empty and is taken for
+// one that the file omits.
+func TestNullAndEmptySettings(t *testing.T) {
+	for _, test := range []struct{ stated, null, empty string }{
+		{`"Name": "vm-1"`, `"Name": null`, `"Name": ""`},
+		{`"FailureDomain": "Kolkata"`, `"FailureDomain": null`, `"FailureDomain": ""`},
+		{`"CallerAddress": "10.0.0.1:8080"`, `"CallerAddress": null`, `"CallerAddress": ""`},
+		{`"LogAddress": "10.0.9.1:9000"`, `"LogAddress": null`, `"LogAddress": ""`},
+		{`["10.0.0.2:8081"]`, `[null]`, `[""]`},
+		{`["10.0.0.2:8081"]`, `null`, `""`},
+		{`"EntryHold": "30s"`, `"EntryHold": null`, `"EntryHold": ""`},
+		{`{"BodyBytes": 65536}`, `null`, `{"BodyBytes": null}`},
+		{`{"BodyBytes": 65536}`, `{"HeaderBytes": null}`, `{"HeaderBytes": 0}`},
+	} {
+		for _, form := range []string{test.null, test.empty} {
+			if _, err := settings.Parse([]byte(strings.Replace(valid, test.stated, form, 1))); err == nil {
+				t.Errorf("%s in place of %s is accepted", form, test.stated)
+			}
+		}
+	}
+}
--- a/internal/transport/router/crashfleet_test.go
+++ b/internal/transport/router/crashfleet_test.go
@@ -221,11 +221,11 @@
 
 func (p *crashPlatform) ParseConfiguration([]byte) (*route.Table, error) {
 	targets := []route.Target{{Service: &text.Service{Name: "s", Pool: "s"}, Weight: 1}}
-	return route.New(1, []route.Route{
+	return route.NewKeyless(1, []route.Route{
 		{Host: "h", PathPrefix: "/safe/", Class: text.Class{Idempotent: true, MayWait: true}, MaxAttempts: 2, Objective: 200 * time.Millisecond, Targets: targets},
 		{Host: "h", PathPrefix: "/once/", Class: text.Class{MayWait: true}, MaxAttempts: 1, Objective: 200 * time.Millisecond, Targets: targets},
 		{Host: "h", PathPrefix: "/stream/", Class: text.Class{Idempotent: true, MayWait: true}, Stream: true, Resumable: true, MaxAttempts: 3, Objective: 500 * time.Millisecond, Targets: targets},
-	}, nil, nil, route.Limits{}), nil
+	}, nil, route.Limits{}), nil
 }
 
 func (p *crashPlatform) ParseEndpoints(data []byte) ([]view.Endpoint, error) {
--- a/internal/transport/router/sources.go
+++ b/internal/transport/router/sources.go
@@ -79,8 +79,10 @@
 	// versionEpoch is the epoch of the last reading that held the version in
 	// force.
 	versionEpoch uint64
-	list         readResult
-	listHash     uint64
+	// refused is the configuration that was refused last.
+	refused  refusedConfiguration
+	list     readResult
+	listHash uint64
 	// listDoubtedAt is the instant of the last list that was doubted; see
 	// listing.Table.Doubts.
 	listDoubtedAt clock.Instant
@@ -324,8 +326,9 @@
 // applyConfiguration puts a configuration in force. It returns an error if the
 // configuration is older than the one in force, unless the store has come back from
 // an older copy since: that one is then ignored, and confirms nothing. A result
-// without data, or of the same version, confirms the configuration in force as of
-// r.at.
+// of another router without data, or one of the same version, confirms the
+// configuration in force as of r.at. For one that can't be decoded see
+// refuseConfiguration.
 func (s *sources) applyConfiguration(r readResult, from view.RouterID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -334,10 +337,10 @@
 		return err
 	}
 	version := next.version
-	if len(r.data) > 0 && !bytes.Equal(r.data, next.configuration.data) {
+	if next.isNew(r.data, from) {
 		table, err := s.router.options.Platform.ParseConfiguration(r.data)
 		if err != nil {
-			return err
+			return s.refuseConfiguration(&next, r, from, err)
 		}
 		version = table.Version
 		if version > next.version {
