Recognise events of streams whose lines end with CR LF or CR

A stream whose lines do not end with LF alone was passed on only when it ended, and ended as broken ("the stream ended inside an event"): no event of it was recognised, so it was not resumed either.

Cause: events were split at "\n\n". The event-stream format allows LF, CR LF and CR.

An event counts as whole at a CR that ends its empty line, without waiting for an LF; an LF that arrives in the next read is passed on as an empty line, so that no event waits for the one after it. The bytes that are forwarded do not change.

--- a/internal/transport/execution/continuation.go
+++ b/internal/transport/execution/continuation.go
@@ -62,7 +62,7 @@
 		return events, nil
 	}
 	last, size := c.progress.lastEvent, 0
-	for event := range bytes.SplitAfterSeq(events, eventEnd) {
+	for event := range eventsOf(events) {
 		id, isEvent := readEvent(event)
 		if isEvent {
 			if err := c.follows(last, id); err != nil {
@@ -186,7 +186,7 @@
 // event.
 func readEventIDs(events []byte) eventIDs {
 	var e eventIDs
-	for event := range bytes.SplitSeq(events, eventEnd) {
+	for event := range eventsOf(events) {
 		id, isEvent := readEvent(event)
 		if isEvent {
 			e.count++
@@ -204,7 +204,7 @@
 // readEvent returns the ID of an event, empty if it has none, and whether it is one:
 // comments, and the time after which callers are to connect again, are none.
 func readEvent(event []byte) (id string, isEvent bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	for line := range lines(event) {
 		isEvent = isEvent || len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, retryField)
 		if value, ok := bytes.CutPrefix(line, idField); ok {
 			id = string(bytes.TrimSpace(value))
--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -32,14 +32,11 @@
 // slice is valid until the next call of a method.
 func (b *eventBuffer) add(part []byte) ([]byte, error) {
 	b.buffered = append(b.buffered, part...)
-	end := bytes.LastIndex(b.buffered, eventEnd)
-	if end < 0 {
-		if len(b.buffered) > maxEventBytes {
-			return nil, errEventTooLong
-		}
-		return nil, nil
+	size := wholeEventsSize(b.buffered)
+	if size == 0 && len(b.buffered) > maxEventBytes {
+		return nil, errEventTooLong
 	}
-	return b.buffered[:end+len(eventEnd)], nil
+	return b.buffered[:size], nil
 }
 
 // headStart begins the head of an answer, and no line of an event.
@@ -55,12 +52,8 @@
 			return events, nil
 		}
 		offset += i
-		if offset == 0 || events[offset-1] == '\n' {
-			end := bytes.LastIndex(events[:offset], eventEnd)
-			if end < 0 {
-				return nil, errHeadInStream
-			}
-			return events[:end+len(eventEnd)], errHeadInStream
+		if offset == 0 || events[offset-1] == '\n' || events[offset-1] == '\r' {
+			return events[:wholeEventsSize(events[:offset])], errHeadInStream
 		}
 		offset += len(headStart)
 	}
--- a/internal/transport/execution/meter.go
+++ b/internal/transport/execution/meter.go
@@ -1,7 +1,6 @@
 package execution
 
 import (
-	"bytes"
 	"regexp"
 	"strconv"
 	"time"
@@ -21,10 +20,6 @@
 	tailBytes = 512
 )
 
-// eventEnd terminates each event of a stream; an engine sends one event per
-// token.
-var eventEnd = []byte("\n\n")
-
 var completionTokens = regexp.MustCompile(`"completion_tokens"\s*:\s*(\d+)`)
 
 // meter measures the service that an attempt receives, in units of service:
@@ -38,10 +33,10 @@
 	unreported  float64
 	firstToken  time.Duration
 	tail        []byte
-	// lastByte is the last byte of the previous part, by which a separator that
-	// is split between two reads is found; zero if that part ended with a
-	// separator.
-	lastByte byte
+	// inEvent is set if an event has begun that has not ended, and inLine if a line of
+	// it has. afterCR is set if the previous part ended with a CR, to which an LF at the
+	// beginning of the next one belongs.
+	inEvent, inLine, afterCR bool
 }
 
 func newMeter(model, stream bool, begin time.Time) *meter {
@@ -77,18 +72,32 @@
 	return p, true
 }
 
-func (m *meter) countEvents(part []byte) int {
-	n := bytes.Count(part, eventEnd)
-	if m.lastByte == '\n' && len(part) > 0 && part[0] == '\n' {
-		n++
+// countEvents returns the number of events that end in the part; an engine sends one
+// event per token.
+func (m *meter) countEvents(part []byte) (count int) {
+	if len(part) == 0 {
+		return 0
 	}
-	if len(part) > 0 {
-		m.lastByte = part[len(part)-1]
-		if bytes.HasSuffix(part, eventEnd) {
-			m.lastByte = 0
+	rest := part
+	if m.afterCR && rest[0] == '\n' {
+		rest = rest[1:]
+	}
+	for len(rest) > 0 {
+		line, whole := lineEnd(rest)
+		switch {
+		case line > 0 || m.inLine:
+			m.inEvent, m.inLine = true, whole == 0
+		case m.inEvent:
+			m.inEvent = false
+			count++
+		}
+		if whole == 0 {
+			break
 		}
+		rest = rest[whole:]
 	}
-	return n
+	m.afterCR = part[len(part)-1] == '\r'
+	return count
 }
 
 func (m *meter) keepTail(part []byte) {
