--- a/internal/transport/execution/events.go
+++ b/internal/transport/execution/events.go
@@ -48,17 +48,15 @@
 // unless the stream has ended with it. The returned slice is valid until the next call of a
 // method.
 func (b *eventBuffer) add(part []byte, ended bool) ([]byte, error) {
-	from := max(len(b.buffered)-len(eventEnd)+1, 0)
+	from := len(b.buffered)
 	if err := b.grow(len(b.buffered) + len(part)); err != nil {
 		return nil, err
 	}
 	b.buffered = append(b.buffered, part...)
-	last := bytes.LastIndex(b.buffered[from:], eventEnd)
-	if last >= 0 {
-		b.end = from + last + len(eventEnd)
-	}
+	size := wholeEventsSize(b.buffered, from)
+	b.end = max(b.end, size)
 	switch {
-	case last >= 0 || ended && b.end > 0:
+	case size > 0 || ended && b.end > 0:
 		return b.buffered[:b.end], nil
 	case b.end == 0 && len(b.buffered) > maxEventBytes:
 		return nil, errEventTooLong
@@ -79,12 +77,8 @@
 			return events, nil
 		}
 		offset += i
-		if offset == 0 || events[offset-1] == '\n' {
-			end := bytes.LastIndex(events[:offset], eventEnd)
-			if end < 0 {
-				return nil, errHeadInStream
-			}
-			return events[:end+len(eventEnd)], errHeadInStream
+		if offset == 0 || events[offset-1] == '\n' || events[offset-1] == '\r' {
+			return events[:wholeEventsSize(events[:offset], 0)], errHeadInStream
 		}
 		offset += len(headStart)
 	}
@@ -96,7 +90,7 @@
 		return events, nil
 	}
 	size := 0
-	for event := range bytes.SplitAfterSeq(events, eventEnd) {
+	for event := range eventsOf(events) {
 		if len(event) > maxEventIDBytes {
 			if id, _ := readEvent(event); len(id) > maxEventIDBytes {
 				return events[:size], errEventIDTooLong
