Tell a caller that its call got no answer before it stops waiting

What callers saw: nothing. The caller also closed its connection.

Cause: the call ended at the deadline that its caller states, which counts from the sending. The way of the request and of the answer comes on top of it.

Fix: a call for which no head of an answer has arrived ends 25 ms before its caller stops waiting, with what it would have got at the deadline: 504 if an attempt may have run, 503 if none was sent, or a retained server error. The endpoint is still told the full time. An answer that arrives is read on until the deadline, as is a stream that has begun. Callers with less than 250 ms, and those that wait longer than the route's timeout, keep their time. A call that may run only once is never sent again for this. The price: an answer whose head comes within the last 25 ms, and would still have reached its caller, is lost.

--- a/internal/transport/execution/call.go
+++ b/internal/transport/execution/call.go
@@ -82,6 +82,9 @@
 	Urgency int
 	// Deadline is the time after which the answer is of no use.
 	Deadline time.Time
+	// AnswerBy is the time at which the call ends if no answer has begun to arrive, so
+	// that its caller still learns of that; zero if only the deadline applies.
+	AnswerBy time.Time
 	Method   string
 	// Path is the path and query of the request to the endpoint.
 	Path   string
--- a/internal/transport/execution/progress.go
+++ b/internal/transport/execution/progress.go
@@ -11,7 +11,9 @@
 
 // progress is the state of a call across its attempts.
 type progress struct {
-	call     *Call
+	call *Call
+	// limit ends the call if no answer arrives.
+	limit    *answerLimit
 	attempts int
 	// sentAttempts is the number of attempts that reached an endpoint.
 	sentAttempts int
--- a/internal/transport/execution/runner.go
+++ b/internal/transport/execution/runner.go
@@ -122,11 +122,11 @@
 // complete answer, a *caller.Problem if no answer has begun, and a *BrokenError
 // if an answer has begun and broken off.
 func (r *Runner) Run(ctx context.Context, c *Call, sink Sink) error {
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
-	defer cancel()
+	ctx, limit := limitAnswer(ctx, c)
+	defer limit.stop()
 	r.Budget.Deposit(c)
 	out := &sinkTracker{Sink: sink}
-	p := &progress{call: c, lastEvent: c.LastEvent, lastEventAt: time.Now()}
+	p := &progress{call: c, limit: limit, lastEvent: c.LastEvent, lastEventAt: time.Now()}
 	for {
 		start, err := r.next(ctx, p)
 		if err != nil {
@@ -137,7 +137,7 @@
 			if sent, sendErr := r.sendRetained(ctx, p, out, err); sent {
 				return sendErr
 			}
-			return refusal(c, err, p.mayHaveRun)
+			return refusal(c, limit.explain(err), p.mayHaveRun)
 		}
 		outcome, err := r.attempt(ctx, p, start, out)
 		if confirmed := r.Gate.Done(c, &outcome); confirmed != nil {
@@ -147,6 +147,9 @@
 			r.releaseContinuation(p)
 			return nil
 		}
+		if !out.started {
+			limit.answerFailed()
+		}
 		if p.waitUntilNotWithheld(ctx, err) {
 			continue
 		}
@@ -161,7 +164,7 @@
 			if sent, sendErr := r.sendRetained(ctx, p, out, err); sent {
 				return sendErr
 			}
-			return failure(c, err, p.mayHaveRun)
+			return failure(c, limit.explain(err), p.mayHaveRun)
 		}
 		r.Logger.WithFields(log.Fields{
 			"RequestID": c.RequestID, "Organisation": c.Organisation.Name, "Tries": p.attempts, "Result": result,
@@ -337,6 +340,7 @@
 	if rejected(a.Call, answer) {
 		return schedule.ResultRejected, r.newRejectedError(a, answer)
 	}
+	p.limit.answerArrives()
 	answer = r.examineEnd(ctx, a, answer)
 	watch.resume(p, out.started)
 	retry := false
--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -43,6 +43,11 @@
 	// the head of the answer has not arrived within this time, the router looks for
 	// another endpoint.
 	idempotentSilenceFactor = 2.5
+	// answerMargin is the time before the end of a caller's patience at which a call
+	// ends for which no answer arrives. It covers the way of the request and of the
+	// answer. A caller that waits for less than minMarginFactor of it keeps its time.
+	answerMargin    = 25 * time.Millisecond
+	minMarginFactor = 10
 	// defaultBodyBytes limits a caller's body while no limit is configured.
 	defaultBodyBytes = 4 << 20
 	// joinGrace is the time after its start during which a router that knows no
@@ -266,6 +271,9 @@
 	if call.Deadline.IsZero() {
 		call.Deadline = now.Add(requestTimeout)
 	}
+	if by := a.Deadline.Add(-answerMargin); a.Deadline.Sub(now) >= minMarginFactor*answerMargin && by.Before(call.Deadline) {
+		call.AnswerBy = by
+	}
 	if matched.Objective > 0 {
 		call.Objective = now.Add(matched.Objective)
 	}
--- a/internal/transport/router/core_test.go
+++ b/internal/transport/router/core_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"hyssopreach/internal/state/route"
+	"hyssopreach/internal/state/text"
 )
 
 // TestContinuationHasTimeLeft guards against looking for the continuation of a stream
@@ -24,3 +25,29 @@
 		is.Equal(maxSilence(&route.Route{Objective: test.objective, Patience: test.patience}), test.want)
 	}
 }
+
+// TestCallLeavesTimeToAnswerItsCaller guards against a call whose failure reaches its
+// caller only after that has stopped waiting, and against one that is ended early although
+// its caller waits on or has hardly any time.
+func TestCallLeavesTimeToAnswerItsCaller(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct{ deadline, timeout, answerBy time.Duration }{
+		{time.Second, 0, time.Second - answerMargin},
+		{time.Second, time.Second, time.Second - answerMargin},
+		{time.Second, 900 * time.Millisecond, 0}, // the caller waits beyond the route's timeout
+		{0, time.Second, 0},
+		{answerMargin * minMarginFactor / 2, time.Second, 0},
+	} {
+		is := is.New(t)
+		request := &IncomingRequest{}
+		if test.deadline > 0 {
+			request.Deadline = now.Add(test.deadline)
+		}
+		matched := &route.Route{Timeout: test.timeout, Targets: []route.Target{{Service: &text.Service{}, Weight: 1}}}
+		call := newCall(request, matched, &text.Organisation{}, now)
+		is.Equal(call.AnswerBy.IsZero(), test.answerBy == 0)
+		if test.answerBy > 0 {
+			is.Equal(call.AnswerBy, now.Add(test.answerBy))
+		}
+	}
+}
