Refuse requests on a route that leads to no service

What callers saw: after a configuration with a route that names no service, each request on it, read whole, got neither an answer nor a refusal: its connection was closed (EOF).

Cause: Route.Pick returns nil without a target, as documented, and newCall took that for a service. The handler failed at the first use (retry budget), and net/http closes the connection of a handler that fails.

Evidence: a trial with the route "none" of standinConfiguration without its service: Post: EOF. The operators' store accepts only valid configurations, so that this is what was reported is not shown.

Fix: 503, not run, which the next configuration may change.

--- a/internal/transport/router/core.go
+++ b/internal/transport/router/core.go
@@ -150,6 +150,9 @@
 		return nil, entry.NewRefusal(http.StatusNotFound, "Match", fmt.Sprintf("no route of host %q leads to %q", a.Host, a.Path))
 	}
 	at := clock.Now()
+	if len(matched.Targets) == 0 {
+		return nil, unconfirmed(now, fmt.Sprintf("the route for %q leads to no service", a.Path))
+	}
 	organisation, problem := c.identify(table, matched, a, now, at)
 	if problem != nil {
 		return nil, problem
--- a/internal/transport/router/hosted_test.go
+++ b/internal/transport/router/hosted_test.go
@@ -93,6 +93,7 @@
 	}
 	routes := []route.Route{
 		{Host: "h", PathPrefix: "/open/", Anonymous: true, Class: text.Class{Name: "open", MayWait: true}, Targets: []route.Target{{Service: &text.Service{Name: "s", Pool: "s"}, Weight: 1}}},
+		{Host: "h", PathPrefix: "/nowhere/", Anonymous: true},
 		{Host: "h", PathPrefix: "/keyed/", Class: text.Class{Name: "keyed", MayWait: true}, Targets: []route.Target{{Service: &text.Service{Name: "s", Pool: "s"}, Weight: 1}}},
 	}
 	organisations := []route.Organisation{{Organisation: text.Organisation{Name: "o"}, Keys: []string{"k"}}}
