--- a/internal/transport/execution/retained_test.go
+++ b/internal/transport/execution/retained_test.go
@@ -304,13 +304,16 @@
 		is.True(out.complete)
 
 		backend.attempts = 0
-		p := &progress{call: retriedCall()}
-		start, err := r.admit(t.Context(), p)
+		call := retriedCall()
+		ctx, limit := limitAnswer(t.Context(), call)
+		p := &progress{call: call, limit: limit}
+		start, err := r.admit(ctx, p)
 		is.NoErr(err)
-		_, err = r.attempt(t.Context(), p, start, &sinkTracker{Sink: &recordingSink{}})
+		_, err = r.attempt(ctx, p, start, &sinkTracker{Sink: &recordingSink{}})
 		is.Equal(err != nil, admitted) // discarded in favour of a certain retry
 		is.True(p.retained == nil)
 		r.releaseContinuation(p)
+		limit.stop()
 		stop()
 	}
 }
