Ask again for all waiting ends after many questions to an endpoint

What callers saw: complete answers without a length cut, if some ended together while their endpoint reset connections, or was silent, for a moment. While ends kept coming for 0.3 s and more, the router opened connections to such an endpoint without a pause.

Cause: the time until the next repetition doubled with each question, also with those that only later ends caused. After some ends, 6 ms apart, it was longer than an end is withheld; after 56 questions it was zero by overflow. The end itself was examined on time, but nothing was asked after the last question.

Evidence, TestManyEndsAtAFailingEndpointAreAnswered in virtual time, before: resets (0.3 s): 20 of 20 without an answer, 20 questions resets for long (0.9 s): 0 of 100 without an answer, 26442 questions silent (1.2 s): 4 of 4 without an answer, 4 questions After: none without an answer, and 24, 105 and 5 questions. The other tests of the prober are unchanged and pass.

Why it works: only a repetition doubles the time. A question that a later end causes begins anew, and it serves all earlier ends as well. Such questions have their own spacing, and repetitions after the last one double, so their number is bounded.

--- a/internal/transport/router/prober.go
+++ b/internal/transport/router/prober.go
@@ -65,9 +65,9 @@
 	askedAt  time.Time
 	repeatAt time.Time
 	// open is the number of questions without a result.
-	open       int
-	unanswered time.Duration
-	failed     time.Duration
+	open int
+	// unanswered and failed are the times until the next repetition.
+	unanswered, failed time.Duration
 }
 
 // probeWaiter waits for the answer to a question that is sent at notBefore or later.
@@ -128,7 +128,6 @@
 		}
 		q = &inquiry{
 			endpoint: *e, waiters: map[*probeWaiter]struct{}{}, changed: make(chan struct{}, 1),
-			unanswered: repeatUnanswered, failed: repeatFailed,
 		}
 		p.inquiries[e.ID] = q
 		p.running.Go(func() { p.run(q) })
@@ -161,7 +160,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		at, waited := p.nextQuestion(q)
+		at, repeated, waited := p.nextQuestion(q)
 		if !waited {
 			return
 		}
@@ -180,36 +179,40 @@
 		case <-due:
 			q.open++
 			now := time.Now()
+			if repeated {
+				q.unanswered, q.failed = 2*q.unanswered, 2*q.failed
+			} else {
+				q.unanswered, q.failed = repeatUnanswered, repeatFailed
+			}
 			q.askedAt, q.repeatAt = now, now.Add(q.unanswered)
-			q.unanswered *= 2
 			p.probes.Inc(1)
 			p.running.Go(func() { answers <- p.ask(ctx, &q.endpoint, now) })
 		}
 	}
 }
 
-// nextQuestion returns when to ask next. It returns false, and ends the inquiry, if nobody
-// waits.
-func (p *prober) nextQuestion(q *inquiry) (at time.Time, waited bool) {
+// nextQuestion returns when to ask next, and whether that repeats a question that was sent
+// late enough for all who wait. It ends the inquiry if nobody waits.
+func (p *prober) nextQuestion(q *inquiry) (at time.Time, repeated, waited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(q.waiters) == 0 {
 		delete(p.inquiries, q.endpoint.ID)
-		return time.Time{}, false
+		return time.Time{}, false, false
 	}
 	for w := range q.waiters {
-		due := q.repeatAt
-		if w.notBefore.After(q.askedAt) {
+		due, repeats := q.repeatAt, !w.notBefore.After(q.askedAt)
+		if !repeats {
 			due = w.notBefore
 			if spaced := q.askedAt.Add(questionSpacing); due.Before(spaced) {
 				due = spaced
 			}
 		}
 		if at.IsZero() || due.Before(at) {
-			at = due
+			at, repeated = due, repeats
 		}
 	}
-	return at, true
+	return at, repeated, true
 }
 
 // answered passes an answer to all waiters whose instants lie before its question. Without
@@ -223,10 +226,8 @@
 		if at := now.Add(q.failed); at.Before(q.repeatAt) {
 			q.repeatAt = at
 		}
-		q.failed *= 2
 		return
 	}
-	q.unanswered, q.failed = repeatUnanswered, repeatFailed
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.answers) >= maxProbeAnswers {
--- a/internal/transport/router/prober_test.go
+++ b/internal/transport/router/prober_test.go
@@ -141,3 +141,57 @@
 		is.Equal(p.Probe(t.Context(), &view.Endpoint{ID: "a#2"}, time.Now()), execution.ProcessUnknown)
 	})
 }
+
+// TestManyEndsAtAFailingEndpointAreAnswered guards against complete answers that count as
+// broken, although their endpoint answers again in time, since the questions of later ends
+// put off the repetition; and against questions without a pause between them.
+func TestManyEndsAtAFailingEndpointAreAnswered(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// failing is the time for which the endpoint does not answer.
+		failing time.Duration
+		answer  func(ctx context.Context, until time.Time) (bool, error)
+		ends    int
+	}{
+		{"resets", 300 * time.Millisecond, func(ctx context.Context, _ time.Time) (bool, error) {
+			return answerAfter(100*time.Microsecond, false, errBroke)(ctx)
+		}, 20},
+		{"resets for long", 900 * time.Millisecond, func(ctx context.Context, _ time.Time) (bool, error) {
+			return answerAfter(100*time.Microsecond, false, errBroke)(ctx)
+		}, 100},
+		{"silent", 1200 * time.Millisecond, func(ctx context.Context, until time.Time) (bool, error) {
+			return answerAfter(time.Until(until), true, nil)(ctx)
+		}, maxQuestions},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				until := time.Now().Add(test.failing)
+				asker := &scriptedAsker{answers: []func(context.Context) (bool, error){func(ctx context.Context) (bool, error) {
+					if time.Now().Before(until) {
+						return test.answer(ctx, until)
+					}
+					return answerAfter(time.Millisecond, true, nil)(ctx)
+				}}}
+				p := newProber(asker, metrics.NewRegistry())
+				defer p.Close()
+				var ends sync.WaitGroup
+				var unanswered atomic.Int64
+				for range test.ends {
+					ends.Go(func() {
+						ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+						defer cancel()
+						if p.Probe(ctx, &view.Endpoint{ID: "a#1"}, time.Now()) != execution.ProcessAlive {
+							unanswered.Add(1)
+						}
+					})
+					time.Sleep(questionSpacing + time.Millisecond)
+				}
+				ends.Wait()
+				t.Logf("%d of %d without an answer, %d questions", unanswered.Load(), test.ends, asker.asked.Load())
+				is.Equal(unanswered.Load(), int64(0))
+				is.True(asker.asked.Load() <= 2*int64(test.ends))
+			})
+		})
+	}
+}
