Replace an error status that breaks off in place of a stream

What callers saw: a request for a stream whose endpoint answered with an error status and broke off its body got neither a whole answer nor a failure: the connection was closed. An idempotent one was not tried elsewhere.

Cause: whether an answer begins with its first bytes was decided by the request. An answer with status 300 or more to a request for a stream is no stream, but began like one.

Evidence, TestErrorStatusOfStreamThatBreaksOffIsReplaced before, all four cases (events and model, idempotent or not): one attempt, and the answer "no such" that breaks off, in place of none and status 502, or of that of the second endpoint.

Why it works: the status decides as well.

--- a/internal/transport/execution/plain.go
+++ b/internal/transport/execution/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -16,12 +17,14 @@
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
 // copyAnswer copies the answer to the sink. A streamed answer begins with its first bytes.
-// Any other begins once it is complete or copyBytes of it have arrived: until then, one that
-// breaks off can be replaced by another attempt or by a failure, whereas the caller would
-// find its connection closed, often before it has received a byte.
+// Any other, such as an error in place of a stream, begins once it is complete or copyBytes
+// of it have arrived: until then, one that breaks off can be replaced by another attempt or
+// by a failure, whereas the caller would find its connection closed, often before it has
+// received a byte.
 func (r *Runner) copyAnswer(ctx context.Context, a *Attempt, answer Answer, id schedule.RequestID, m *meter, watch *silenceWatch, out *sinkTracker) error {
 	pooled := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(pooled)
+	streamed := a.Call.Stream && answer.Status() < http.StatusMultipleChoices
 	held := 0
 	for {
 		n, err := answer.Read(pooled[held:])
@@ -35,7 +38,7 @@
 			if err := errors.Join(watch.checkGivenUp(), context.Cause(ctx)); err != nil && !complete {
 				return err
 			}
-			if !complete && !a.Call.Stream && held < len(pooled) {
+			if !complete && !streamed && held < len(pooled) {
 				continue
 			}
 			if err := ensureBegun(out, answer); err != nil {
--- a/internal/transport/execution/runner_test.go
+++ b/internal/transport/execution/runner_test.go
@@ -288,3 +288,40 @@
 	is.True(errors.As(err, &problem))
 	is.Equal(problem.NotRun, caller.NotRunUnknown)
 }
+
+// TestErrorStatusOfStreamThatBreaksOffIsReplaced guards against a request for a stream that
+// gets neither an answer nor a failure, because its endpoint answers with an error status and
+// breaks off the body, which is no stream.
+func TestErrorStatusOfStreamThatBreaksOffIsReplaced(t *testing.T) {
+	cut := scriptedExchange{status: http.StatusNotFound, body: "no such", readErr: errors.New("connection reset")}
+	const events = "id: 1\n\n"
+	for _, test := range []struct {
+		name               string
+		idempotent, events bool
+		answer             string
+		attempts           int
+	}{
+		{"events", false, true, "", 1},
+		{"events, idempotent", true, true, events, 2},
+		{"model", false, false, "", 1},
+		{"model, idempotent", true, false, events, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			backend := &scriptedBackend{exchanges: []scriptedExchange{cut, {status: http.StatusOK, body: events}}}
+			call := testCall(test.idempotent)
+			call.Stream, call.Events = true, test.events
+			out := &recordingSink{}
+			err := newTestRunner(t, backend).Run(t.Context(), call, out)
+			is.Equal(backend.attempts, test.attempts)
+			is.Equal(out.String(), test.answer)
+			is.Equal(out.complete, err == nil)
+			var problem *caller.Problem
+			is.Equal(errors.As(err, &problem), !test.idempotent)
+			if problem != nil {
+				is.Equal(problem.Status, http.StatusBadGateway)
+				is.Equal(problem.NotRun, caller.NotRunUnknown)
+			}
+		})
+	}
+}
