Account for the memory of answers to questions about endpoints

What callers saw: nothing yet. The answers to questions whether an endpoint lives counted towards no limit: a head has a bound of 64 KiB, which net/http may take 1 MB for, and a body one of 1 MiB, for up to four questions to each endpoint at a time.

Cause: the limit for the heads of all answers came with attempts and control requests, and Client.Ask, which came at the same time, did not use it. The bounds of each multiply.

Evidence, TestAnswersToQuestionsCountTowardsTheirMemory before, with a full limiter: a head of 200 fields got no error, and a body of 50,002 bytes was read whole. After: ErrExhausted, and at most 16 KiB of the body.

Why it works: the connection counts what arrives, as for control requests. The head alone shows that the endpoint has answered, so a body that is not read on changes nothing about that. Usual answers are within the part that counts towards no limit. Not run: many endpoints that send such answers to one router.

--- a/internal/transport/endpoint/control.go
+++ b/internal/transport/endpoint/control.go
@@ -145,10 +145,13 @@
 }
 
 // Ask sends a question about the endpoint itself on a new connection and returns its answer,
-// whatever its status. Every error is an *Error.
+// whatever its status. The memory of the whole answer is accounted for like that of a head,
+// and a body for which there is none is not read on. Every error is an *Error.
 func (c *Client) Ask(ctx context.Context, address netip.AddrPort, path string, header http.Header) (*ControlAnswer, error) {
 	step := "ask " + path
 	d := &writeTracker{}
+	d.head.LimitAnswer(c.options.HeadMemory)
+	defer d.head.Release()
 	request, err := c.newRequest(address, &Attempt{Method: http.MethodGet, Path: path, Header: header})
 	if err != nil {
 		return nil, &Error{Step: step, Endpoint: address, Err: err}
--- a/internal/transport/endpoint/head_test.go
+++ b/internal/transport/endpoint/head_test.go
@@ -102,6 +102,39 @@
 	is.True(len(err.Error()) < 1000)
 }
 
+// TestAnswersToQuestionsCountTowardsTheirMemory guards against heads and bodies of answers to
+// questions that are each within their bound and together take more memory than there is.
+func TestAnswersToQuestionsCountTowardsTheirMemory(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	body := `"` + strings.Repeat("x", 50_000) + `"`
+	for _, test := range []struct {
+		name, answer string
+		err          error
+		bodyBytes    int
+	}{
+		{"Small", begin + "Content-Length: 2\r\n\r\n{}", nil, 2},
+		{"Fields", begin + strings.Repeat("X: y\r\n", 200) + "Content-Length: 2\r\n\r\n{}", memory.ErrExhausted, 0},
+		{"Body", begin + "Content-Length: 50002\r\n\r\n" + body, nil, 16 << 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			full := memory.NewLimiter(100)
+			options := defaultOptions
+			options.HeadMemory = full
+			client := NewClientWithOptions(nil, options)
+			defer client.Close()
+			answer, err := client.Ask(t.Context(), answerOnce(t, test.answer), "/report", nil)
+			is.True(errors.Is(err, test.err))
+			if err == nil {
+				is.Equal(answer.Status, http.StatusOK)
+				is.True(len(answer.Body) <= test.bodyBytes) // the rest is not read
+			}
+			whole := full.NewHolding(0)
+			is.NoErr(whole.Resize(100)) // all has been returned
+		})
+	}
+}
+
 // answerOnce starts an endpoint that sends the answer to one request.
 func answerOnce(t *testing.T, answer string) netip.AddrPort {
 	t.Helper()
