--- a/internal/transport/entry/sink.go
+++ b/internal/transport/entry/sink.go
@@ -28,6 +28,9 @@
 	return &Sink{writer: w, controller: http.NewResponseController(w), stream: stream, timeout: timeout}
 }
 
+// Began reports whether the answer has begun.
+func (s *Sink) Began() bool { return s.began }
+
 // Begin sends the head of the answer.
 func (s *Sink) Begin(status int, header http.Header) error {
 	s.began = true
