Seal an attempt before it is sent again on a new connection

Nothing of it had been written then, but net/http may still have been about to write it on another connection, on which the attempt had begun to run.

Now the attempt is sealed first, after which nothing of it can be written, and it fails as sent if that shows that a part was. The race needs an endpoint that answers on two connections before it is asked; no test forces that order, and none failed before. The tests of the package pass as before.

--- a/internal/transport/endpoint/client.go
+++ b/internal/transport/endpoint/client.go
@@ -178,6 +178,10 @@
 			// It was on the connection before the attempt, of which nothing was written.
 			_ = response.Body.Close()
 			d.head.Release()
+			// Another connection of the attempt may be written until it is sealed.
+			if d.seal() {
+				return nil, &Error{Step: "match answer", Endpoint: address, Sent: true, Err: errAnswerMismatch}
+			}
 		}
 		response, d, err = c.roundTrip(ctx, c.unpooled, address, a)
 	}
