--- a/platform/fields.go
+++ b/internal/protocol/document/document.go
@@ -1,4 +1,4 @@
-package platform
+package document
 
 import (
 	"bytes"
@@ -10,21 +10,23 @@
 )
 
 var (
-	errNullField     = errors.New("null is not allowed; leave the field out to state nothing")
-	errFieldTwice    = errors.New("the field stands there a second time")
-	errFieldSpelling = errors.New("the field is spelled in another way")
-	errNoObject      = errors.New("not an object")
+	errNull     = errors.New("null is not allowed; leave the field out to state nothing")
+	errTwice    = errors.New("the field stands there a second time")
+	errSpelling = errors.New("the field is spelled in another way")
+	errNoObject = errors.New("not an object")
 )
 
 // nullValue is JSON's null.
 var nullValue = []byte("null")
 
-// checkFields returns an error if a field of t is null in the JSON, stands there twice, or
+// Check returns an error if a field of t is null in the JSON, stands there twice, or
 // is spelled in another case, which package json accepts. The JSON must have been decoded
 // into a value of type t without an error. Fields that t lacks may have any form.
+func Check(data []byte, t reflect.Type) error { return checkFields(data, t, "") }
+
 func checkFields(data []byte, t reflect.Type, path string) error {
 	if bytes.Equal(bytes.TrimSpace(data), nullValue) {
-		return fmt.Errorf("field %q: %w", path, errNullField)
+		return fmt.Errorf("field %q: %w", path, errNull)
 	}
 	switch t.Kind() {
 	case reflect.Pointer:
@@ -61,15 +63,15 @@
 			return err
 		}
 		stated, _ := token.(string)
-		field, name, known := fieldNamed(t, stated)
+		field, name, known := FieldNamed(t, stated)
 		at := strings.TrimPrefix(path+"."+name, ".")
 		switch {
 		case !known:
 			continue
 		case stated != name:
-			return fmt.Errorf("field %q: %w: %q", at, errFieldSpelling, stated)
+			return fmt.Errorf("field %q: %w: %q", at, errSpelling, stated)
 		case seen[name]:
-			return fmt.Errorf("field %q: %w", at, errFieldTwice)
+			return fmt.Errorf("field %q: %w", at, errTwice)
 		}
 		seen[name] = true
 		if err := checkFields(value, field.Type, at); err != nil {
@@ -79,9 +81,9 @@
 	return nil
 }
 
-// fieldNamed returns the field of t into which package json decodes a member of the given
+// FieldNamed returns the field of t into which package json decodes a member of the given
 // name, and the name that the field has in JSON.
-func fieldNamed(t reflect.Type, stated string) (field reflect.StructField, name string, known bool) {
+func FieldNamed(t reflect.Type, stated string) (field reflect.StructField, name string, known bool) {
 	for i := range t.NumField() {
 		field = t.Field(i)
 		if name, _, _ = strings.Cut(field.Tag.Get("json"), ","); strings.EqualFold(name, stated) {
@@ -90,3 +92,18 @@
 	}
 	return field, "", false
 }
+
+// Optional is a field that may be left out. Unlike a pointer it does not accept null.
+type Optional[T any] struct {
+	Value T
+	Set   bool
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *Optional[T]) UnmarshalJSON(data []byte) error {
+	if bytes.Equal(data, nullValue) {
+		return errNull
+	}
+	o.Set = true
+	return json.Unmarshal(data, &o.Value)
+}
