Let a bound continue until the next reports

Cause: the bound was derived anew in each scan, so that it ended as fast as it began, while what routers know of each other is up to an interval between reports old.

Now the last bound continues for that interval, 1.5 s at most, at what its organisation receives meanwhile or more, also where a higher bound for another organisation has taken its place.

--- a/internal/coordination/admission/gap.go
+++ b/internal/coordination/admission/gap.go
@@ -42,6 +42,9 @@
 	// router because of the bound. The router's part of the bound may be less than
 	// one request in that time.
 	maxStartInterval = 5 * time.Second
+	// maxBoundLifetime is the longest time for which a bound continues to apply after its
+	// reason has ended; see keepBound.
+	maxBoundLifetime = 1500 * time.Millisecond
 	// boundLogInterval is the time between two log lines about the bound.
 	boundLogInterval = time.Second
 )
@@ -86,6 +89,35 @@
 	return s
 }
 
+// lastBound is the lowest bound that applied lately in a pool.
+type lastBound struct {
+	organisation string
+	rate         float64
+	until        time.Time
+}
+
+// keepBound lets a bound continue for a while after its reason has ended, or given way to
+// that of a higher one. An organisation whose callers are rejected in bursts gets most of
+// what it asks for in between, and without a bound all routers start what others ask for
+// until the next reports.
+func (l *pool) keepBound(now time.Time, s *shares, lifetime time.Duration) {
+	last := &l.lastBound
+	kept := max(last.rate, maxGap*s.rates[last.organisation].received)
+	if now.Before(last.until) && s.leastServed != last.organisation && kept < s.bound {
+		s.bound, s.leastServed = kept, last.organisation
+		return
+	}
+	if s.leastServed != "" {
+		*last = lastBound{s.leastServed, s.bound, now.Add(lifetime)}
+	}
+}
+
+// boundLifetime returns the time for which a bound continues to apply after its reason has
+// ended: until the next reports, unless these are rare.
+func (p *Policy) boundLifetime() time.Duration {
+	return min(p.pulseInterval(), maxBoundLifetime)
+}
+
 // isMostlyRefused reports whether an organisation is refused a large part of what it
 // requests while others may be in its way: it requests no less than the fair rate, or
 // than the best served one receives. The requests of any other organisation come first at
--- a/internal/coordination/admission/gap_test.go
+++ b/internal/coordination/admission/gap_test.go
@@ -211,3 +211,27 @@
 		})
 	}
 }
+
+// TestBoundContinuesUntilTheNextReports guards against a bound that lapses between two bursts
+// of rejections, so that all routers start what others ask for until the next reports, and
+// against one that does not end.
+func TestBoundContinuesUntilTheNextReports(t *testing.T) {
+	is := is.New(t)
+	const capacity = 1000.0
+	const lifetime = time.Second
+	now := time.Unix(5000, 0)
+	l := &pool{}
+	bounded := func(short usageRates) shares {
+		s := newShares(map[string]usageRates{"best": {requested: 5000, received: 700}, "short": short}, capacity)
+		l.keepBound(now, &s, lifetime)
+		return s
+	}
+	first := bounded(usageRates{requested: 600, received: 200, unserved: 400})
+	is.Equal(first.leastServed, "short")
+	now = now.Add(lifetime / 2)
+	between := bounded(usageRates{requested: 600, received: 380, unserved: 0})
+	is.Equal(between.leastServed, "short")
+	is.Equal(between.bound, maxGap*380) // it follows what the organisation receives
+	now = now.Add(lifetime / 2)
+	is.Equal(bounded(usageRates{requested: 600, received: 380, unserved: 0}).leastServed, "")
+}
--- a/internal/coordination/admission/policy.go
+++ b/internal/coordination/admission/policy.go
@@ -88,6 +88,7 @@
 	// minScanInterval.
 	scannedAt   time.Time
 	scanPending bool
+	lastBound   lastBound
 	// bounded is set while a bound is logged as being in force; see logBound.
 	bounded        bool
 	nextBoundLogAt time.Time
--- a/internal/coordination/admission/scan.go
+++ b/internal/coordination/admission/scan.go
@@ -63,6 +63,7 @@
 	}
 	l.scannedAt, l.scanPending = now, false
 	shares := newShares(p.usage.fleetRates(now), l.throughput(now))
+	l.keepBound(now, &shares, p.boundLifetime())
 	p.logBound(now, l, &shares)
 	l.queue.order(shares.rates, shares.fairRate)
 	meanTiming := l.meanTiming(now)
