Show that a removed key is accepted by a router that restarts in a drill

Rule CONFIG: a router that starts takes the first configuration of the store for the newest one, also right after the store has come back from an older copy.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,7 @@
 // broken; with trouble unset, it runs without the disruption.
 var cases = map[string]func(ctx context.Context, s *stage, trouble bool) (broken int, err error){
 	"crowd": crowd,
+	"drill": drill,
 }
 
 func main() {
